LibDecision: Add events, effects, error kinds and a thin reducer

Cause: every later part needs its place in one reducer, and every process needs the types at its interfaces.

--- /dev/null
+++ b/Libraries/LibDecision/Calls/outgoing_calls.cc
@@ -0,0 +1,192 @@
+#include "LibDecision/Calls/outgoing_calls.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "LibDecision/Once/key_register.h"
+
+namespace auburnfold {
+
+namespace {
+
+constexpr duration kSoonRetryAfter = std::chrono::milliseconds(100);
+
+duration RetryAfterFor(error_kind kind,
+                       const std::optional<answer_facts>& peer) {
+  switch (AnswerFor(kind).when) {
+    case come_back::kNever:
+      return duration::zero();
+    case come_back::kSoon:
+      return kSoonRetryAfter;
+    case come_back::kAfterPressure:
+      return peer ? std::max(peer->retry_after, kSoonRetryAfter)
+                  : kSoonRetryAfter;
+  }
+  return duration::zero();
+}
+
+}  // namespace
+
+void outgoing_calls::OnArrived(step& now,
+                               const call_arrived& arrived,
+                               std::optional<std::uint8_t> priority) {
+  const request_facts& facts = arrived.facts;
+  const row_settings& row =
+      rows_.SettingsFor(facts.service, facts.request_class);
+  call& open = calls_[arrived.call];
+  open.facts = facts;
+  open.parent = arrived.parent;
+  open.is_idempotent = row.is_idempotent;
+  open.deadline = now.now() + std::min(facts.time_left, row.longest_deadline);
+  open.facts.priority = priority ? priority : row.priority;
+  if (arrived.parent) {
+    open.allowance = allowance_.Grant(*arrived.parent);
+  } else if (!arrived.has_parent && facts.client_attempt == 1) {
+    open.allowance = row.retry_allowance;
+  }
+  if (!rows_.has_service(facts.service) &&
+      !members_.has_service(facts.service)) {
+    return Refuse(now, arrived.call, error_kind::kUnknownService,
+                  duration::zero());
+  }
+  if (facts.time_left <= duration::zero()) {
+    return Refuse(now, arrived.call, error_kind::kDeadlineExpired,
+                  duration::zero());
+  }
+  now.timers().Subscribe({timer_owner::kCalls, arrived.call.value()},
+                         open.deadline);
+  Send(now, arrived.call, open);
+}
+
+void outgoing_calls::OnCancelled(step& now, call_id id) {
+  if (calls_.contains(id)) {
+    Close(now, id);
+  }
+}
+
+void outgoing_calls::OnAttemptFinished(step& now,
+                                       const attempt_finished& finished) {
+  const auto sent = attempts_.find(finished.attempt);
+  if (sent == attempts_.end()) {
+    now.Count(counter::kLateAnswers);
+    return;
+  }
+  const call_id id = sent->second;
+  attempts_.erase(sent);
+  call& open = calls_.at(id);
+  open.attempt.reset();
+  const outcome& result = finished.result;
+  router_.OnFinished(now, open.tried.back(), result,
+                     now.now() - open.attempt_started);
+  if (result.peer) {
+    open.allowance = static_cast<std::uint16_t>(open.allowance +
+                                                result.peer->allowance_left);
+  }
+  if (result.is_whole()) {
+    now.Emit(relay_answer{id, finished.attempt, open.allowance});
+    return Close(now, id);
+  }
+  if (result.ran != run_state::kNotRun) {
+    open.may_have_run = true;
+  }
+  if (ShouldRetry(now, open, result)) {
+    --open.allowance;
+    now.Count(counter::kRetries);
+    return Send(now, id, open);
+  }
+  Refuse(now, id, *result.error, RetryAfterFor(*result.error, result.peer));
+}
+
+void outgoing_calls::OnTimer(step& now, std::uint64_t key) {
+  const call_id id(key);
+  const auto found = calls_.find(id);
+  if (found == calls_.end()) {
+    return;
+  }
+  if (found->second.attempt) {
+    found->second.may_have_run = true;
+  }
+  Refuse(now, id, error_kind::kAnswerTimeout, duration::zero());
+}
+
+void outgoing_calls::CancelChildrenOf(step& now, work_id parent) {
+  std::vector<call_id> children;
+  for (const auto& [id, open] : calls_) {
+    if (open.parent == parent) {
+      children.push_back(id);
+    }
+  }
+  for (const call_id id : children) {
+    now.Count(counter::kCancelledDown);
+    Refuse(now, id, error_kind::kCallerGone, duration::zero());
+  }
+}
+
+void outgoing_calls::Send(step& now, call_id id, call& open) {
+  const std::vector<const member_record*> ready =
+      members_.ReadyEndpoints(open.facts.service);
+  const member_record* chosen = router_.Choose(now, ready, open.tried);
+  if (chosen == nullptr) {
+    return Refuse(now, id, error_kind::kNoEndpoint, kSoonRetryAfter);
+  }
+  const attempt_id attempt(next_attempt_++);
+  open.attempt = attempt;
+  open.attempt_started = now.now();
+  open.tried.push_back(chosen->node);
+  attempts_[attempt] = id;
+  router_.OnSent(now, chosen->node);
+  request_facts facts = open.facts;
+  facts.time_left = open.deadline - now.now();
+  // What travels with the attempt is spent until its answer brings it back.
+  facts.allowance = std::exchange(open.allowance, std::uint16_t{0});
+  now.Count(counter::kAttempts);
+  now.Emit(send_attempt{attempt, id, chosen->node, chosen->run, chosen->address,
+                        std::move(facts)});
+}
+
+void outgoing_calls::Refuse(step& now,
+                            call_id id,
+                            error_kind kind,
+                            duration retry_after) {
+  const call& open = calls_.at(id);
+  const run_state ran =
+      open.may_have_run ? run_state::kUnknown : run_state::kNotRun;
+  now.Emit(refuse_call{id, kind, ran, retry_after, open.allowance});
+  Close(now, id);
+}
+
+void outgoing_calls::Close(step& now, call_id id) {
+  const auto found = calls_.find(id);
+  const call& open = found->second;
+  if (open.attempt) {
+    attempts_.erase(*open.attempt);
+    router_.OnCancelled(now, open.tried.back());
+    now.Emit(cancel_attempt{*open.attempt});
+  }
+  if (open.parent) {
+    allowance_.Return(*open.parent, open.allowance);
+  }
+  now.timers().Cancel({timer_owner::kCalls, id.value()});
+  calls_.erase(found);
+}
+
+bool outgoing_calls::ShouldRetry(step& now,
+                                 const call& open,
+                                 const outcome& result) const {
+  const bool is_safe = result.ran == run_state::kNotRun || open.is_idempotent;
+  if (!is_safe || open.deadline <= now.now()) {
+    return false;
+  }
+  const bool is_worth_it =
+      AnswerFor(*result.error).is_retryable || result.ran != run_state::kNotRun;
+  if (!is_worth_it) {
+    return false;
+  }
+  if (open.allowance == 0) {
+    now.Count(counter::kRetriesDeniedByAllowance);
+    return false;
+  }
+  return true;
+}
+
+}  // namespace auburnfold
--- /dev/null
+++ b/Libraries/LibDecision/Timers/timer_service.h
@@ -0,0 +1,66 @@
+#ifndef LIBDECISION_TIMERS_TIMER_SERVICE_H_
+#define LIBDECISION_TIMERS_TIMER_SERVICE_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "LibDecision/instant.h"
+
+namespace auburnfold {
+
+/// The parts of the reducer that subscribe to timers.
+enum class timer_owner : std::uint8_t {
+  kCalls,
+  kWorks,
+  kAdmission,
+  kRouting,
+  kOnce,
+  kMembership,
+  kTable,
+  kStop,
+};
+
+/// One subscription: `owner` tells its timers apart by `key`.
+struct timer_subscription {
+  timer_owner owner;
+  std::uint64_t key = 0;
+
+  friend bool operator==(const timer_subscription&,
+                         const timer_subscription&) = default;
+};
+
+/// Keeps the instants that parts wait for. Each subscription fires once; a
+/// second `Subscribe` with the same owner and key replaces the first.
+class timer_service {
+ public:
+  void Subscribe(timer_subscription subscription, instant when);
+  void Cancel(timer_subscription subscription);
+
+  /// Removes and returns the earliest subscription due at `now`, if any.
+  std::optional<timer_subscription> TakeDue(instant now);
+
+  /// The instant of the earliest subscription, if any.
+  std::optional<instant> next() const;
+
+ private:
+  struct subscription_hash {
+    std::size_t operator()(const timer_subscription& subscription) const {
+      return std::hash<std::uint64_t>{}(
+          subscription.key * 31 +
+          static_cast<std::uint64_t>(subscription.owner));
+    }
+  };
+  using queue = std::multimap<instant, timer_subscription>;
+
+  queue queue_;
+  std::unordered_map<timer_subscription, queue::iterator, subscription_hash>
+      by_subscription_;
+};
+
+}  // namespace auburnfold
+
+#endif  // LIBDECISION_TIMERS_TIMER_SERVICE_H_
--- /dev/null
+++ b/Libraries/LibDecision/Works/incoming_works.h
@@ -0,0 +1,75 @@
+#ifndef LIBDECISION_WORKS_INCOMING_WORKS_H_
+#define LIBDECISION_WORKS_INCOMING_WORKS_H_
+
+#include <cstdint>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+#include "LibDecision/Admission/admission.h"
+#include "LibDecision/Once/key_register.h"
+#include "LibDecision/Retries/retry_allowance.h"
+#include "LibDecision/Table/table.h"
+#include "LibDecision/event.h"
+#include "LibDecision/step.h"
+
+namespace auburnfold {
+
+/// Requests that other nodes forwarded for the own endpoint: each is refused,
+/// or runs once, and ends with exactly one answer to the forwarding node.
+class incoming_works {
+ public:
+  incoming_works(const table& rows, retry_allowance& allowance)
+      : rows_(rows), allowance_(allowance) {}
+
+  void Start(const node_started& self);
+  void OnArrived(step& now, const work_arrived& arrived);
+  void OnCancelled(step& now, work_id work);
+  void OnSent(step& now, work_id work);
+  void OnFinished(step& now, const work_finished& finished);
+  void OnEndpointReported(step& now, const endpoint_reported& report);
+  void OnStopRequested(step& now);
+  void OnTimer(step& now, timer_subscription due);
+
+  /// A deeper call of `work` began or ended; its waiting is not own time.
+  void OnChildStarted(step& now, work_id work);
+  void OnChildFinished(step& now, work_id work);
+
+  /// The facts of open work; nothing if `work` is not open.
+  const request_facts* FactsOf(work_id work) const;
+  std::size_t open_count() const { return works_.size(); }
+
+ private:
+  struct work {
+    request_facts facts;
+    instant arrived;
+    instant started;
+    instant deadline;
+    bool is_running = false;
+    /// Bytes may have reached the endpoint.
+    bool is_sent = false;
+    std::uint32_t open_children = 0;
+    instant children_since;
+    duration waited_for_children{};
+  };
+
+  void Apply(step& now, const std::vector<admission_decision>& decisions);
+  void Run(step& now, work_id id);
+  void Refuse(step& now, work_id id, error_kind kind, run_state ran);
+  void IssueKey(step& now, work_id id);
+  answer_facts DescribeAnswer(const work& open, std::uint16_t allowance) const;
+  void Close(step& now, work_id id);
+
+  const table& rows_;
+  retry_allowance& allowance_;
+  incarnation run_;
+  bool is_stopping_ = false;
+  std::optional<endpoint_reported> endpoint_;
+  admission admission_;
+  key_register keys_;
+  std::unordered_map<work_id, work> works_;
+};
+
+}  // namespace auburnfold
+
+#endif  // LIBDECISION_WORKS_INCOMING_WORKS_H_
--- /dev/null
+++ b/Libraries/LibDecision/counter.h
@@ -0,0 +1,46 @@
+#ifndef LIBDECISION_COUNTER_H_
+#define LIBDECISION_COUNTER_H_
+
+#include <cstdint>
+#include <string_view>
+
+namespace auburnfold {
+
+/// What the decisions count; one metric each.
+enum class counter : std::uint8_t {
+  kAttempts,
+  kRetries,
+  kRetriesDeniedByAllowance,
+  kRetriesDeniedByNodeShare,
+  kRetriesDeniedByPressure,
+  kRefusedEarly,
+  kRefusedByLimit,
+  kDroppedFromQueue,
+  kCancelledDown,
+  kLateAnswers,
+  kEndpointsEjected,
+  kConnectionsReplaced,
+  kKeysIssued,
+  kKeysReplayed,
+  kKeysRefused,
+  kKeysForgotten,
+  kMembersFoundDead,
+  kOldRecordsIgnored,
+  kOldRowsIgnored,
+  kRowsTaken,
+  kStoreCalls,
+  kStoreFailures,
+  kMessagesSent,
+  kEditsAccepted,
+  kEditsRefused,
+};
+
+inline constexpr std::size_t kCounterCount =
+    static_cast<std::size_t>(counter::kEditsRefused) + 1;
+
+/// The metric's name without prefix and suffix, in snake case.
+std::string_view NameOf(counter which);
+
+}  // namespace auburnfold
+
+#endif  // LIBDECISION_COUNTER_H_
--- /dev/null
+++ b/Libraries/LibDecision/reducer.cc
@@ -0,0 +1,157 @@
+#include "LibDecision/reducer.h"
+
+#include <optional>
+#include <variant>
+
+#include "LibDecision/Calls/outgoing_calls.h"
+#include "LibDecision/Membership/membership.h"
+#include "LibDecision/Retries/retry_allowance.h"
+#include "LibDecision/Table/table.h"
+#include "LibDecision/Timers/timer_service.h"
+#include "LibDecision/Works/incoming_works.h"
+#include "LibDecision/step.h"
+
+namespace auburnfold {
+
+struct node_state::parts {
+  timer_service timers;
+  table rows;
+  membership members;
+  retry_allowance allowance;
+  outgoing_calls calls{rows, members, allowance};
+  incoming_works works{rows, allowance};
+  bool is_stopping = false;
+  bool is_stopped = false;
+  std::optional<instant> wake;
+
+  void On(step& now, const node_started& self) {
+    members.Start(now, self);
+    rows.Start(now);
+    works.Start(self);
+  }
+
+  void On(step& now, const stop_requested&) {
+    is_stopping = true;
+    members.OnStopRequested(now);
+    works.OnStopRequested(now);
+  }
+
+  void On(step&, const time_passed&) {}
+
+  void On(step& now, const call_arrived& arrived) {
+    const request_facts* parent =
+        arrived.parent ? works.FactsOf(*arrived.parent) : nullptr;
+    if (parent == nullptr) {
+      call_arrived orphan = arrived;
+      orphan.parent.reset();
+      return calls.OnArrived(now, orphan, arrived.facts.priority);
+    }
+    calls.OnArrived(now, arrived, parent->priority);
+  }
+
+  void On(step& now, const call_cancelled& cancelled) {
+    calls.OnCancelled(now, cancelled.call);
+  }
+
+  void On(step&, const attempt_sent&) {}
+
+  void On(step& now, const attempt_finished& finished) {
+    calls.OnAttemptFinished(now, finished);
+  }
+
+  void On(step& now, const work_arrived& arrived) {
+    works.OnArrived(now, arrived);
+  }
+
+  void On(step& now, const work_cancelled& cancelled) {
+    works.OnCancelled(now, cancelled.work);
+    calls.CancelChildrenOf(now, cancelled.work);
+  }
+
+  void On(step& now, const work_sent& sent) { works.OnSent(now, sent.work); }
+
+  void On(step& now, const work_finished& finished) {
+    works.OnFinished(now, finished);
+    calls.CancelChildrenOf(now, finished.work);
+  }
+
+  void On(step& now, const endpoint_reported& report) {
+    members.OnEndpointReported(now, report);
+    works.OnEndpointReported(now, report);
+  }
+
+  void On(step&, const connection_closed&) {}
+
+  void On(step& now, const message_received& received) {
+    members.OnMessage(now, received.message);
+    if (const auto* update =
+            std::get_if<row_update>(&received.message.content)) {
+      for (const table_row& row : update->rows) {
+        rows.Take(now, row);
+      }
+    }
+  }
+
+  void On(step& now, const store_answered& answer) {
+    members.OnStoreAnswered(now, answer);
+    rows.OnStoreAnswered(now, answer);
+  }
+
+  void On(step& now, const admin_requested& request) {
+    rows.OnAdminRequested(now, request);
+  }
+
+  void OnTimer(step& now, timer_subscription due) {
+    switch (due.owner) {
+      case timer_owner::kCalls:
+        return calls.OnTimer(now, due.key);
+      case timer_owner::kWorks:
+      case timer_owner::kAdmission:
+      case timer_owner::kOnce:
+        return works.OnTimer(now, due);
+      case timer_owner::kMembership:
+        return members.OnTimer(now, due.key);
+      case timer_owner::kTable:
+        return rows.OnTimer(now, due.key);
+      case timer_owner::kRouting:
+      case timer_owner::kStop:
+        return;
+    }
+  }
+
+  void StopIfIdle(step& now) {
+    const bool is_idle = calls.open_count() == 0 && works.open_count() == 0;
+    if (is_stopping && !is_stopped && is_idle) {
+      is_stopped = true;
+      now.Emit(stop_process{});
+    }
+  }
+
+  void AskForWake(step& now) {
+    const std::optional<instant> next = timers.next();
+    if (next && next != wake) {
+      wake = next;
+      now.Emit(wake_at{*next});
+    }
+  }
+};
+
+node_state::node_state() : parts_(std::make_unique<parts>()) {}
+node_state::~node_state() = default;
+node_state::node_state(node_state&&) noexcept = default;
+node_state& node_state::operator=(node_state&&) noexcept = default;
+
+effects Reduce(node_state& state, const event& happened) {
+  node_state::parts& parts = *state.parts_;
+  step now(happened.now, happened.entropy, parts.timers);
+  while (const auto due = parts.timers.TakeDue(happened.now)) {
+    parts.OnTimer(now, *due);
+  }
+  std::visit([&](const auto& content) { parts.On(now, content); },
+             happened.content);
+  parts.StopIfIdle(now);
+  parts.AskForWake(now);
+  return now.TakeEffects();
+}
+
+}  // namespace auburnfold
--- /dev/null
+++ b/Tests/LibDecision/reducer_test.cc
@@ -0,0 +1,105 @@
+#include "LibDecision/reducer.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <optional>
+
+namespace auburnfold {
+namespace {
+
+using namespace std::chrono_literals;
+
+template <class wanted>
+std::optional<wanted> FindEffect(const effects& made) {
+  for (const effect& each : made) {
+    if (const auto* found = std::get_if<wanted>(&each)) {
+      return *found;
+    }
+  }
+  return std::nullopt;
+}
+
+class ANodeBesideItsEndpoint : public testing::Test {
+ protected:
+  ANodeBesideItsEndpoint() {
+    Happen(node_started{.node = node_id(1), .run = incarnation(7)});
+    Happen(endpoint_reported{.service = service_name("listings")});
+  }
+
+  effects Happen(event_content content) {
+    return Reduce(state_, {now_, 42, std::move(content)});
+  }
+
+  static request_facts Lookup() {
+    request_facts facts;
+    facts.service = service_name("listings");
+    facts.request_class = class_name("lookup");
+    facts.time_left = 250ms;
+    return facts;
+  }
+
+  node_state state_;
+  instant now_{};
+};
+
+class ACallThatArrives : public ANodeBesideItsEndpoint {};
+
+TEST_F(ACallThatArrives, IsForwardedToTheNodeBesideAnEndpointOfItsService) {
+  const effects made =
+      Happen(call_arrived{.call = call_id(1), .facts = Lookup()});
+  const auto sent = FindEffect<send_attempt>(made);
+  ASSERT_TRUE(sent);
+  EXPECT_EQ(sent->node, node_id(1));
+  EXPECT_EQ(sent->expected_run, incarnation(7));
+}
+
+TEST_F(ACallThatArrives, IsRefusedAsNotRunIfNobodyOffersItsService) {
+  request_facts facts = Lookup();
+  facts.service = service_name("nobody");
+  const auto refused = FindEffect<refuse_call>(
+      Happen(call_arrived{.call = call_id(1), .facts = facts}));
+  ASSERT_TRUE(refused);
+  EXPECT_EQ(refused->kind, error_kind::kUnknownService);
+  EXPECT_EQ(refused->ran, run_state::kNotRun);
+}
+
+TEST_F(ACallThatArrives, IsAnsweredUnknownAtOnceWhenItsDeadlinePasses) {
+  Happen(call_arrived{.call = call_id(1), .facts = Lookup()});
+  now_ += 250ms;
+  const auto refused = FindEffect<refuse_call>(Happen(time_passed{}));
+  ASSERT_TRUE(refused);
+  EXPECT_EQ(refused->kind, error_kind::kAnswerTimeout);
+  EXPECT_EQ(refused->ran, run_state::kUnknown);
+}
+
+class WorkThatArrives : public ANodeBesideItsEndpoint {};
+
+TEST_F(WorkThatArrives, RunsAtTheEndpointAndItsAnswerIsRelayed) {
+  EXPECT_TRUE(FindEffect<run_work>(
+      Happen(work_arrived{.work = work_id(1), .facts = Lookup()})));
+  Happen(work_sent{work_id(1), connection_id(1)});
+  EXPECT_TRUE(
+      FindEffect<relay_work_answer>(Happen(work_finished{work_id(1), {}})));
+}
+
+TEST_F(WorkThatArrives, IsRefusedAsNotRunWhileTheEndpointLeaves) {
+  Happen(endpoint_reported{.service = service_name("listings"),
+                           .state = endpoint_state::kLeaving});
+  const auto refused = FindEffect<refuse_work>(
+      Happen(work_arrived{.work = work_id(1), .facts = Lookup()}));
+  ASSERT_TRUE(refused);
+  EXPECT_EQ(refused->kind, error_kind::kEndpointLeaving);
+  EXPECT_EQ(refused->ran, run_state::kNotRun);
+}
+
+class APlannedStop : public ANodeBesideItsEndpoint {};
+
+TEST_F(APlannedStop, WaitsForTheWorkThatRuns) {
+  Happen(work_arrived{.work = work_id(1), .facts = Lookup()});
+  EXPECT_FALSE(FindEffect<stop_process>(Happen(stop_requested{})));
+  EXPECT_TRUE(FindEffect<stop_process>(Happen(work_finished{work_id(1), {}})));
+}
+
+}  // namespace
+}  // namespace auburnfold
