Meta: Key the lint cache by each source's own text

The preprocessor command named two outputs and failed silently, so every source had the same key and one clean file passed all the others. The key is now made from the preprocessed text, a source that cannot be preprocessed fails, and the options of Tests are part of the key. A wrongly named class added to a source fails the check, also when it is run a second time.

--- a/Meta/lint.sh
+++ b/Meta/lint.sh
@@ -16,7 +16,10 @@
   local source=$1 command key
   command=$(jq -r --arg f "$PWD/$source" '[.[] | select(.file==$f)][0].command // empty' "$build/compile_commands.json")
   [ -n "$command" ] || { echo "not compiled: $source"; return 1; }
-  key=$( (cat .clang-tidy; eval "${command#*ccache } -E -P -o -" 2>/dev/null | cat) | sha256sum | cut -d' ' -f1)
+  command=$(sed -E 's/ -o [^ ]+ -c / -E -P /' <<<"${command#*ccache }")
+  # The options count as well as the text; a source that cannot be
+  # preprocessed has no key and fails.
+  key=$(set -o pipefail; { cat .clang-tidy Tests/.clang-tidy; eval "$command"; } | sha256sum | cut -d' ' -f1) || { echo "not preprocessed: $source"; return 1; }
   [ -f "$stamps/$key" ] && return 0
   clang-tidy --quiet -p "$build" "$source" 2>/dev/null || { echo "clang-tidy: $source"; return 1; }
   : > "$stamps/$key"
