LibDecision: Run keyed work once, at the home that its key names

Keys were never issued, so no non-idempotent work could be sent twice safely. The node beside an endpoint now issues keys that name node, incarnation, serial and a random number which it keeps. Work with a key is sent to that home alone, which runs it once, replays its whole answer, and refuses it as unknown after any other end. Memory is bounded by keys and bytes; at the bound no key is issued and no unused key is run. Keyed work whose caller has gone runs on, so that a resend finds its answer.

The run states of all paths were checked; three said "not run" without knowing: a call cut with an attempt under way, an attempt that failed after its bytes had left, and the refusals about keys, which speak of earlier sends too.

--- a/Libraries/LibDecision/Calls/outgoing_calls.cc
+++ b/Libraries/LibDecision/Calls/outgoing_calls.cc
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "LibDecision/Once/key_register.h"
-
 namespace auburnfold {
 
 namespace {
@@ -36,7 +34,9 @@
   call& open = calls_[arrived.call];
   open.facts = facts;
   open.parent = arrived.parent;
-  open.is_idempotent = row.is_idempotent;
+  // A second key does no harm.
+  open.is_idempotent =
+      row.is_idempotent || facts.purpose == request_purpose::kIssueKey;
   open.deadline = now.now() + std::min(facts.time_left, row.longest_deadline);
   open.facts.priority = priority ? priority : row.priority;
   if (arrived.parent) {
@@ -44,6 +44,10 @@
   } else if (!arrived.has_parent && facts.client_attempt == 1) {
     open.allowance = row.retry_allowance;
   }
+  if (is_stopping_ && !arrived.parent) {
+    return Refuse(now, arrived.call, error_kind::kNodeStopping,
+                  kSoonRetryAfter);
+  }
   if (!rows_.has_service(facts.service) &&
       !members_.has_service(facts.service)) {
     return Refuse(now, arrived.call, error_kind::kUnknownService,
@@ -64,6 +68,16 @@
   }
 }
 
+void outgoing_calls::OnSent(step& now, const attempt_sent& sent) {
+  const auto found = attempts_.find(sent.attempt);
+  if (found == attempts_.end()) {
+    // Its call ended in this very event, by a timer.
+    now.Emit(cancel_attempt{sent.attempt});
+    return;
+  }
+  calls_.at(found->second).is_attempt_sent = true;
+}
+
 void outgoing_calls::OnAttemptFinished(step& now,
                                        const attempt_finished& finished) {
   const auto sent = attempts_.find(finished.attempt);
@@ -75,7 +89,12 @@
   attempts_.erase(sent);
   call& open = calls_.at(id);
   open.attempt.reset();
-  const outcome& result = finished.result;
+  outcome result = finished.result;
+  if (open.is_attempt_sent && !result.peer &&
+      result.ran == run_state::kNotRun) {
+    // Bytes left this node and nobody says what became of them.
+    result.ran = run_state::kUnknown;
+  }
   router_.OnFinished(now, open.tried.back(), result,
                      now.now() - open.attempt_started);
   if (result.peer) {
@@ -103,12 +122,19 @@
   if (found == calls_.end()) {
     return;
   }
-  if (found->second.attempt) {
-    found->second.may_have_run = true;
-  }
   Refuse(now, id, error_kind::kAnswerTimeout, duration::zero());
 }
 
+void outgoing_calls::CutAll(step& now) {
+  std::vector<call_id> open_calls;
+  for (const auto& [id, open] : calls_) {
+    open_calls.push_back(id);
+  }
+  for (const call_id id : open_calls) {
+    Refuse(now, id, error_kind::kNodeStopping, kSoonRetryAfter);
+  }
+}
+
 void outgoing_calls::CancelChildrenOf(step& now, work_id parent) {
   std::vector<call_id> children;
   for (const auto& [id, open] : calls_) {
@@ -123,15 +149,14 @@
 }
 
 void outgoing_calls::Send(step& now, call_id id, call& open) {
-  const std::vector<const member_record*> ready =
-      members_.ReadyEndpoints(open.facts.service);
-  const member_record* chosen = router_.Choose(now, ready, open.tried);
+  const member_record* chosen = ChooseMember(now, id, open);
   if (chosen == nullptr) {
-    return Refuse(now, id, error_kind::kNoEndpoint, kSoonRetryAfter);
+    return;
   }
   const attempt_id attempt(next_attempt_++);
   open.attempt = attempt;
   open.attempt_started = now.now();
+  open.is_attempt_sent = false;
   open.tried.push_back(chosen->node);
   attempts_[attempt] = id;
   router_.OnSent(now, chosen->node);
@@ -144,13 +169,55 @@
                         std::move(facts)});
 }
 
+const member_record* outgoing_calls::ChooseMember(step& now,
+                                                  call_id id,
+                                                  const call& open) {
+  const bool has_key =
+      open.facts.key && open.facts.purpose == request_purpose::kRun;
+  if (has_key) {
+    const auto home = key_register::HomeOf(*open.facts.key);
+    if (home) {
+      return ChooseHome(now, id, *home);
+    }
+    if (!open.is_idempotent) {
+      Refuse(now, id, error_kind::kKeyNotIssued, duration::zero());
+      return nullptr;
+    }
+  }
+  const std::vector<const member_record*> ready =
+      members_.ReadyEndpoints(open.facts.service);
+  const member_record* chosen = router_.Choose(now, ready, open.tried);
+  if (chosen == nullptr) {
+    Refuse(now, id, error_kind::kNoEndpoint, kSoonRetryAfter);
+  }
+  return chosen;
+}
+
+// A home that this node has not heard of may be new, so the caller comes back;
+// one that was replaced or has left keeps its secret for good.
+const member_record* outgoing_calls::ChooseHome(step& now,
+                                                call_id id,
+                                                const key_home& home) {
+  const member_record* record = members_.Find(home.node);
+  if (record == nullptr || record->run < home.run) {
+    Refuse(now, id, error_kind::kNoEndpoint, kSoonRetryAfter);
+    return nullptr;
+  }
+  if (record->run > home.run || record->state == member_state::kGone) {
+    calls_.at(id).may_have_run = true;
+    Refuse(now, id, error_kind::kKeyHomeGone, duration::zero());
+    return nullptr;
+  }
+  return record;
+}
+
 void outgoing_calls::Refuse(step& now,
                             call_id id,
                             error_kind kind,
                             duration retry_after) {
   const call& open = calls_.at(id);
-  const run_state ran =
-      open.may_have_run ? run_state::kUnknown : run_state::kNotRun;
+  const run_state ran = open.may_have_run || open.attempt ? run_state::kUnknown
+                                                          : run_state::kNotRun;
   now.Emit(refuse_call{id, kind, ran, retry_after, open.allowance});
   Close(now, id);
 }
@@ -173,13 +240,17 @@
 bool outgoing_calls::ShouldRetry(step& now,
                                  const call& open,
                                  const outcome& result) const {
-  const bool is_safe = result.ran == run_state::kNotRun || open.is_idempotent;
-  if (!is_safe || open.deadline <= now.now()) {
+  if (open.deadline <= now.now()) {
     return false;
   }
+  // The home of a key runs its work once, however often it is sent; if the
+  // home itself answered, it has nothing better to say.
+  const bool is_bound_to_home =
+      open.facts.key && key_register::HomeOf(*open.facts.key);
+  const bool is_safe = result.ran == run_state::kNotRun || open.is_idempotent;
   const bool is_worth_it =
       AnswerFor(*result.error).is_retryable || result.ran != run_state::kNotRun;
-  if (!is_worth_it) {
+  if (is_bound_to_home ? result.peer.has_value() : !is_safe || !is_worth_it) {
     return false;
   }
   if (open.allowance == 0) {
--- a/Libraries/LibDecision/Calls/outgoing_calls.h
+++ b/Libraries/LibDecision/Calls/outgoing_calls.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "LibDecision/Membership/membership.h"
+#include "LibDecision/Once/key_register.h"
 #include "LibDecision/Retries/retry_allowance.h"
 #include "LibDecision/Routing/router.h"
 #include "LibDecision/Table/table.h"
@@ -30,8 +31,13 @@
                  const call_arrived& arrived,
                  std::optional<std::uint8_t> priority);
   void OnCancelled(step& now, call_id call);
+  void OnSent(step& now, const attempt_sent& sent);
   void OnAttemptFinished(step& now, const attempt_finished& finished);
   void OnTimer(step& now, std::uint64_t key);
+  /// From now on only calls for works of the own endpoint are carried out.
+  void OnStopRequested() { is_stopping_ = true; }
+  /// Ends everything: the stop took too long.
+  void CutAll(step& now);
   /// Ends every call made for `parent`, whose caller has gone.
   void CancelChildrenOf(step& now, work_id parent);
 
@@ -46,6 +52,8 @@
     std::vector<node_id> tried;
     std::optional<attempt_id> attempt;
     instant attempt_started;
+    /// Bytes of `attempt` may have left this node.
+    bool is_attempt_sent = false;
     /// An earlier attempt may have run.
     bool may_have_run = false;
     bool is_idempotent = false;
@@ -53,6 +61,10 @@
   using call_map = std::unordered_map<call_id, call>;
 
   void Send(step& now, call_id id, call& open);
+  /// The member to send to next; refuses the call if there is none.
+  const member_record* ChooseMember(step& now, call_id id, const call& open);
+  /// As above for a call whose key names its home.
+  const member_record* ChooseHome(step& now, call_id id, const key_home& home);
   void Refuse(step& now, call_id id, error_kind kind, duration retry_after);
   void Close(step& now, call_id id);
   bool ShouldRetry(step& now, const call& open, const outcome& result) const;
@@ -64,6 +76,7 @@
   call_map calls_;
   std::unordered_map<attempt_id, call_id> attempts_;
   std::uint64_t next_attempt_ = 1;
+  bool is_stopping_ = false;
 };
 
 }  // namespace auburnfold
--- a/Libraries/LibDecision/Membership/membership.cc
+++ b/Libraries/LibDecision/Membership/membership.cc
@@ -97,6 +97,11 @@
   return ready;
 }
 
+const member_record* membership::Find(node_id node) const {
+  const auto found = members_.find(node);
+  return found == members_.end() ? nullptr : &found->second;
+}
+
 bool membership::has_service(const service_name& service) const {
   return std::any_of(members_.begin(), members_.end(),
                      [&service](const auto& entry) {
--- a/Libraries/LibDecision/Membership/membership.h
+++ b/Libraries/LibDecision/Membership/membership.h
@@ -26,6 +26,8 @@
   /// Every node whose endpoint offers `service` and is ready.
   std::vector<const member_record*> ReadyEndpoints(
       const service_name& service) const;
+  /// The record of `node`; nothing if it is not known.
+  const member_record* Find(node_id node) const;
   bool has_service(const service_name& service) const;
   const member_record& self() const { return self_; }
 
--- a/Libraries/LibDecision/Once/key_register.cc
+++ b/Libraries/LibDecision/Once/key_register.cc
@@ -1,32 +1,184 @@
 #include "LibDecision/Once/key_register.h"
 
+#include <algorithm>
+
+#include "LibDecision/hash.h"
+
 namespace auburnfold {
 
+namespace {
+
+/// Room for status and headers of a remembered answer.
+constexpr std::uint64_t kAnswerOverheadBytes = 512;
+/// Shortest time between two rounds of forgetting.
+constexpr duration kForgetInterval = std::chrono::seconds(1);
+
+std::uint64_t HashOf(const request_facts& facts) {
+  const std::uint64_t service = StableHash(facts.service.value());
+  const std::uint64_t with_class =
+      StableHash(facts.request_class.value(), service);
+  return StableHash(facts.tenant.value(), with_class);
+}
+
+}  // namespace
+
 void key_register::Start(node_id node, incarnation run) {
-  node_ = node;
-  run_ = run;
+  self_ = {node, run};
+}
+
+std::optional<idempotency_key> key_register::Issue(step& now,
+                                                   const request_facts& facts) {
+  ForgetExpired(now);
+  if (IsMemoryFull()) {
+    return std::nullopt;
+  }
+  slot& added = slots_.emplace_back();
+  added.nonce = now.Random();
+  added.issued = now.now();
+  added.request = HashOf(facts);
+  ScheduleForgetting(now);
+  now.Count(counter::kKeysIssued);
+  const std::uint64_t serial = first_serial_ + slots_.size() - 1;
+  return Format({self_, serial, added.nonce});
+}
+
+std::optional<key_home> key_register::HomeOf(const idempotency_key& key) {
+  const std::optional<issued_key> parsed = ParseKey(key);
+  if (!parsed) {
+    return std::nullopt;
+  }
+  return parsed->home;
+}
+
+key_decision key_register::OnWork(step& now,
+                                  const request_facts& facts,
+                                  work_id work) {
+  ForgetExpired(now);
+  const std::optional<issued_key> key = ParseKey(*facts.key);
+  key_decision refused{key_verdict::kRefuse, error_kind::kKeyNotIssued,
+                       run_state::kNotRun};
+  if (key && key->home != self_) {
+    // Only the home knows whether an earlier send ran.
+    refused = {key_verdict::kRefuse, error_kind::kKeyHomeGone,
+               run_state::kUnknown};
+  } else if (key && key->serial < first_serial_) {
+    refused = {key_verdict::kRefuse, error_kind::kKeyExpired,
+               run_state::kUnknown};
+  } else if (key) {
+    slot* const found = Find(*facts.key);
+    if (found != nullptr && found->request == HashOf(facts)) {
+      return Decide(now, *found, work);
+    }
+    // It may stem from another process that ran under the same incarnation.
+    refused.ran = run_state::kUnknown;
+  }
+  now.Count(counter::kKeysRefused);
+  return refused;
+}
+
+key_decision key_register::Decide(step& now, slot& found, work_id work) {
+  switch (found.state) {
+    case slot_state::kUnused:
+      if (answer_bytes_ >= bounds_.answer_bytes) {
+        now.Count(counter::kKeysRefused);
+        return {key_verdict::kRefuse, error_kind::kKeyMemoryFull,
+                run_state::kNotRun};
+      }
+      found.state = slot_state::kInProgress;
+      found.work = work;
+      return {key_verdict::kRun};
+    case slot_state::kInProgress:
+      now.Count(counter::kKeysRefused);
+      return {key_verdict::kRefuse, error_kind::kKeyInProgress,
+              run_state::kUnknown};
+    case slot_state::kRemembered:
+      now.Count(counter::kKeysReplayed);
+      return {key_verdict::kReplay};
+    case slot_state::kSealed:
+      now.Count(counter::kKeysRefused);
+      return {key_verdict::kRefuse, found.sealed_as, found.ran};
+  }
+  return {key_verdict::kRefuse};
 }
 
-// FIXME: No key is issued yet, so work with a key is refused.
-std::optional<idempotency_key> key_register::Issue(step&) {
-  return std::nullopt;
+void key_register::OnNotRun(const idempotency_key& key, work_id work) {
+  slot* const found = Find(key);
+  if (found == nullptr || found->state != slot_state::kInProgress ||
+      found->work != work) {
+    return;
+  }
+  found->state = slot_state::kUnused;
 }
 
-std::optional<key_home> key_register::HomeOf(const idempotency_key&) {
-  return std::nullopt;
+void key_register::OnFinished(step& now,
+                              const idempotency_key& key,
+                              work_id work,
+                              const outcome& result) {
+  slot* const found = Find(key);
+  if (found == nullptr || found->state != slot_state::kInProgress ||
+      found->work != work) {
+    return;
+  }
+  const std::uint64_t size = result.body_size + kAnswerOverheadBytes;
+  found->ran = result.ran;
+  if (result.is_whole() && answer_bytes_ + size <= bounds_.answer_bytes) {
+    found->state = slot_state::kRemembered;
+    found->answer_bytes = static_cast<std::uint32_t>(size);
+    answer_bytes_ += size;
+    now.Emit(remember_answer{key, work});
+    return;
+  }
+  found->state = slot_state::kSealed;
+  found->sealed_as = result.error.value_or(error_kind::kAnswerLost);
 }
 
-key_decision key_register::OnWork(step&, const idempotency_key&, work_id) {
-  return {key_verdict::kRefuse, error_kind::kKeyNotIssued};
+void key_register::OnTimer(step& now) {
+  is_forgetting_scheduled_ = false;
+  ForgetExpired(now);
+  ScheduleForgetting(now);
 }
 
-void key_register::OnNotRun(step&, const idempotency_key&) {}
+key_register::slot* key_register::Find(const idempotency_key& text) {
+  const std::optional<issued_key> key = ParseKey(text);
+  if (!key || key->home != self_ || key->serial < first_serial_) {
+    return nullptr;
+  }
+  const std::uint64_t position = key->serial - first_serial_;
+  if (position >= slots_.size() || slots_[position].nonce != key->nonce) {
+    return nullptr;
+  }
+  return &slots_[position];
+}
 
-void key_register::OnFinished(step&,
-                              const idempotency_key&,
-                              work_id,
-                              const outcome&) {}
+bool key_register::IsMemoryFull() const {
+  return slots_.size() >= bounds_.keys || answer_bytes_ >= bounds_.answer_bytes;
+}
 
-void key_register::OnTimer(step&, std::uint64_t) {}
+// Keys expire in the order of their issue, so one comparison of serials tells
+// an expired key from a live one, however long ago it was forgotten.
+void key_register::ForgetExpired(step& now) {
+  while (!slots_.empty() && slots_.front().issued + kKeyLife <= now.now()) {
+    const slot& oldest = slots_.front();
+    if (oldest.state == slot_state::kRemembered) {
+      answer_bytes_ -= oldest.answer_bytes;
+      now.Emit(forget_answer{Format({self_, first_serial_, oldest.nonce})});
+    }
+    if (oldest.state != slot_state::kUnused) {
+      now.Count(counter::kKeysForgotten);
+    }
+    slots_.pop_front();
+    ++first_serial_;
+  }
+}
+
+void key_register::ScheduleForgetting(step& now) {
+  if (slots_.empty() || is_forgetting_scheduled_) {
+    return;
+  }
+  is_forgetting_scheduled_ = true;
+  const instant due =
+      std::max(slots_.front().issued + kKeyLife, now.now() + kForgetInterval);
+  now.timers().Subscribe({timer_owner::kOnce}, due);
+}
 
 }  // namespace auburnfold
--- a/Libraries/LibDecision/Timers/timer_service.h
+++ b/Libraries/LibDecision/Timers/timer_service.h
@@ -16,9 +16,11 @@
 enum class timer_owner : std::uint8_t {
   kCalls,
   kWorks,
+  kEndpoint,
   kAdmission,
   kRouting,
   kOnce,
+  kConnections,
   kMembership,
   kTable,
   kStop,
--- a/Libraries/LibDecision/Works/incoming_works.cc
+++ b/Libraries/LibDecision/Works/incoming_works.cc
@@ -1,5 +1,7 @@
 #include "LibDecision/Works/incoming_works.h"
 
+#include <utility>
+
 namespace auburnfold {
 
 void incoming_works::Start(const node_started& self) {
@@ -13,75 +15,96 @@
   open.arrived = now.now();
   open.deadline = now.now() + arrived.facts.time_left;
   allowance_.Open(arrived.work, arrived.facts.allowance);
-  if (is_stopping_) {
-    return Refuse(now, arrived.work, error_kind::kNodeStopping,
-                  run_state::kNotRun);
-  }
-  if (!endpoint_ || endpoint_->service != arrived.facts.service) {
-    return Refuse(now, arrived.work, error_kind::kNoEndpoint,
-                  run_state::kNotRun);
+  // A known key is answered also where no new work is taken.
+  if (arrived.facts.key && !TakeKey(now, arrived.work, open)) {
+    return;
   }
-  if (endpoint_->state == endpoint_state::kLeaving) {
-    return Refuse(now, arrived.work, error_kind::kEndpointLeaving,
-                  run_state::kNotRun);
-  }
-  if (arrived.facts.time_left <= duration::zero()) {
-    return Refuse(now, arrived.work, error_kind::kDeadlineExpired,
-                  run_state::kNotRun);
+  if (const auto refusal = RefusalFor(arrived)) {
+    return Refuse(now, arrived.work, *refusal, run_state::kNotRun);
   }
   if (arrived.facts.purpose == request_purpose::kIssueKey) {
     return IssueKey(now, arrived.work);
   }
-  if (arrived.facts.key) {
-    const key_decision decision =
-        keys_.OnWork(now, *arrived.facts.key, arrived.work);
-    switch (decision.verdict) {
-      case key_verdict::kRun:
-        break;
-      case key_verdict::kReplay: {
-        const answer_facts facts =
-            DescribeAnswer(open, allowance_.Close(arrived.work));
-        now.Emit(replay_answer{arrived.work, *arrived.facts.key, facts});
-        return Close(now, arrived.work);
-      }
-      case key_verdict::kRefuse:
-        open.facts.key.reset();
-        return Refuse(now, arrived.work, decision.refusal, run_state::kNotRun);
-    }
-  }
+  now.timers().Subscribe({timer_owner::kWorks, arrived.work.value()},
+                         open.deadline);
   const row_settings& row =
       rows_.SettingsFor(open.facts.service, open.facts.request_class);
   Apply(now, admission_.Offer(now, arrived.work, open.facts, row));
 }
 
+// A sender that names another run has an old view: its choice of this node,
+// and what it believes to be beside it, may be wrong.
+std::optional<error_kind> incoming_works::RefusalFor(
+    const work_arrived& arrived) const {
+  const bool is_run_stated = arrived.expected_run != incarnation();
+  if (is_run_stated && arrived.expected_run != run_) {
+    return error_kind::kEndpointUnreachable;
+  }
+  if (is_stopping_) {
+    return error_kind::kNodeStopping;
+  }
+  if (const auto refusal = endpoint_.RefusalFor(arrived.facts.service)) {
+    return refusal;
+  }
+  if (arrived.facts.time_left <= duration::zero()) {
+    return error_kind::kDeadlineExpired;
+  }
+  return std::nullopt;
+}
+
+bool incoming_works::TakeKey(step& now, work_id id, work& open) {
+  const bool is_idempotent =
+      rows_.SettingsFor(open.facts.service, open.facts.request_class)
+          .is_idempotent;
+  if (is_idempotent && !key_register::HomeOf(*open.facts.key)) {
+    // The key is the endpoint's own business.
+    return true;
+  }
+  const key_decision decision = keys_.OnWork(now, open.facts, id);
+  switch (decision.verdict) {
+    case key_verdict::kRun:
+      open.holds_key = true;
+      return true;
+    case key_verdict::kReplay: {
+      const answer_facts facts = DescribeAnswer(open, allowance_.Close(id));
+      now.Emit(replay_answer{id, *open.facts.key, facts});
+      Close(now, id);
+      return false;
+    }
+    case key_verdict::kRefuse:
+      Refuse(now, id, decision.refusal, decision.ran);
+      return false;
+  }
+  return false;
+}
+
+// Work with a key runs on, so that a resend finds its answer.
 void incoming_works::OnCancelled(step& now, work_id id) {
   const auto found = works_.find(id);
   if (found == works_.end()) {
     return;
   }
-  const work& open = found->second;
-  if (open.is_running) {
-    now.Emit(cancel_work{id});
+  work& open = found->second;
+  open.is_caller_gone = true;
+  if (!open.is_running) {
+    const std::vector<admission_decision> decisions =
+        admission_.OnCancelled(now, id);
+    Refuse(now, id, error_kind::kCallerGone, run_state::kNotRun);
+    return Apply(now, decisions);
   }
-  if (open.facts.key) {
-    if (open.is_running) {
-      keys_.OnFinished(now, *open.facts.key, id,
-                       {error_kind::kCallerGone, run_state::kUnknown});
-    } else {
-      keys_.OnNotRun(now, *open.facts.key);
-    }
+  if (!open.holds_key) {
+    GiveUp(now, id, error_kind::kCallerGone);
   }
-  const std::vector<admission_decision> decisions =
-      admission_.OnCancelled(now, id);
-  Close(now, id);
-  Apply(now, decisions);
 }
 
-void incoming_works::OnSent(step&, work_id id) {
+void incoming_works::OnSent(step& now, work_id id) {
   const auto found = works_.find(id);
-  if (found != works_.end()) {
-    found->second.is_sent = true;
+  if (found == works_.end()) {
+    // It ended in this very event, by a timer.
+    now.Emit(cancel_work{id});
+    return;
   }
+  found->second.is_sent = true;
 }
 
 void incoming_works::OnFinished(step& now, const work_finished& finished) {
@@ -95,12 +118,15 @@
   const std::vector<admission_decision> decisions =
       admission_.OnFinished(now, finished.work, finished.result, own_time);
   if (finished.result.is_whole()) {
-    if (open.facts.key) {
+    endpoint_.OnAnswered(now);
+    if (open.holds_key) {
       keys_.OnFinished(now, *open.facts.key, finished.work, finished.result);
     }
     const answer_facts facts =
         DescribeAnswer(open, allowance_.Close(finished.work));
-    now.Emit(relay_work_answer{finished.work, facts});
+    if (!open.is_caller_gone) {
+      now.Emit(relay_work_answer{finished.work, facts});
+    }
     Close(now, finished.work);
   } else {
     const run_state ran =
@@ -110,22 +136,63 @@
   Apply(now, decisions);
 }
 
-void incoming_works::OnEndpointReported(step&,
-                                        const endpoint_reported& report) {
-  endpoint_ = report;
+void incoming_works::OnLost(step& now, work_id id) {
+  if (works_.contains(id)) {
+    GiveUp(now, id, error_kind::kAnswerLost);
+  }
+}
+
+report_effect incoming_works::OnEndpointReported(
+    step& now,
+    const endpoint_reported& report) {
+  const report_effect effect = endpoint_.OnReported(now, report);
+  if (effect != report_effect::kReplaced) {
+    return effect;
+  }
+  std::vector<work_id> lost;
+  for (const auto& [id, open] : works_) {
+    if (open.is_sent) {
+      lost.push_back(id);
+    }
+  }
+  for (const work_id id : lost) {
+    GiveUp(now, id, error_kind::kAnswerLost);
+  }
+  return effect;
 }
 
 void incoming_works::OnStopRequested(step&) {
   is_stopping_ = true;
 }
 
+void incoming_works::CutAll(step& now) {
+  std::vector<work_id> queued;
+  std::vector<work_id> running;
+  for (const auto& [id, open] : works_) {
+    (open.is_running ? running : queued).push_back(id);
+  }
+  // Queued work goes first, so that no end of running work starts it.
+  for (const work_id id : queued) {
+    admission_.OnCancelled(now, id);
+    Refuse(now, id, error_kind::kNodeStopping, run_state::kNotRun);
+  }
+  for (const work_id id : running) {
+    GiveUp(now, id, error_kind::kAnswerLost);
+  }
+}
+
+std::vector<work_id> incoming_works::TakeEnded() {
+  return std::exchange(ended_, {});
+}
+
 void incoming_works::OnTimer(step& now, timer_subscription due) {
   if (due.owner == timer_owner::kAdmission) {
     return Apply(now, admission_.OnTimer(now, due.key));
   }
   if (due.owner == timer_owner::kOnce) {
-    return keys_.OnTimer(now, due.key);
+    return keys_.OnTimer(now);
   }
+  EndAtDeadline(now, work_id(due.key));
 }
 
 void incoming_works::OnChildStarted(step& now, work_id id) {
@@ -157,6 +224,9 @@
 void incoming_works::Apply(step& now,
                            const std::vector<admission_decision>& decisions) {
   for (const admission_decision& decision : decisions) {
+    if (!works_.contains(decision.work)) {
+      continue;
+    }
     if (decision.refusal) {
       Refuse(now, decision.work, *decision.refusal, run_state::kNotRun);
     } else {
@@ -172,30 +242,59 @@
   now.Emit(run_work{id, open.deadline - now.now()});
 }
 
+void incoming_works::EndAtDeadline(step& now, work_id id) {
+  const auto found = works_.find(id);
+  if (found == works_.end()) {
+    return;
+  }
+  if (found->second.is_running) {
+    return GiveUp(now, id, error_kind::kAnswerTimeout);
+  }
+  const std::vector<admission_decision> decisions =
+      admission_.OnCancelled(now, id);
+  Refuse(now, id, error_kind::kDeadlineExpired, run_state::kNotRun);
+  Apply(now, decisions);
+}
+
+// The embedder may be about to write the first byte, so even work that was
+// not yet sent ends unknown.
+void incoming_works::GiveUp(step& now, work_id id, error_kind kind) {
+  const work& open = works_.at(id);
+  const outcome lost{kind, run_state::kUnknown};
+  const duration own_time = now.now() - open.started - open.waited_for_children;
+  now.Emit(cancel_work{id});
+  const std::vector<admission_decision> decisions =
+      kind == error_kind::kCallerGone
+          ? admission_.OnCancelled(now, id)
+          : admission_.OnFinished(now, id, lost, own_time);
+  Refuse(now, id, kind, run_state::kUnknown);
+  Apply(now, decisions);
+}
+
 void incoming_works::Refuse(step& now,
                             work_id id,
                             error_kind kind,
                             run_state ran) {
   const work& open = works_.at(id);
-  if (open.facts.key) {
-    if (ran == run_state::kNotRun) {
-      keys_.OnNotRun(now, *open.facts.key);
-    } else {
-      keys_.OnFinished(now, *open.facts.key, id, {kind, ran});
-    }
+  if (open.holds_key && ran == run_state::kNotRun) {
+    keys_.OnNotRun(*open.facts.key, id);
+  } else if (open.holds_key) {
+    keys_.OnFinished(now, *open.facts.key, id, {kind, ran});
   }
   const answer_facts facts = DescribeAnswer(open, allowance_.Close(id));
-  now.Emit(refuse_work{id, kind, ran, facts});
+  if (!open.is_caller_gone) {
+    now.Emit(refuse_work{id, kind, ran, facts});
+  }
   Close(now, id);
 }
 
 void incoming_works::IssueKey(step& now, work_id id) {
-  const std::optional<idempotency_key> key = keys_.Issue(now);
+  const work& open = works_.at(id);
+  const std::optional<idempotency_key> key = keys_.Issue(now, open.facts);
   if (!key) {
     return Refuse(now, id, error_kind::kKeyMemoryFull, run_state::kNotRun);
   }
-  const answer_facts facts =
-      DescribeAnswer(works_.at(id), allowance_.Close(id));
+  const answer_facts facts = DescribeAnswer(open, allowance_.Close(id));
   now.Emit(answer_with_key{id, *key, facts});
   Close(now, id);
 }
@@ -208,9 +307,11 @@
   return facts;
 }
 
-void incoming_works::Close(step&, work_id id) {
+void incoming_works::Close(step& now, work_id id) {
   allowance_.Close(id);
+  now.timers().Cancel({timer_owner::kWorks, id.value()});
   works_.erase(id);
+  ended_.push_back(id);
 }
 
 }  // namespace auburnfold
--- a/Libraries/LibDecision/Works/incoming_works.h
+++ b/Libraries/LibDecision/Works/incoming_works.h
@@ -10,6 +10,7 @@
 #include "LibDecision/Once/key_register.h"
 #include "LibDecision/Retries/retry_allowance.h"
 #include "LibDecision/Table/table.h"
+#include "LibDecision/Works/own_endpoint.h"
 #include "LibDecision/event.h"
 #include "LibDecision/step.h"
 
@@ -27,9 +28,18 @@
   void OnCancelled(step& now, work_id work);
   void OnSent(step& now, work_id work);
   void OnFinished(step& now, const work_finished& finished);
-  void OnEndpointReported(step& now, const endpoint_reported& report);
+  /// The connection to the endpoint that carries `work` was found silent.
+  void OnLost(step& now, work_id work);
+  report_effect OnEndpointReported(step& now, const endpoint_reported& report);
   void OnStopRequested(step& now);
+  /// Ends everything: the stop took too long.
+  void CutAll(step& now);
   void OnTimer(step& now, timer_subscription due);
+  /// Returns whether the endpoint was found silent just now.
+  bool OnEndpointTimer(step& now) { return endpoint_.OnTimer(now); }
+
+  /// The works that ended since the last call.
+  std::vector<work_id> TakeEnded();
 
   /// A deeper call of `work` began or ended; its waiting is not own time.
   void OnChildStarted(step& now, work_id work);
@@ -38,6 +48,7 @@
   /// The facts of open work; nothing if `work` is not open.
   const request_facts* FactsOf(work_id work) const;
   std::size_t open_count() const { return works_.size(); }
+  const own_endpoint& endpoint() const { return endpoint_; }
 
  private:
   struct work {
@@ -48,13 +59,23 @@
     bool is_running = false;
     /// Bytes may have reached the endpoint.
     bool is_sent = false;
+    /// The forwarding node waits for no answer any more.
+    bool is_caller_gone = false;
+    /// The key in `facts` is recorded as in progress for this work.
+    bool holds_key = false;
     std::uint32_t open_children = 0;
     instant children_since;
     duration waited_for_children{};
   };
 
+  std::optional<error_kind> RefusalFor(const work_arrived& arrived) const;
+  /// Takes the key of new work. Returns whether the work may run.
+  bool TakeKey(step& now, work_id id, work& open);
   void Apply(step& now, const std::vector<admission_decision>& decisions);
   void Run(step& now, work_id id);
+  void EndAtDeadline(step& now, work_id id);
+  /// Ends running work whose outcome will not become known.
+  void GiveUp(step& now, work_id id, error_kind kind);
   void Refuse(step& now, work_id id, error_kind kind, run_state ran);
   void IssueKey(step& now, work_id id);
   answer_facts DescribeAnswer(const work& open, std::uint16_t allowance) const;
@@ -64,10 +85,11 @@
   retry_allowance& allowance_;
   incarnation run_;
   bool is_stopping_ = false;
-  std::optional<endpoint_reported> endpoint_;
+  own_endpoint endpoint_;
   admission admission_;
   key_register keys_;
   std::unordered_map<work_id, work> works_;
+  std::vector<work_id> ended_;
 };
 
 }  // namespace auburnfold
--- a/Libraries/LibDecision/event.h
+++ b/Libraries/LibDecision/event.h
@@ -48,7 +48,8 @@
   call_id call;
 };
 
-/// The bytes of `attempt` are about to be written to `connection`.
+/// The bytes of `attempt` are about to be written to `connection`. If the
+/// effects of this event cancel the attempt, nothing is written.
 struct attempt_sent {
   attempt_id attempt;
   connection_id connection;
@@ -74,7 +75,8 @@
   work_id work;
 };
 
-/// The bytes of `work` are about to be written to the endpoint.
+/// The bytes of `work` are about to be written to the endpoint. If the effects
+/// of this event cancel the work, nothing is written.
 struct work_sent {
   work_id work;
   connection_id connection;
--- a/Libraries/LibDecision/reducer.cc
+++ b/Libraries/LibDecision/reducer.cc
@@ -13,6 +13,13 @@
 
 namespace auburnfold {
 
+namespace {
+
+/// Longest time that a planned stop waits for what runs.
+constexpr duration kStopLimit = std::chrono::seconds(30);
+
+}  // namespace
+
 struct node_state::parts {
   timer_service timers;
   table rows;
@@ -33,7 +40,9 @@
   void On(step& now, const stop_requested&) {
     is_stopping = true;
     members.OnStopRequested(now);
+    calls.OnStopRequested();
     works.OnStopRequested(now);
+    now.timers().Subscribe({timer_owner::kStop}, now.now() + kStopLimit);
   }
 
   void On(step&, const time_passed&) {}
@@ -53,7 +62,7 @@
     calls.OnCancelled(now, cancelled.call);
   }
 
-  void On(step&, const attempt_sent&) {}
+  void On(step& now, const attempt_sent& sent) { calls.OnSent(now, sent); }
 
   void On(step& now, const attempt_finished& finished) {
     calls.OnAttemptFinished(now, finished);
@@ -65,19 +74,18 @@
 
   void On(step& now, const work_cancelled& cancelled) {
     works.OnCancelled(now, cancelled.work);
-    calls.CancelChildrenOf(now, cancelled.work);
   }
 
   void On(step& now, const work_sent& sent) { works.OnSent(now, sent.work); }
 
   void On(step& now, const work_finished& finished) {
     works.OnFinished(now, finished);
-    calls.CancelChildrenOf(now, finished.work);
   }
 
   void On(step& now, const endpoint_reported& report) {
-    members.OnEndpointReported(now, report);
-    works.OnEndpointReported(now, report);
+    if (works.OnEndpointReported(now, report) != report_effect::kIgnored) {
+      members.OnEndpointReported(now, report);
+    }
   }
 
   void On(step&, const connection_closed&) {}
@@ -113,17 +121,48 @@
         return members.OnTimer(now, due.key);
       case timer_owner::kTable:
         return rows.OnTimer(now, due.key);
-      case timer_owner::kRouting:
+      case timer_owner::kEndpoint:
+        return OnEndpointTimer(now);
       case timer_owner::kStop:
+        return Cut(now);
+      case timer_owner::kRouting:
+      case timer_owner::kConnections:
         return;
     }
   }
 
-  void StopIfIdle(step& now) {
-    const bool is_idle = calls.open_count() == 0 && works.open_count() == 0;
-    if (is_stopping && !is_stopped && is_idle) {
+  // A silent endpoint is announced as leaving: it may still answer what runs.
+  void OnEndpointTimer(step& now) {
+    if (works.OnEndpointTimer(now)) {
+      endpoint_reported silent = *works.endpoint().report();
+      silent.state = endpoint_state::kLeaving;
+      members.OnEndpointReported(now, silent);
+    }
+  }
+
+  void Cut(step& now) {
+    const std::size_t cut = calls.open_count() + works.open_count();
+    calls.CutAll(now);
+    works.CutAll(now);
+    Stop(now, cut);
+  }
+
+  void CancelChildrenOfEndedWorks(step& now) {
+    for (const work_id ended : works.TakeEnded()) {
+      calls.CancelChildrenOf(now, ended);
+    }
+  }
+
+  void Stop(step& now, std::size_t cut_requests) {
+    if (!is_stopped) {
       is_stopped = true;
-      now.Emit(stop_process{});
+      now.Emit(stop_process{cut_requests});
+    }
+  }
+
+  void StopIfIdle(step& now) {
+    if (is_stopping && calls.open_count() == 0 && works.open_count() == 0) {
+      Stop(now, 0);
     }
   }
 
@@ -149,6 +188,7 @@
   }
   std::visit([&](const auto& content) { parts.On(now, content); },
              happened.content);
+  parts.CancelChildrenOfEndedWorks(now);
   parts.StopIfIdle(now);
   parts.AskForWake(now);
   return now.TakeEffects();
--- /dev/null
+++ b/Tests/LibDecision/key_register_test.cc
@@ -0,0 +1,188 @@
+#include "LibDecision/Once/key_register.h"
+
+#include <gtest/gtest.h>
+
+#include <optional>
+#include <string>
+
+namespace auburnfold {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr key_bounds kSmallBounds{.keys = 4, .answer_bytes = 4096};
+
+class AHomeOfKeys : public testing::Test {
+ protected:
+  AHomeOfKeys() { register_.Start(node_id(2), incarnation(9)); }
+
+  step Now() { return {now_, ++entropy_, timers_}; }
+
+  std::optional<idempotency_key> Issue() {
+    step now = Now();
+    return register_.Issue(now, Booking());
+  }
+
+  key_decision Offer(const idempotency_key& key, std::uint64_t work) {
+    step now = Now();
+    request_facts facts = Booking();
+    facts.key = key;
+    return register_.OnWork(now, facts, work_id(work));
+  }
+
+  effects Finish(const idempotency_key& key,
+                 std::uint64_t work,
+                 const outcome& result) {
+    step now = Now();
+    register_.OnFinished(now, key, work_id(work), result);
+    return now.TakeEffects();
+  }
+
+  static request_facts Booking() {
+    request_facts facts;
+    facts.service = service_name("bookings");
+    facts.request_class = class_name("book");
+    facts.tenant = tenant_name("parkwiese");
+    return facts;
+  }
+
+  timer_service timers_;
+  instant now_{};
+  std::uint64_t entropy_ = 0;
+  key_register register_{kSmallBounds};
+};
+
+TEST_F(AHomeOfKeys, IsNamedByEachKeyItIssues) {
+  const auto home = key_register::HomeOf(*Issue());
+  ASSERT_TRUE(home);
+  EXPECT_EQ(*home, (key_home{node_id(2), incarnation(9)}));
+}
+
+TEST_F(AHomeOfKeys, RefusesTextsItDidNotIssue) {
+  const std::string issued = Issue()->value();
+  for (const std::string& text :
+       {std::string("order-77"), std::string(), issued + "0", issued.substr(1),
+        "AFK1" + issued.substr(4)}) {
+    EXPECT_FALSE(key_register::HomeOf(idempotency_key(text))) << text;
+    const key_decision decision = Offer(idempotency_key(text), 1);
+    EXPECT_EQ(decision.verdict, key_verdict::kRefuse);
+    EXPECT_EQ(decision.refusal, error_kind::kKeyNotIssued);
+    EXPECT_EQ(decision.ran, run_state::kNotRun);
+  }
+}
+
+TEST_F(AHomeOfKeys, RefusesAForgedKey) {
+  issued_key forged = *ParseKey(*Issue());
+  ++forged.nonce;
+  EXPECT_EQ(Offer(Format(forged), 1).refusal, error_kind::kKeyNotIssued);
+  --forged.nonce;
+  ++forged.serial;
+  EXPECT_EQ(Offer(Format(forged), 1).refusal, error_kind::kKeyNotIssued);
+}
+
+TEST_F(AHomeOfKeys, RefusesTheKeyOfAnEarlierRunAsUnknown) {
+  const idempotency_key key = *Issue();
+  register_ = key_register(kSmallBounds);
+  register_.Start(node_id(2), incarnation(10));
+  const key_decision decision = Offer(key, 1);
+  EXPECT_EQ(decision.refusal, error_kind::kKeyHomeGone);
+  EXPECT_EQ(decision.ran, run_state::kUnknown);
+}
+
+TEST_F(AHomeOfKeys, RefusesAKeyThatWasIssuedForAnotherClass) {
+  request_facts facts = Booking();
+  facts.key = *Issue();
+  facts.request_class = class_name("cancel");
+  step now = Now();
+  EXPECT_EQ(register_.OnWork(now, facts, work_id(1)).refusal,
+            error_kind::kKeyNotIssued);
+}
+
+class AnIssuedKey : public AHomeOfKeys {
+ protected:
+  const idempotency_key key_ = *Issue();
+};
+
+TEST_F(AnIssuedKey, RunsOnceAndIsThenReplayed) {
+  EXPECT_EQ(Offer(key_, 1).verdict, key_verdict::kRun);
+  EXPECT_EQ(Offer(key_, 2).refusal, error_kind::kKeyInProgress);
+  const effects made = Finish(key_, 1, {.body_size = 100});
+  ASSERT_EQ(made.size(), 1U);
+  EXPECT_EQ(std::get<remember_answer>(made.front()).work, work_id(1));
+  EXPECT_EQ(Offer(key_, 3).verdict, key_verdict::kReplay);
+}
+
+TEST_F(AnIssuedKey, IsFreeAgainAfterWorkThatWasNotRun) {
+  Offer(key_, 1);
+  register_.OnNotRun(key_, work_id(1));
+  EXPECT_EQ(Offer(key_, 2).verdict, key_verdict::kRun);
+  register_.OnNotRun(key_, work_id(1));
+  EXPECT_EQ(Offer(key_, 3).refusal, error_kind::kKeyInProgress);
+}
+
+TEST_F(AnIssuedKey, NeverRunsAgainAfterAnUnknownEnd) {
+  Offer(key_, 1);
+  Finish(key_, 1, {error_kind::kAnswerTimeout, run_state::kUnknown});
+  const key_decision decision = Offer(key_, 2);
+  EXPECT_EQ(decision.refusal, error_kind::kAnswerTimeout);
+  EXPECT_EQ(decision.ran, run_state::kUnknown);
+}
+
+TEST_F(AnIssuedKey, ExpiresByTheTimeOfItsIssueAndNeverRunsAfterwards) {
+  Offer(key_, 1);
+  Finish(key_, 1, {.body_size = 100});
+  now_ += kKeyLife;
+  const key_decision decision = Offer(key_, 2);
+  EXPECT_EQ(decision.refusal, error_kind::kKeyExpired);
+  EXPECT_EQ(decision.ran, run_state::kUnknown);
+  EXPECT_EQ(register_.answer_bytes(), 0U);
+}
+
+TEST_F(AnIssuedKey, IsForgottenByTheTimerWithItsAnswer) {
+  Offer(key_, 1);
+  Finish(key_, 1, {.body_size = 100});
+  now_ = *timers_.next();
+  timers_.TakeDue(now_);
+  step now = Now();
+  register_.OnTimer(now);
+  const effects made = now.TakeEffects();
+  EXPECT_EQ(std::get<forget_answer>(made.front()).key, key_);
+  EXPECT_EQ(register_.key_count(), 0U);
+  EXPECT_FALSE(timers_.next());
+}
+
+class AFullMemory : public AHomeOfKeys {};
+
+TEST_F(AFullMemory, OfKeysStopsIssuingAndForgetsNone) {
+  const idempotency_key first = *Issue();
+  for (std::size_t more = 1; more < kSmallBounds.keys; ++more) {
+    EXPECT_TRUE(Issue());
+  }
+  EXPECT_FALSE(Issue());
+  EXPECT_EQ(Offer(first, 1).verdict, key_verdict::kRun);
+  now_ += kKeyLife;
+  EXPECT_TRUE(Issue());
+}
+
+TEST_F(AFullMemory, OfAnswersRefusesNewWorkAndKeepsTheFactOfTheLastRun) {
+  const idempotency_key kept = *Issue();
+  const idempotency_key too_large = *Issue();
+  const idempotency_key filler = *Issue();
+  const idempotency_key unused = *Issue();
+  Offer(kept, 1);
+  Offer(too_large, 2);
+  Offer(filler, 3);
+  Finish(kept, 1, {.body_size = 1024});
+  Finish(too_large, 2, {.body_size = 4096});
+  Finish(filler, 3, {.body_size = 2048});
+  EXPECT_EQ(Offer(kept, 4).verdict, key_verdict::kReplay);
+  const key_decision sealed = Offer(too_large, 5);
+  EXPECT_EQ(sealed.refusal, error_kind::kAnswerLost);
+  EXPECT_EQ(sealed.ran, run_state::kRan);
+  const key_decision refused = Offer(unused, 6);
+  EXPECT_EQ(refused.refusal, error_kind::kKeyMemoryFull);
+  EXPECT_EQ(refused.ran, run_state::kNotRun);
+}
+
+}  // namespace
+}  // namespace auburnfold
