--- a/Tests/Scenarios/fake_endpoint.h
+++ b/Tests/Scenarios/fake_endpoint.h
@@ -37,6 +37,9 @@
   /// Loses all work, as a replaced endpoint does.
   void Reset();
 
+  /// Whether `work` runs or waits here.
+  bool Has(work_id work) const { return jobs_.contains(work); }
+
   void set_slowness(double times) { slowness_ = times; }
 
  private:
--- a/Tests/Scenarios/run_record.cc
+++ b/Tests/Scenarios/run_record.cc
@@ -30,7 +30,10 @@
   ++roots_.at(root).sends;
 }
 
-void run_record::OnRun(const std::string& operation, bool is_idempotent) {
+void run_record::OnRun(const std::string& operation,
+                       const std::string& send,
+                       bool is_idempotent) {
+  sends_run_.insert(send);
   const std::uint32_t runs = ++runs_[operation];
   if (runs > 1 && !is_idempotent) {
     ++double_runs_;
@@ -38,9 +41,7 @@
 }
 
 void run_record::OnRetry(const std::string& root, std::uint16_t allowance) {
-  root_record& record = roots_.at(root);
-  ++record.retries;
-  if (record.retries > allowance) {
+  if (++retries_[root] > allowance) {
     ++attempt_violations_;
   }
 }
@@ -58,12 +59,12 @@
   }
 }
 
-void run_record::OnRefused(const std::string& operation,
+void run_record::OnRefused(const std::string& send,
                            error_kind kind,
                            run_state ran) {
   ++errors_[std::string(AnswerFor(kind).name)];
   if (ran == run_state::kNotRun) {
-    told_not_run_.push_back(operation);
+    told_not_run_.push_back(send);
   }
 }
 
@@ -84,15 +85,19 @@
   figures["attempt_violations"] = static_cast<double>(attempt_violations_);
   figures["foreign_answers"] = static_cast<double>(foreign_answers_);
   // Counted at the end, since a run after the answer makes it false too.
-  figures["false_not_run"] = static_cast<double>(
-      std::count_if(told_not_run_.begin(), told_not_run_.end(),
-                    [this](const std::string& operation) {
-                      return runs_.contains(operation);
-                    }));
+  figures["false_not_run"] = static_cast<double>(std::count_if(
+      told_not_run_.begin(), told_not_run_.end(),
+      [this](const std::string& send) { return sends_run_.contains(send); }));
+  figures["double_answers"] = static_cast<double>(double_answers_);
+  figures["drain_new_work_violations"] =
+      static_cast<double>(runs_while_leaving_);
+  figures["stop_cut_requests"] = static_cast<double>(stop_cuts_);
   double retries = 0;
+  for (const auto& [name, count] : retries_) {
+    retries += count;
+  }
   double sends = 0;
   for (const auto& [name, root] : roots_) {
-    retries += root.retries;
     sends += root.sends;
   }
   figures["retries_per_root"] = retries / std::max<double>(1, roots_.size());
--- a/Tests/Scenarios/scenario.cc
+++ b/Tests/Scenarios/scenario.cc
@@ -132,6 +132,7 @@
                                                    "client_delay_ms",
                                                    "client_tries",
                                                    "client_backoff_ms",
+                                                   "client_patience_ms",
                                                    "hard_clients",
                                                    "seconds",
                                                    "trigger",
@@ -162,6 +163,9 @@
   made.client_delay = Milliseconds(from.at("client_delay_ms"));
   made.client_tries = from.at("client_tries").to_number<int>();
   made.client_backoff = Milliseconds(from.at("client_backoff_ms"));
+  if (const auto* patience = from.if_contains("client_patience_ms")) {
+    made.client_patience = Milliseconds(*patience);
+  }
   made.has_hard_clients = from.at("hard_clients").as_bool();
   made.length = Milliseconds(from.at("seconds").to_number<double>() * 1000);
   const json::array& trigger = from.at("trigger").as_array();
--- a/Tests/Scenarios/scenario.h
+++ b/Tests/Scenarios/scenario.h
@@ -50,6 +50,9 @@
   int client_tries = 1;
   /// Clients wait this long before a resend; hard ones ignore `Retry-After`.
   duration client_backoff{};
+  /// Clients send again through another node after this long without an
+  /// answer; never if zero.
+  duration client_patience{};
   bool has_hard_clients = false;
   duration length{};
   /// The trigger: goodput is taken inside, recovery from its end.
--- a/Tests/Scenarios/virtual_cluster.cc
+++ b/Tests/Scenarios/virtual_cluster.cc
@@ -12,6 +12,8 @@
 constexpr duration kReportInterval = 1s;
 constexpr duration kStoreDelay = 3ms;
 constexpr duration kWarmUp = 2s;
+/// New work may reach a leaving endpoint for this long.
+constexpr duration kLeavingLimit = 3s;
 
 // One send at one service; with a key, every send is the same operation.
 std::string OperationOf(const std::string& root,
@@ -110,11 +112,20 @@
 }
 
 void virtual_cluster::KillMachine(machine& which) {
-  which.is_alive = false;
   which.endpoint->Reset();
+  ++which.endpoint_run;
+  which.leaving_since.reset();
+  KillNode(which);
+}
+
+void virtual_cluster::KillNode(machine& which) {
+  which.is_alive = false;
+  which.is_frozen = false;
+  which.held_back.clear();
   which.calls.clear();
   which.attempts.clear();
   which.connections.clear();
+  which.bodies.clear();
   which.remembered.clear();
   std::vector<work_id> lost;
   for (const auto& [id, open] : works_) {
@@ -166,11 +177,24 @@
   if (!which.is_alive || which.run != run) {
     return;
   }
-  Happen(which, endpoint_reported{.service = service_name(which.service),
-                                  .run = incarnation(run)});
+  Happen(which, ReportOf(which));
   After(kReportInterval, [this, index, run] { ReportEndpoint(index, run); });
 }
 
+endpoint_reported virtual_cluster::ReportOf(const machine& which) const {
+  return {.service = service_name(which.service),
+          .state = which.leaving_since ? endpoint_state::kLeaving
+                                       : endpoint_state::kReady,
+          .run = incarnation(which.endpoint_run)};
+}
+
+void virtual_cluster::ReplaceEndpoint(machine& which) {
+  which.endpoint->Reset();
+  ++which.endpoint_run;
+  which.leaving_since.reset();
+  Happen(which, ReportOf(which));
+}
+
 bool virtual_cluster::IsTarget(const machine& which,
                                const std::string& target) const {
   return target == "all" || target == which.service || target == which.domain ||
@@ -208,12 +232,19 @@
     } else if (fault.verb == "replace") {
       KillMachine(which);
       StartMachine(which);
+    } else if (fault.verb == "replace-node") {
+      KillNode(which);
+      StartMachine(which);
+    } else if (fault.verb == "replace-endpoint") {
+      ReplaceEndpoint(which);
     } else if (fault.verb == "stop") {
       Happen(which, stop_requested{});
     } else if (fault.verb == "drain") {
-      Happen(which, endpoint_reported{.service = service_name(which.service),
-                                      .state = endpoint_state::kLeaving,
-                                      .run = incarnation(which.run)});
+      which.leaving_since = now_;
+      Happen(which, ReportOf(which));
+    } else if (fault.verb == "return") {
+      which.leaving_since.reset();
+      Happen(which, ReportOf(which));
     } else if (fault.verb == "freeze") {
       which.is_frozen = true;
     } else if (fault.verb == "wake") {
@@ -282,14 +313,18 @@
   machine& entry = *reachable[random_() % reachable.size()];
   const traffic_class& traffic = plan_.classes[request.traffic];
   const bool asks_for_key = traffic.uses_key && !request.key;
-  if (!asks_for_key) {
+  if (asks_for_key) {
+    ++request.key_requests;
+  } else {
     ++request.sends;
+    ++request.unanswered;
     record_.OnClientSend(request.root);
   }
   const call_id id(next_id_++);
   open_call open;
   open.travel = {request.root, request.traffic, 0,
-                 static_cast<std::uint16_t>(std::max(1, request.sends)),
+                 static_cast<std::uint16_t>(asks_for_key ? request.key_requests
+                                                         : request.sends),
                  request.key};
   open.is_key_request = asks_for_key;
   open.allowance = traffic.row.retry_allowance;
@@ -303,6 +338,9 @@
   facts.key = request.key;
   facts.purpose =
       asks_for_key ? request_purpose::kIssueKey : request_purpose::kRun;
+  if (!asks_for_key) {
+    ResendIfImpatient(request);
+  }
   clients_[request.root] = std::move(request);
   After(plan_.client_delay, [this, &entry, id, open, facts] {
     if (entry.is_alive) {
@@ -312,6 +350,24 @@
   });
 }
 
+// Sends again, through another node, while the first send is still open.
+void virtual_cluster::ResendIfImpatient(const client_request& sent) {
+  const bool may_resend =
+      plan_.classes[sent.traffic].row.is_idempotent || sent.key.has_value();
+  if (plan_.client_patience == duration::zero() || !may_resend) {
+    return;
+  }
+  After(plan_.client_patience, [this, root = sent.root, sends = sent.sends] {
+    const auto found = clients_.find(root);
+    const bool is_waiting = found != clients_.end() &&
+                            found->second.sends == sends &&
+                            found->second.unanswered > 0;
+    if (is_waiting && sends < plan_.client_tries) {
+      SendFromClient(found->second);
+    }
+  });
+}
+
 void virtual_cluster::ResendFromClient(client_request request,
                                        duration retry_after) {
   const duration wait = plan_.has_hard_clients
@@ -323,7 +379,12 @@
     clients_.erase(request.root);
     return;
   }
-  After(wait, [this, request] { SendFromClient(request); });
+  After(wait, [this, root = request.root] {
+    const auto found = clients_.find(root);
+    if (found != clients_.end()) {
+      SendFromClient(found->second);
+    }
+  });
 }
 
 void virtual_cluster::AnswerClient(const journey& travel,
@@ -333,6 +394,7 @@
   if (found == clients_.end()) {
     return;
   }
+  --found->second.unanswered;
   client_request request = found->second;
   const traffic_class& traffic = plan_.classes[travel.traffic];
   if (refusal == nullptr && !body.empty()) {
@@ -344,21 +406,30 @@
   duration retry_after{};
   if (refusal != nullptr) {
     record_.OnRefused(OperationOf(travel.root, travel.client_attempt,
-                                  traffic.path.front(), travel.key.has_value()),
+                                  traffic.path.front(), false),
                       refusal->kind, refusal->ran);
-    may_resend = may_resend || refusal->ran == run_state::kNotRun;
+    const bool is_not_run = refusal->ran == run_state::kNotRun;
+    request.may_have_run = request.may_have_run || !is_not_run;
+    may_resend = may_resend || is_not_run;
     retry_after = refusal->retry_after;
-    if (refusal->kind == error_kind::kKeyHomeGone && request.sends <= 1) {
+    if (!request.may_have_run && request.unanswered == 0) {
+      // No send with the key has run, so another home may be asked.
       request.key.reset();
     }
   }
+  found->second = request;
   if (may_resend) {
     ResendFromClient(std::move(request), retry_after);
   }
 }
 
 bool virtual_cluster::CallDeeper(machine& from, work_id work) {
-  const open_work& open = works_.at(work);
+  const auto found = works_.find(work);
+  if (found == works_.end()) {
+    // Its node was replaced; it goes on alone.
+    return false;
+  }
+  const open_work& open = found->second;
   const traffic_class& traffic = plan_.classes[open.travel.traffic];
   const std::size_t next = open.travel.position + 1;
   if (next >= traffic.path.size()) {
@@ -395,6 +466,10 @@
   finished_bodies_[std::to_string(work.value())] =
       is_useful ? found->second.travel.root : "";
   Happen(at, work_finished{work, {}});
+  const auto ended = works_.find(work);
+  if (ended != works_.end() && ended->second.is_abandoned) {
+    works_.erase(ended);
+  }
 }
 
 void virtual_cluster::EndAttempt(work_id work,
@@ -417,7 +492,7 @@
           if (sent == origin.attempts.end()) {
             return;
           }
-          sent->second.body = body;
+          origin.bodies[open.attempt] = body;
           FreeConnection(origin, sent->second, !result.peer);
           Happen(origin, attempt_finished{open.attempt, result});
           origin.attempts.erase(open.attempt);
@@ -456,7 +531,9 @@
 void virtual_cluster::Do(machine& from, const send_attempt& made) {
   open_call& call = from.calls.at(made.call);
   if (++call.attempts > 1) {
-    record_.OnRetry(call.travel.root, call.allowance);
+    // Asking for a key is a request of its own.
+    const std::string suffix = call.is_key_request ? "/key" : "";
+    record_.OnRetry(call.travel.root + suffix, call.allowance);
   }
   machine& target = *machines_[std::stoul(made.to.host)];
   const connection link = TakeConnection(from, target.index);
@@ -508,8 +585,14 @@
   }
   const work_id work = *cancelled.work;
   After(DelayBetween(from, target), [this, &target, work] {
-    if (works_.contains(work)) {
-      Happen(target, work_cancelled{work});
+    const auto given_up = works_.find(work);
+    if (given_up == works_.end()) {
+      return;
+    }
+    given_up->second.is_abandoned = true;
+    Happen(target, work_cancelled{work});
+    const bool is_settled = !target.is_frozen && !target.endpoint->Has(work);
+    if (is_settled) {
       works_.erase(work);
     }
   });
@@ -517,9 +600,14 @@
 
 void virtual_cluster::Do(machine& from, const relay_answer& made) {
   const auto found = from.calls.find(made.call);
+  if (found == from.calls.end()) {
+    return record_.OnDoubleAnswer();
+  }
   const open_call call = found->second;
   from.calls.erase(found);
-  const std::string body = from.attempts.at(made.attempt).body;
+  // A paused node relays long after the answer has arrived.
+  const auto arrived = from.bodies.extract(made.attempt);
+  const std::string body = arrived ? arrived.mapped() : "";
   if (call.parent) {
     return from.endpoint->OnDeeperAnswer(*call.parent, !body.empty());
   }
@@ -527,14 +615,20 @@
     if (!call.is_key_request) {
       return AnswerClient(call.travel, body, nullptr);
     }
-    client_request request = clients_.at(call.travel.root);
-    request.key = idempotency_key(body);
-    SendFromClient(std::move(request));
+    const auto waiting = clients_.find(call.travel.root);
+    // A second key for the same operation would allow a second run.
+    if (waiting != clients_.end() && !waiting->second.key) {
+      waiting->second.key = idempotency_key(body);
+      SendFromClient(waiting->second);
+    }
   });
 }
 
 void virtual_cluster::Do(machine& from, const refuse_call& made) {
   const auto found = from.calls.find(made.call);
+  if (found == from.calls.end()) {
+    return record_.OnDoubleAnswer();
+  }
   const open_call call = found->second;
   from.calls.erase(found);
   if (call.parent) {
@@ -544,25 +638,42 @@
     });
   }
   After(plan_.client_delay, [this, call, made] {
-    if (call.is_key_request) {
-      return ResendFromClient(clients_.at(call.travel.root), made.retry_after);
+    const auto waiting = clients_.find(call.travel.root);
+    if (!call.is_key_request) {
+      AnswerClient(call.travel, "", &made);
+    } else if (waiting != clients_.end()) {
+      ResendFromClient(waiting->second, made.retry_after);
     }
-    AnswerClient(call.travel, "", &made);
   });
 }
 
 void virtual_cluster::Do(machine& from, const run_work& made) {
   Happen(from, work_sent{made.work, connection_id(0)});
-  const open_work& open = works_.at(made.work);
+  const auto found = works_.find(made.work);
+  if (found == works_.end()) {
+    // Given up in the last moment: nothing is written.
+    return;
+  }
+  const open_work& open = found->second;
   const traffic_class& traffic = plan_.classes[open.travel.traffic];
-  record_.OnRun(OperationOf(open.travel.root, open.travel.client_attempt,
-                            from.service, open.travel.key.has_value()),
+  const auto operation = [&](bool has_key) {
+    return OperationOf(open.travel.root, open.travel.client_attempt,
+                       from.service, has_key);
+  };
+  record_.OnRun(operation(open.travel.key.has_value()), operation(false),
                 traffic.row.is_idempotent);
+  if (from.leaving_since && now_ - *from.leaving_since > kLeavingLimit) {
+    record_.OnRunWhileLeaving();
+  }
   from.endpoint->Start(made.work);
 }
 
 void virtual_cluster::Do(machine& from, const cancel_work& made) {
   from.endpoint->Cancel(made.work);
+  const auto found = works_.find(made.work);
+  if (found != works_.end() && found->second.is_abandoned) {
+    works_.erase(found);
+  }
 }
 
 void virtual_cluster::Do(machine&, const relay_work_answer& made) {
@@ -652,7 +763,8 @@
 
 void virtual_cluster::Do(machine&, const log_change&) {}
 
-void virtual_cluster::Do(machine& from, const stop_process&) {
+void virtual_cluster::Do(machine& from, const stop_process& made) {
+  record_.OnStopped(made.cut_requests);
   KillMachine(from);
 }
 
--- a/Tests/Scenarios/virtual_cluster.h
+++ b/Tests/Scenarios/virtual_cluster.h
@@ -45,6 +45,11 @@
     std::string root;
     std::size_t traffic = 0;
     int sends = 0;
+    int key_requests = 0;
+    /// Sends without an answer so far.
+    int unanswered = 0;
+    /// Some send was answered with anything but "not run".
+    bool may_have_run = false;
     std::optional<idempotency_key> key;
     instant give_up;
   };
@@ -62,6 +67,8 @@
     attempt_id attempt;
     journey travel;
     instant deadline;
+    /// The forwarding node has given it up.
+    bool is_abandoned = false;
   };
   struct connection {
     connection_id id;
@@ -73,7 +80,6 @@
     std::size_t target = 0;
     std::optional<work_id> work;
     connection_id connection;
-    std::string body;
   };
   struct machine {
     std::size_t index = 0;
@@ -82,12 +88,17 @@
     std::optional<node_state> node;
     std::unique_ptr<fake_endpoint> endpoint;
     std::uint64_t run = 1;
+    /// The endpoint's own run, which may outlive that of its node.
+    std::uint64_t endpoint_run = 1;
+    std::optional<instant> leaving_since;
     bool is_alive = false;
     bool is_frozen = false;
     std::vector<event_content> held_back;
     std::uint64_t wake_ticket = 0;
     std::unordered_map<call_id, open_call> calls;
     std::unordered_map<attempt_id, open_attempt> attempts;
+    /// Answers that arrived and may still be relayed.
+    std::unordered_map<attempt_id, std::string> bodies;
     std::map<std::size_t, std::vector<connection>> connections;
     std::map<std::string, std::string> remembered;
   };
@@ -105,7 +116,11 @@
 
   void StartMachine(machine& which);
   void KillMachine(machine& which);
+  /// Loses the node and all it knows; its endpoint goes on.
+  void KillNode(machine& which);
+  void ReplaceEndpoint(machine& which);
   void TellMembersAndRows(machine& to);
+  endpoint_reported ReportOf(const machine& which) const;
   void ReportEndpoint(std::size_t index, std::uint64_t run);
   void Apply(const fault_line& fault);
   bool IsTarget(const machine& which, const std::string& target) const;
@@ -114,6 +129,7 @@
 
   void ScheduleArrival(duration at);
   void SendFromClient(client_request request);
+  void ResendIfImpatient(const client_request& sent);
   void ResendFromClient(client_request request, duration retry_after);
   void AnswerClient(const journey& travel,
                     const std::string& body,
