--- a/Tests/Scenarios/virtual_cluster.cc
+++ b/Tests/Scenarios/virtual_cluster.cc
@@ -620,8 +620,6 @@
   });
 }
 
-void virtual_cluster::Do(machine&, const keep_neighbours&) {}
-
 void virtual_cluster::Do(machine& from, const call_store& made) {
   After(kStoreDelay, [this, &from, made, run = from.run] {
     store_.Call(made.request, [this, &from, made, run](store_result result) {
@@ -634,8 +632,6 @@
   });
 }
 
-void virtual_cluster::Do(machine&, const answer_admin&) {}
-
 void virtual_cluster::Do(machine& from, const wake_at& made) {
   const std::uint64_t ticket = ++from.wake_ticket;
   After(std::max(duration::zero(), made.when - now_),
@@ -650,8 +646,6 @@
   counts_[std::string(NameOf(made.which))] += made.amount;
 }
 
-void virtual_cluster::Do(machine&, const log_change&) {}
-
 void virtual_cluster::Do(machine& from, const stop_process&) {
   KillMachine(from);
 }
--- a/Tests/Scenarios/virtual_cluster.h
+++ b/Tests/Scenarios/virtual_cluster.h
@@ -138,13 +138,13 @@
   void Do(machine& from, const forget_answer& made);
   void Do(machine& from, const close_connection& made);
   void Do(machine& from, const send_message& made);
-  void Do(machine& from, const keep_neighbours& made);
   void Do(machine& from, const call_store& made);
-  void Do(machine& from, const answer_admin& made);
   void Do(machine& from, const wake_at& made);
   void Do(machine& from, const add_count& made);
-  void Do(machine& from, const log_change& made);
   void Do(machine& from, const stop_process& made);
+  /// What the fakes have no use for.
+  template <class other>
+  void Do(machine&, const other&) {}
 
   const scenario& plan_;
   std::mt19937_64 random_;
