--- /dev/null
+++ b/Libraries/LibRuntime/admin_side.h
@@ -0,0 +1,42 @@
+#ifndef LIBRUNTIME_ADMIN_SIDE_H_
+#define LIBRUNTIME_ADMIN_SIDE_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "LibDecision/effect.h"
+#include "LibRuntime/admin_handler.h"
+#include "LibRuntime/event_sink.h"
+#include "LibRuntime/server_session.h"
+
+namespace auburnfold {
+
+/// Serves the admin port: metrics, health, and whatever the administration
+/// API adds.
+class admin_side {
+ public:
+  admin_side(event_sink sink, std::function<std::string()> metrics_text);
+
+  void SetHandler(admin_handler handler) { handler_ = std::move(handler); }
+  void OnRequest(const std::shared_ptr<server_session>& session,
+                 http_request request);
+  /// From now on the node does not count as ready.
+  void OnStopRequested() { is_stopping_ = true; }
+
+  void Request(admin_request request, admin_result_handler on_result);
+  void Execute(answer_admin& answered);
+
+ private:
+  event_sink sink_;
+  std::function<std::string()> metrics_text_;
+  admin_handler handler_;
+  std::uint64_t next_call_ = 1;
+  std::unordered_map<admin_call_id, admin_result_handler> waiting_;
+  bool is_stopping_ = false;
+};
+
+}  // namespace auburnfold
+
+#endif  // LIBRUNTIME_ADMIN_SIDE_H_
--- /dev/null
+++ b/Libraries/LibRuntime/answers.cc
@@ -0,0 +1,86 @@
+#include "LibRuntime/answers.h"
+
+#include <chrono>
+#include <utility>
+
+#include "LibRuntime/header_names.h"
+
+namespace auburnfold {
+
+namespace {
+
+constexpr unsigned kHttp11 = 11;
+
+void SetRetryAfter(http_response& response, duration retry_after) {
+  if (retry_after <= duration::zero()) {
+    return;
+  }
+  const auto seconds = std::chrono::ceil<std::chrono::seconds>(retry_after);
+  const auto milliseconds =
+      std::chrono::ceil<std::chrono::milliseconds>(retry_after);
+  response.set(http::field::retry_after, std::to_string(seconds.count()));
+  response.set(kRetryAfterMsHeader, std::to_string(milliseconds.count()));
+}
+
+std::string ErrorBody(std::string_view name,
+                      std::string_view ran,
+                      std::string_view reason) {
+  std::string body = R"({"error":")";
+  body += name;
+  body += R"(","ran":")";
+  body += ran;
+  body += R"(","reason":")";
+  body += reason;
+  body += "\"}\n";
+  return body;
+}
+
+}  // namespace
+
+http_response MakeErrorAnswer(error_kind kind,
+                              run_state ran,
+                              duration retry_after,
+                              const request_id& root,
+                              std::string_view reason) {
+  const error_answer& answer = AnswerFor(kind);
+  http_response response = MakeTextAnswer(
+      static_cast<http::status>(answer.http_status), "application/json",
+      ErrorBody(answer.name, NameOf(ran),
+                reason.empty() ? answer.name : reason));
+  response.set(kResultHeader, answer.name);
+  response.set(kRanHeader, NameOf(ran));
+  if (!root.value().empty()) {
+    response.set(kRequestIdHeader, root.value());
+  }
+  SetRetryAfter(response, retry_after);
+  return response;
+}
+
+void MarkWhole(http_response& response, const request_id& root) {
+  response.set(kResultHeader, kCompleteResult);
+  response.set(kRanHeader, NameOf(run_state::kRan));
+  response.set(kRequestIdHeader, root.value());
+}
+
+http_response MakeTextAnswer(http::status status,
+                             std::string_view content_type,
+                             std::string body) {
+  http_response response(status, kHttp11);
+  response.set(http::field::content_type, content_type);
+  response.body() = std::move(body);
+  response.content_length(response.body().size());
+  return response;
+}
+
+void FinishAnswer(http_response& response, http::verb method) {
+  const bool has_no_body = method == http::verb::head ||
+                           response.result() == http::status::no_content ||
+                           response.result() == http::status::not_modified;
+  if (has_no_body) {
+    response.body().clear();
+    return;
+  }
+  response.content_length(response.body().size());
+}
+
+}  // namespace auburnfold
--- /dev/null
+++ b/Libraries/LibRuntime/call_side.cc
@@ -0,0 +1,237 @@
+#include "LibRuntime/call_side.h"
+
+#include <algorithm>
+#include <boost/asio/ip/address.hpp>
+#include <boost/leaf/handle_errors.hpp>
+#include <utility>
+#include <vector>
+
+#include "LibRuntime/answers.h"
+#include "LibRuntime/header_names.h"
+#include "LibRuntime/headers.h"
+#include "LibRuntime/hexadecimal.h"
+#include "LibRuntime/parent_token.h"
+#include "LibRuntime/work_side.h"
+
+namespace auburnfold {
+
+call_side::call_side(asio::io_context& io,
+                     const node_identity& self,
+                     const work_side& works,
+                     connection_pool::id_source next_connection,
+                     event_sink sink,
+                     node_metrics& metrics)
+    : io_(io),
+      self_(self),
+      works_(works),
+      next_connection_(std::move(next_connection)),
+      sink_(std::move(sink)),
+      metrics_(metrics),
+      deadline_timer_(io, [this] { TimeOutAttempts(); }) {}
+
+void call_side::OnCall(const std::shared_ptr<server_session>& session,
+                       http_request request) {
+  Open(session, std::move(request), request_purpose::kRun);
+}
+
+void call_side::OnKeyRequested(const std::shared_ptr<server_session>& session,
+                               http_request request) {
+  Open(session, std::move(request), request_purpose::kIssueKey);
+}
+
+void call_side::Open(const std::shared_ptr<server_session>& session,
+                     http_request request,
+                     request_purpose purpose) {
+  leaf::try_handle_all(
+      [&]() -> leaf::result<void> {
+        BOOST_LEAF_AUTO(facts, ReadCallerHeaders(request));
+        facts.purpose = purpose;
+        Accept(session, std::move(request), std::move(facts));
+        return {};
+      },
+      [&](const request_error& error) {
+        metrics_.CountError(error.kind);
+        session->Answer(MakeErrorAnswer(error.kind, run_state::kNotRun,
+                                        duration::zero(), request_id(),
+                                        error.reason));
+      },
+      [&] { session->Close(); });
+}
+
+void call_side::Accept(const std::shared_ptr<server_session>& session,
+                       http_request request,
+                       request_facts facts) {
+  call_arrived arrived{.call = call_id(next_call_++)};
+  const std::string_view parent_text = request[kParentHeader];
+  arrived.has_parent = !parent_text.empty();
+  if (arrived.has_parent) {
+    const std::optional<parent_token> parent = parent_token::Parse(parent_text);
+    const bool is_ours =
+        parent && parent->node == self_.node && parent->run == self_.run;
+    if (const request_facts* above =
+            is_ours ? works_.FactsOf(parent->work) : nullptr) {
+      arrived.parent = parent->work;
+      facts.root = above->root;
+      facts.depth = static_cast<std::uint16_t>(above->depth + 1);
+    }
+  }
+  if (facts.root.value().empty()) {
+    facts.root = request_id(ToHexadecimal(self_.run.value()) + '-' +
+                            ToHexadecimal(arrived.call.value()));
+  }
+  StripHeaders(request);
+  calls_.emplace(
+      arrived.call,
+      open_call{session, std::make_shared<http_request>(std::move(request)),
+                facts.root, facts.request_class, facts.tenant, clock::now()});
+  session->WatchCaller([this, call = arrived.call] {
+    if (calls_.erase(call) > 0) {
+      sink_(call_cancelled{call});
+    }
+  });
+  arrived.facts = std::move(facts);
+  sink_(std::move(arrived));
+}
+
+void call_side::Execute(send_attempt& sent) {
+  const auto found = calls_.find(sent.call);
+  if (found == calls_.end()) {
+    return sink_(attempt_finished{
+        sent.attempt,
+        {.error = error_kind::kCallerGone, .ran = run_state::kNotRun}});
+  }
+  connection_pool* pool = PoolTo(sent.to, sent.node);
+  if (pool == nullptr) {
+    return sink_(attempt_finished{sent.attempt,
+                                  {.error = error_kind::kEndpointUnreachable,
+                                   .ran = run_state::kNotRun}});
+  }
+  const std::shared_ptr<const http_request>& request = found->second.request;
+  client_request out;
+  out.message.base() = request->base();
+  out.message.body() = {request->body().data(), request->body().size()};
+  WriteForwardedHeaders(out.message, sent.facts, self_.node, sent.expected_run);
+  out.message.prepare_payload();
+  out.body_owner = request;
+  out.on_sending = [this, attempt = sent.attempt](connection_id connection) {
+    sink_(attempt_sent{attempt, connection});
+  };
+  out.on_finished = [this, attempt = sent.attempt](client_result result) {
+    OnAttemptFinished(attempt, std::move(result));
+  };
+  open_attempt& attempt = attempts_[sent.attempt];
+  attempt.deadline = clock::now() + sent.facts.time_left;
+  deadline_timer_.WantBy(attempt.deadline);
+  attempt.connection = pool->Send(std::move(out));
+}
+
+void call_side::Execute(const cancel_attempt& cancelled) {
+  const auto found = attempts_.find(cancelled.attempt);
+  if (found == attempts_.end()) {
+    return;
+  }
+  if (const auto connection = found->second.connection.lock()) {
+    connection->Cancel();
+  }
+  attempts_.erase(found);
+}
+
+void call_side::Execute(const relay_answer& relayed) {
+  const auto call = calls_.find(relayed.call);
+  const auto attempt = attempts_.find(relayed.attempt);
+  if (call == calls_.end() || attempt == attempts_.end()) {
+    return;
+  }
+  http_response response = std::move(attempt->second.response);
+  StripHeaders(response);
+  MarkWhole(response, call->second.root);
+  metrics_.ObserveCall(call->second.request_class, call->second.tenant,
+                       clock::now() - call->second.started);
+  Answer(relayed.call, std::move(response));
+}
+
+void call_side::Execute(const refuse_call& refused) {
+  metrics_.CountError(refused.kind);
+  const auto call = calls_.find(refused.call);
+  if (call == calls_.end()) {
+    return;
+  }
+  Answer(refused.call,
+         MakeErrorAnswer(refused.kind, refused.ran, refused.retry_after,
+                         call->second.root, {}));
+}
+
+void call_side::Answer(call_id call, http_response response) {
+  const auto found = calls_.find(call);
+  const std::shared_ptr<server_session> session =
+      std::move(found->second.session);
+  calls_.erase(found);
+  if (is_stopping_) {
+    return session->AnswerAndClose(std::move(response));
+  }
+  session->Answer(std::move(response));
+}
+
+bool call_side::Close(connection_id connection) {
+  return std::any_of(pools_.begin(), pools_.end(), [&](const auto& entry) {
+    return entry.second->Close(connection);
+  });
+}
+
+void call_side::Sweep() {
+  for (const auto& [address, pool] : pools_) {
+    pool->Sweep();
+  }
+  std::erase_if(pools_, [](const auto& entry) {
+    return entry.second->open_count() == 0;
+  });
+}
+
+connection_pool* call_side::PoolTo(const node_address& to, node_id node) {
+  const auto found = pools_.find(to);
+  if (found != pools_.end()) {
+    return found->second.get();
+  }
+  error_code error;
+  const asio::ip::address host = asio::ip::make_address(to.host, error);
+  if (error) {
+    return nullptr;
+  }
+  auto pool = std::make_unique<connection_pool>(
+      io_, tcp::endpoint(host, to.peer_port), next_connection_,
+      [this, node](connection_id closed) {
+        sink_(connection_closed{closed, node});
+      });
+  return pools_.emplace(to, std::move(pool)).first->second.get();
+}
+
+void call_side::OnAttemptFinished(attempt_id attempt, client_result result) {
+  outcome ended{.error = result.error, .ran = result.ran};
+  if (!result.error) {
+    ended = ReadPeerOutcome(result.response);
+    const auto found = attempts_.find(attempt);
+    if (found != attempts_.end()) {
+      found->second.response = std::move(result.response);
+    }
+  }
+  sink_(attempt_finished{attempt, ended});
+}
+
+void call_side::TimeOutAttempts() {
+  const clock::time_point now = clock::now();
+  clock::time_point next = clock::time_point::max();
+  std::vector<std::shared_ptr<client_connection>> due;
+  for (const auto& [id, attempt] : attempts_) {
+    if (attempt.deadline > now) {
+      next = std::min(next, attempt.deadline);
+    } else if (auto connection = attempt.connection.lock()) {
+      due.push_back(std::move(connection));
+    }
+  }
+  deadline_timer_.WantBy(next);
+  for (const std::shared_ptr<client_connection>& connection : due) {
+    connection->TimeOut();
+  }
+}
+
+}  // namespace auburnfold
--- /dev/null
+++ b/Libraries/LibRuntime/call_side.h
@@ -0,0 +1,101 @@
+#ifndef LIBRUNTIME_CALL_SIDE_H_
+#define LIBRUNTIME_CALL_SIDE_H_
+
+#include <chrono>
+#include <map>
+#include <memory>
+#include <unordered_map>
+
+#include "LibDecision/effect.h"
+#include "LibRuntime/connection_pool.h"
+#include "LibRuntime/event_sink.h"
+#include "LibRuntime/http_types.h"
+#include "LibRuntime/lazy_timer.h"
+#include "LibRuntime/node_identity.h"
+#include "LibRuntime/node_metrics.h"
+#include "LibRuntime/server_session.h"
+
+namespace auburnfold {
+
+class work_side;
+
+/// Takes calls at the call port and forwards them to other nodes.
+class call_side {
+ public:
+  using clock = std::chrono::steady_clock;
+
+  call_side(asio::io_context& io,
+            const node_identity& self,
+            const work_side& works,
+            connection_pool::id_source next_connection,
+            event_sink sink,
+            node_metrics& metrics);
+
+  /// A call was read from `session`.
+  void OnCall(const std::shared_ptr<server_session>& session,
+              http_request request);
+  /// A caller asks for an idempotency key.
+  void OnKeyRequested(const std::shared_ptr<server_session>& session,
+                      http_request request);
+
+  void Execute(send_attempt& sent);
+  void Execute(const cancel_attempt& cancelled);
+  void Execute(const relay_answer& relayed);
+  void Execute(const refuse_call& refused);
+
+  /// Drops the answer of an attempt that the reducer has dealt with.
+  void Forget(attempt_id attempt) { attempts_.erase(attempt); }
+  /// Closes the named connection if it leads to another node.
+  bool Close(connection_id connection);
+  /// Answers from now on close their connections.
+  void OnStopRequested() { is_stopping_ = true; }
+  /// Closes idle connections. Call it about once a second.
+  void Sweep();
+
+  std::size_t open_count() const { return calls_.size(); }
+
+ private:
+  struct open_call {
+    std::shared_ptr<server_session> session;
+    /// Without the headers that concern one connection.
+    std::shared_ptr<const http_request> request;
+    request_id root;
+    class_name request_class;
+    tenant_name tenant;
+    clock::time_point started;
+  };
+  struct open_attempt {
+    std::weak_ptr<client_connection> connection;
+    clock::time_point deadline;
+    http_response response;
+  };
+
+  void Open(const std::shared_ptr<server_session>& session,
+            http_request request,
+            request_purpose purpose);
+  void Accept(const std::shared_ptr<server_session>& session,
+              http_request request,
+              request_facts facts);
+  /// Nothing if `to` is no IP number.
+  connection_pool* PoolTo(const node_address& to, node_id node);
+  void OnAttemptFinished(attempt_id attempt, client_result result);
+  void Answer(call_id call, http_response response);
+  void TimeOutAttempts();
+
+  asio::io_context& io_;
+  const node_identity& self_;
+  const work_side& works_;
+  connection_pool::id_source next_connection_;
+  event_sink sink_;
+  node_metrics& metrics_;
+  lazy_timer deadline_timer_;
+  std::uint64_t next_call_ = 1;
+  std::unordered_map<call_id, open_call> calls_;
+  std::unordered_map<attempt_id, open_attempt> attempts_;
+  std::map<node_address, std::unique_ptr<connection_pool>> pools_;
+  bool is_stopping_ = false;
+};
+
+}  // namespace auburnfold
+
+#endif  // LIBRUNTIME_CALL_SIDE_H_
--- /dev/null
+++ b/Libraries/LibRuntime/connection_pool.cc
@@ -0,0 +1,74 @@
+#include "LibRuntime/connection_pool.h"
+
+#include <utility>
+
+namespace auburnfold {
+
+connection_pool::connection_pool(asio::io_context& io,
+                                 tcp::endpoint to,
+                                 id_source next_id,
+                                 closed_handler on_closed_by_peer)
+    : io_(io),
+      to_(std::move(to)),
+      next_id_(std::move(next_id)),
+      on_closed_by_peer_(std::move(on_closed_by_peer)) {
+  handlers_.on_idle = [this](const std::shared_ptr<client_connection>& free) {
+    idle_.push_back(free);
+  };
+  handlers_.on_closed = [this](const std::shared_ptr<client_connection>& gone,
+                               bool by_peer) {
+    open_.erase(gone->id());
+    std::erase(idle_, gone);
+    if (by_peer) {
+      on_closed_by_peer_(gone->id());
+    }
+  };
+}
+
+connection_pool::~connection_pool() {
+  const auto open = std::move(open_);
+  for (const auto& [id, connection] : open) {
+    connection->Cancel();
+    connection->Close();
+  }
+}
+
+std::weak_ptr<client_connection> connection_pool::Send(client_request request) {
+  if (!idle_.empty()) {
+    const std::shared_ptr<client_connection> connection =
+        std::move(idle_.back());
+    idle_.pop_back();
+    connection->Send(std::move(request));
+    return connection;
+  }
+  auto connection =
+      std::make_shared<client_connection>(io_, next_id_(), handlers_);
+  open_.emplace(connection->id(), connection);
+  connection->Connect(to_, std::move(request));
+  return connection;
+}
+
+bool connection_pool::Close(connection_id id) {
+  const auto found = open_.find(id);
+  if (found == open_.end()) {
+    return false;
+  }
+  const std::shared_ptr<client_connection> connection = found->second;
+  connection->Close();
+  return true;
+}
+
+void connection_pool::Sweep() {
+  const client_connection::clock::time_point now =
+      client_connection::clock::now();
+  std::vector<std::shared_ptr<client_connection>> all;
+  all.reserve(open_.size());
+  for (const auto& [id, connection] : open_) {
+    all.push_back(connection);
+  }
+  for (const std::shared_ptr<client_connection>& connection : all) {
+    connection->CloseIfStale(now);
+  }
+}
+
+}  // namespace auburnfold
--- /dev/null
+++ b/Libraries/LibRuntime/connection_pool.h
@@ -0,0 +1,53 @@
+#ifndef LIBRUNTIME_CONNECTION_POOL_H_
+#define LIBRUNTIME_CONNECTION_POOL_H_
+
+#include <functional>
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+#include "LibRuntime/client_connection.h"
+#include "LibRuntime/http_types.h"
+
+namespace auburnfold {
+
+/// The outgoing connections to one address, kept open between requests.
+class connection_pool {
+ public:
+  /// Makes process-wide connection ids.
+  using id_source = std::function<connection_id()>;
+  /// Hears of connections that the other side closed.
+  using closed_handler = std::function<void(connection_id)>;
+
+  connection_pool(asio::io_context& io,
+                  tcp::endpoint to,
+                  id_source next_id,
+                  closed_handler on_closed_by_peer);
+  ~connection_pool();
+  connection_pool(const connection_pool&) = delete;
+  connection_pool& operator=(const connection_pool&) = delete;
+
+  /// Sends `request` over an idle connection, or over a new one. The result
+  /// is where it can be cancelled.
+  std::weak_ptr<client_connection> Send(client_request request);
+  /// Closes the named connection; false if it is not of this pool.
+  bool Close(connection_id id);
+  /// Closes connections that were idle, or being made, for too long.
+  void Sweep();
+
+  std::size_t open_count() const { return open_.size(); }
+
+ private:
+  asio::io_context& io_;
+  tcp::endpoint to_;
+  id_source next_id_;
+  closed_handler on_closed_by_peer_;
+  connection_handlers handlers_;
+  std::unordered_map<connection_id, std::shared_ptr<client_connection>> open_;
+  /// The last used comes first, so that spare ones grow old and are closed.
+  std::vector<std::shared_ptr<client_connection>> idle_;
+};
+
+}  // namespace auburnfold
+
+#endif  // LIBRUNTIME_CONNECTION_POOL_H_
--- /dev/null
+++ b/Libraries/LibRuntime/header_names.h
@@ -0,0 +1,41 @@
+#ifndef LIBRUNTIME_HEADER_NAMES_H_
+#define LIBRUNTIME_HEADER_NAMES_H_
+
+#include <string_view>
+
+namespace auburnfold {
+
+inline constexpr std::string_view kHeaderPrefix = "Auburnfold-";
+inline constexpr std::string_view kServiceHeader = "Auburnfold-Service";
+inline constexpr std::string_view kClassHeader = "Auburnfold-Class";
+inline constexpr std::string_view kTenantHeader = "Auburnfold-Tenant";
+inline constexpr std::string_view kTimeoutHeader = "Auburnfold-Timeout-Ms";
+inline constexpr std::string_view kRequestIdHeader = "Auburnfold-Request-Id";
+inline constexpr std::string_view kParentHeader = "Auburnfold-Parent";
+inline constexpr std::string_view kAttemptHeader = "Auburnfold-Attempt";
+inline constexpr std::string_view kKeyHeader = "Idempotency-Key";
+inline constexpr std::string_view kResultHeader = "Auburnfold-Result";
+inline constexpr std::string_view kRanHeader = "Auburnfold-Ran";
+inline constexpr std::string_view kRetryAfterMsHeader =
+    "Auburnfold-Retry-After-Ms";
+inline constexpr std::string_view kFromHeader = "Auburnfold-From";
+inline constexpr std::string_view kExpectedRunHeader =
+    "Auburnfold-Expected-Run";
+inline constexpr std::string_view kAllowanceHeader = "Auburnfold-Allowance";
+inline constexpr std::string_view kDepthHeader = "Auburnfold-Depth";
+inline constexpr std::string_view kPriorityHeader = "Auburnfold-Priority";
+inline constexpr std::string_view kPurposeHeader = "Auburnfold-Purpose";
+inline constexpr std::string_view kLevelHeader = "Auburnfold-Level";
+inline constexpr std::string_view kAllowanceLeftHeader =
+    "Auburnfold-Allowance-Left";
+inline constexpr std::string_view kInFlightHeader = "Auburnfold-In-Flight";
+inline constexpr std::string_view kColdHeader = "Auburnfold-Cold";
+
+/// Value of `Auburnfold-Result` for a whole answer.
+inline constexpr std::string_view kCompleteResult = "complete";
+/// Value of `Auburnfold-Purpose` for issuing an idempotency key.
+inline constexpr std::string_view kIssueKeyPurpose = "issue-key";
+
+}  // namespace auburnfold
+
+#endif  // LIBRUNTIME_HEADER_NAMES_H_
--- /dev/null
+++ b/Libraries/LibRuntime/headers.cc
@@ -0,0 +1,337 @@
+#include "LibRuntime/headers.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+#include <boost/leaf/error.hpp>
+#include <limits>
+#include <vector>
+
+#include "LibRuntime/header_names.h"
+#include "LibRuntime/hexadecimal.h"
+
+namespace auburnfold {
+
+namespace {
+
+constexpr std::size_t kNameLimit = 64;
+constexpr std::size_t kIdLimit = 128;
+constexpr std::uint64_t kLongestTimeoutMs = 600'000;
+constexpr std::uint64_t kHighestPriority = 7;
+constexpr std::string_view kDefaultTenant = "default";
+
+using enum error_kind;
+
+// Headers that concern one connection only, and `Expect`, which the node has
+// met by reading the whole body.
+constexpr std::array kHopByHop{
+    http::field::connection,
+    http::field::keep_alive,
+    http::field::proxy_connection,
+    http::field::proxy_authenticate,
+    http::field::proxy_authorization,
+    http::field::te,
+    http::field::trailer,
+    http::field::transfer_encoding,
+    http::field::upgrade,
+    http::field::expect,
+    http::field::content_length,
+};
+
+bool IsNameCharacter(char c) {
+  const bool is_letter = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z');
+  return is_letter || (c >= '0' && c <= '9') || c == '.' || c == '_' ||
+         c == '-';
+}
+
+bool IsName(std::string_view text) {
+  return !text.empty() && text.size() <= kNameLimit &&
+         std::all_of(text.begin(), text.end(), IsNameCharacter);
+}
+
+bool IsId(std::string_view text) {
+  return !text.empty() && text.size() <= kIdLimit &&
+         std::all_of(text.begin(), text.end(),
+                     [](char c) { return c > ' ' && c <= '~'; });
+}
+
+std::string_view ValueOf(const http::fields& headers, std::string_view name) {
+  return headers[name];
+}
+
+std::optional<std::uint64_t> NumberIn(const http::fields& headers,
+                                      std::string_view name,
+                                      std::uint64_t highest) {
+  const std::optional<std::uint64_t> value =
+      FromDecimal(ValueOf(headers, name));
+  if (!value || *value > highest) {
+    return std::nullopt;
+  }
+  return value;
+}
+
+template <class number>
+number NumberOrZero(const http::fields& headers, std::string_view name) {
+  return static_cast<number>(
+      NumberIn(headers, name, std::numeric_limits<number>::max()).value_or(0));
+}
+
+leaf::error_id Malformed(std::string_view reason) {
+  return leaf::new_error(request_error{kMalformedRequest, reason});
+}
+
+leaf::result<duration> ReadTimeout(const http::fields& headers) {
+  const std::string_view text = ValueOf(headers, kTimeoutHeader);
+  if (text.empty()) {
+    return leaf::new_error(
+        request_error{kDeadlineMissing, "Auburnfold-Timeout-Ms is missing"});
+  }
+  const std::optional<std::uint64_t> value = FromDecimal(text);
+  if (!value || *value > kLongestTimeoutMs) {
+    return Malformed("Auburnfold-Timeout-Ms must be 1 to 600000");
+  }
+  if (*value == 0) {
+    return leaf::new_error(
+        request_error{kDeadlineExpired, "no time is left for the request"});
+  }
+  return std::chrono::milliseconds(*value);
+}
+
+leaf::result<void> ReadNames(const http::fields& headers,
+                             request_facts& facts) {
+  const std::string_view service = ValueOf(headers, kServiceHeader);
+  const std::string_view request_class = ValueOf(headers, kClassHeader);
+  std::string_view tenant = ValueOf(headers, kTenantHeader);
+  if (tenant.empty()) {
+    tenant = kDefaultTenant;
+  }
+  if (!IsName(service)) {
+    return Malformed("Auburnfold-Service must be a name of 1 to 64 characters");
+  }
+  if (!IsName(request_class)) {
+    return Malformed("Auburnfold-Class must be a name of 1 to 64 characters");
+  }
+  if (!IsName(tenant)) {
+    return Malformed("Auburnfold-Tenant must be a name of 1 to 64 characters");
+  }
+  facts.service = service_name(std::string(service));
+  facts.request_class = class_name(std::string(request_class));
+  facts.tenant = tenant_name(std::string(tenant));
+  return {};
+}
+
+leaf::result<void> ReadIds(const http::fields& headers, request_facts& facts) {
+  const std::string_view root = ValueOf(headers, kRequestIdHeader);
+  if (!root.empty()) {
+    if (!IsId(root)) {
+      return Malformed("Auburnfold-Request-Id must be 1 to 128 characters");
+    }
+    facts.root = request_id(std::string(root));
+  }
+  const std::string_view key = ValueOf(headers, kKeyHeader);
+  if (!key.empty()) {
+    if (!IsId(key)) {
+      return Malformed("Idempotency-Key must be 1 to 128 characters");
+    }
+    facts.key = idempotency_key(std::string(key));
+  }
+  return {};
+}
+
+leaf::result<void> ReadAttempt(const http::fields& headers,
+                               request_facts& facts) {
+  if (ValueOf(headers, kAttemptHeader).empty()) {
+    return {};
+  }
+  const std::optional<std::uint64_t> attempt = NumberIn(
+      headers, kAttemptHeader, std::numeric_limits<std::uint16_t>::max());
+  if (!attempt || *attempt == 0) {
+    return Malformed("Auburnfold-Attempt must be 1 to 65535");
+  }
+  facts.client_attempt = static_cast<std::uint16_t>(*attempt);
+  return {};
+}
+
+leaf::result<void> ReadTreeFacts(const http::fields& headers,
+                                 request_facts& facts) {
+  facts.allowance = NumberOrZero<std::uint16_t>(headers, kAllowanceHeader);
+  facts.depth = NumberOrZero<std::uint16_t>(headers, kDepthHeader);
+  if (!ValueOf(headers, kPriorityHeader).empty()) {
+    const std::optional<std::uint64_t> priority =
+        NumberIn(headers, kPriorityHeader, kHighestPriority);
+    if (!priority) {
+      return Malformed("Auburnfold-Priority must be 0 to 7");
+    }
+    facts.priority = static_cast<std::uint8_t>(*priority);
+  }
+  const std::string_view purpose = ValueOf(headers, kPurposeHeader);
+  if (purpose == kIssueKeyPurpose) {
+    facts.purpose = request_purpose::kIssueKey;
+  }
+  return {};
+}
+
+// An explicit prefix test, since each header of each request passes here.
+bool IsOwnHeader(std::string_view name) {
+  return name.size() > kHeaderPrefix.size() &&
+         beast::iequals(name.substr(0, kHeaderPrefix.size()), kHeaderPrefix);
+}
+
+void Set(http::fields& headers, std::string_view name, std::uint64_t value) {
+  headers.set(name, std::to_string(value));
+}
+
+std::uint64_t MillisecondsRoundedUp(duration length) {
+  return static_cast<std::uint64_t>(
+      std::chrono::ceil<std::chrono::milliseconds>(length).count());
+}
+
+void WriteCallerHeaders(http::fields& headers,
+                        const request_facts& facts,
+                        duration time_left) {
+  headers.set(kServiceHeader, facts.service.value());
+  headers.set(kClassHeader, facts.request_class.value());
+  headers.set(kTenantHeader, facts.tenant.value());
+  headers.set(kRequestIdHeader, facts.root.value());
+  // Rounded down: a hop must never believe in more time than there is.
+  Set(headers, kTimeoutHeader,
+      static_cast<std::uint64_t>(std::max<std::int64_t>(
+          std::chrono::floor<std::chrono::milliseconds>(time_left).count(),
+          0)));
+  if (facts.client_attempt > 1) {
+    Set(headers, kAttemptHeader, facts.client_attempt);
+  }
+}
+
+answer_facts ReadAnswerFacts(const http::fields& headers) {
+  answer_facts facts;
+  facts.level = NumberOrZero<std::uint16_t>(headers, kLevelHeader);
+  facts.allowance_left =
+      NumberOrZero<std::uint16_t>(headers, kAllowanceLeftHeader);
+  facts.in_flight = NumberOrZero<std::uint32_t>(headers, kInFlightHeader);
+  facts.retry_after = std::chrono::milliseconds(
+      NumberOrZero<std::uint32_t>(headers, kRetryAfterMsHeader));
+  facts.is_cold = ValueOf(headers, kColdHeader) == "1";
+  return facts;
+}
+
+run_state ReadRan(const http::fields& headers) {
+  const std::string_view text = ValueOf(headers, kRanHeader);
+  if (text == NameOf(run_state::kNotRun)) {
+    return run_state::kNotRun;
+  }
+  if (text == NameOf(run_state::kRan)) {
+    return run_state::kRan;
+  }
+  return run_state::kUnknown;
+}
+
+}  // namespace
+
+leaf::result<request_facts> ReadCallerHeaders(const http::fields& headers) {
+  request_facts facts;
+  BOOST_LEAF_CHECK(ReadNames(headers, facts));
+  BOOST_LEAF_ASSIGN(facts.time_left, ReadTimeout(headers));
+  BOOST_LEAF_CHECK(ReadIds(headers, facts));
+  BOOST_LEAF_CHECK(ReadAttempt(headers, facts));
+  return facts;
+}
+
+leaf::result<forwarded_facts> ReadForwardedHeaders(
+    const http::fields& headers) {
+  forwarded_facts read;
+  BOOST_LEAF_ASSIGN(read.facts, ReadCallerHeaders(headers));
+  BOOST_LEAF_CHECK(ReadTreeFacts(headers, read.facts));
+  const std::optional<std::uint64_t> from =
+      FromHexadecimal(ValueOf(headers, kFromHeader));
+  const std::optional<std::uint64_t> run =
+      FromDecimal(ValueOf(headers, kExpectedRunHeader));
+  if (!from || !run) {
+    return Malformed("Auburnfold-From and Auburnfold-Expected-Run are needed");
+  }
+  read.from = node_id(*from);
+  read.expected_run = incarnation(*run);
+  return read;
+}
+
+void StripHeaders(http::fields& headers) {
+  std::vector<std::string> named;
+  for (const auto token : http::token_list(headers[http::field::connection])) {
+    named.emplace_back(token);
+  }
+  for (auto next = headers.begin(); next != headers.end();) {
+    const bool is_hop_by_hop = std::find(kHopByHop.begin(), kHopByHop.end(),
+                                         next->name()) != kHopByHop.end();
+    const std::string_view name = next->name_string();
+    const bool is_named = std::any_of(
+        named.begin(), named.end(),
+        [name](const std::string& one) { return beast::iequals(one, name); });
+    next = is_hop_by_hop || is_named || IsOwnHeader(name) ? headers.erase(next)
+                                                          : std::next(next);
+  }
+}
+
+void WriteForwardedHeaders(http::fields& headers,
+                           const request_facts& facts,
+                           node_id from,
+                           incarnation expected_run) {
+  WriteCallerHeaders(headers, facts, facts.time_left);
+  headers.set(kFromHeader, ToHexadecimal(from.value()));
+  Set(headers, kExpectedRunHeader, expected_run.value());
+  Set(headers, kAllowanceHeader, facts.allowance);
+  Set(headers, kDepthHeader, facts.depth);
+  if (facts.priority) {
+    Set(headers, kPriorityHeader, *facts.priority);
+  }
+  switch (facts.purpose) {
+    case request_purpose::kRun:
+      return;
+    case request_purpose::kIssueKey:
+      return headers.set(kPurposeHeader, kIssueKeyPurpose);
+  }
+}
+
+void WriteEndpointHeaders(http::fields& headers,
+                          const request_facts& facts,
+                          duration time_left,
+                          const std::string& parent) {
+  WriteCallerHeaders(headers, facts, time_left);
+  headers.set(kParentHeader, parent);
+}
+
+void WriteAnswerFacts(http::fields& headers, const answer_facts& facts) {
+  Set(headers, kLevelHeader, facts.level);
+  Set(headers, kAllowanceLeftHeader, facts.allowance_left);
+  Set(headers, kInFlightHeader, facts.in_flight);
+  if (facts.retry_after > duration::zero()) {
+    Set(headers, kRetryAfterMsHeader, MillisecondsRoundedUp(facts.retry_after));
+  }
+  if (facts.is_cold) {
+    headers.set(kColdHeader, "1");
+  }
+}
+
+outcome ReadPeerOutcome(const http_response& response) {
+  outcome result;
+  const std::string_view name = ValueOf(response, kResultHeader);
+  if (name.empty()) {
+    // Whoever listens there is no node: what it did is not known.
+    return {.error = kInternal, .ran = run_state::kUnknown};
+  }
+  result.peer = ReadAnswerFacts(response);
+  result.body_size = response.body().size();
+  if (name == kCompleteResult) {
+    return result;
+  }
+  result.error = ErrorKindNamed(name).value_or(kInternal);
+  result.ran = ReadRan(response);
+  return result;
+}
+
+bool IsEndpointRefusal(const http_response& response) {
+  return response.result() == http::status::service_unavailable &&
+         ReadRan(response) == run_state::kNotRun;
+}
+
+}  // namespace auburnfold
--- /dev/null
+++ b/Libraries/LibRuntime/http_listener.cc
@@ -0,0 +1,77 @@
+#include "LibRuntime/http_listener.h"
+
+#include <boost/asio/ip/address.hpp>
+#include <utility>
+
+namespace auburnfold {
+
+http_listener::http_listener(asio::io_context& io, session_handlers handlers)
+    : handlers_(std::move(handlers)), acceptor_(io) {}
+
+error_code http_listener::Listen(const std::string& host, std::uint16_t port) {
+  error_code error;
+  const asio::ip::address address = asio::ip::make_address(host, error);
+  if (error) {
+    return error;
+  }
+  const tcp::endpoint local(address, port);
+  acceptor_.open(local.protocol(), error);
+  if (!error) {
+    acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
+  }
+  if (!error) {
+    acceptor_.bind(local, error);
+  }
+  if (!error) {
+    acceptor_.listen(asio::socket_base::max_listen_connections, error);
+  }
+  if (!error) {
+    Accept();
+  }
+  return error;
+}
+
+void http_listener::Sweep() {
+  const server_session::clock::time_point now = server_session::clock::now();
+  std::erase_if(sessions_, [now](const std::weak_ptr<server_session>& weak) {
+    const std::shared_ptr<server_session> session = weak.lock();
+    if (!session) {
+      return true;
+    }
+    session->CloseIfStale(now);
+    return !session->is_open();
+  });
+}
+
+void http_listener::Close() {
+  error_code ignored;
+  acceptor_.close(ignored);
+  for (const std::weak_ptr<server_session>& weak : sessions_) {
+    if (const std::shared_ptr<server_session> session = weak.lock()) {
+      session->Close();
+    }
+  }
+  sessions_.clear();
+}
+
+std::uint16_t http_listener::port() const {
+  error_code ignored;
+  return acceptor_.local_endpoint(ignored).port();
+}
+
+void http_listener::Accept() {
+  acceptor_.async_accept([this](error_code error, tcp::socket socket) {
+    if (error == asio::error::operation_aborted) {
+      return;
+    }
+    if (!error) {
+      auto session =
+          std::make_shared<server_session>(std::move(socket), handlers_);
+      sessions_.push_back(session);
+      session->Start();
+    }
+    Accept();
+  });
+}
+
+}  // namespace auburnfold
--- /dev/null
+++ b/Libraries/LibRuntime/http_types.h
@@ -0,0 +1,37 @@
+#ifndef LIBRUNTIME_HTTP_TYPES_H_
+#define LIBRUNTIME_HTTP_TYPES_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/fields.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/serializer.hpp>
+#include <boost/beast/http/span_body.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <cstddef>
+
+namespace auburnfold {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using tcp = boost::asio::ip::tcp;
+using boost::system::error_code;
+
+using http_request = http::request<http::string_body>;
+using http_response = http::response<http::string_body>;
+/// A request whose body belongs to someone else.
+using http_request_view = http::request<http::span_body<const char>>;
+
+/// Largest body of a request or an answer, in bytes.
+inline constexpr std::size_t kBodyLimitBytes = std::size_t{1024} * 1024;
+/// Largest start line with headers, in bytes.
+inline constexpr std::size_t kHeaderLimitBytes = std::size_t{16} * 1024;
+/// Bytes asked for with each read.
+inline constexpr std::size_t kReadChunkBytes = std::size_t{8} * 1024;
+
+}  // namespace auburnfold
+
+#endif  // LIBRUNTIME_HTTP_TYPES_H_
--- /dev/null
+++ b/Libraries/LibRuntime/labelled_histograms.h
@@ -0,0 +1,37 @@
+#ifndef LIBRUNTIME_LABELLED_HISTOGRAMS_H_
+#define LIBRUNTIME_LABELLED_HISTOGRAMS_H_
+
+#include <prometheus/registry.h>
+
+#include <chrono>
+#include <cstddef>
+#include <string>
+#include <unordered_map>
+
+namespace auburnfold {
+
+/// Histograms of seconds, one for each value of one label, up to a limit; all
+/// further values share the label value `other`.
+class labelled_histograms {
+ public:
+  labelled_histograms(prometheus::Registry& registry,
+                      const std::string& name,
+                      const std::string& help,
+                      std::string label,
+                      std::size_t limit);
+
+  void Observe(const std::string& label_value,
+               std::chrono::steady_clock::duration took);
+
+ private:
+  prometheus::Histogram& For(const std::string& label_value);
+
+  prometheus::Family<prometheus::Histogram>& family_;
+  std::string label_;
+  std::size_t limit_;
+  std::unordered_map<std::string, prometheus::Histogram*> known_;
+};
+
+}  // namespace auburnfold
+
+#endif  // LIBRUNTIME_LABELLED_HISTOGRAMS_H_
--- /dev/null
+++ b/Libraries/LibRuntime/node_metrics.cc
@@ -0,0 +1,147 @@
+#include "LibRuntime/node_metrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+#include <array>
+
+#include "LibRuntime/labelled_histograms.h"
+
+namespace auburnfold {
+
+namespace {
+
+std::string_view NameOf(runtime_counter which) {
+  switch (which) {
+    case runtime_counter::kMessagesLost:
+      return "control_messages_lost";
+    case runtime_counter::kMessagesReceived:
+      return "control_messages_received";
+    case runtime_counter::kMessagesRejected:
+      return "control_messages_rejected";
+    case runtime_counter::kBytesSent:
+      return "control_bytes_sent";
+    case runtime_counter::kBytesReceived:
+      return "control_bytes_received";
+  }
+  return "unknown";
+}
+
+prometheus::Counter& MakeCounter(prometheus::Registry& registry,
+                                 std::string_view name) {
+  return prometheus::BuildCounter()
+      .Name("auburnfold_" + std::string(name) + "_total")
+      .Register(registry)
+      .Add({});
+}
+
+prometheus::Gauge& MakeGauge(prometheus::Registry& registry,
+                             const std::string& name,
+                             const std::string& help) {
+  return prometheus::BuildGauge().Name(name).Help(help).Register(registry).Add(
+      {});
+}
+
+}  // namespace
+
+struct node_metrics::parts {
+  explicit parts(std::size_t limit)
+      : calls(MakeGauge(registry,
+                        "auburnfold_calls_in_flight",
+                        "Calls that are not yet answered.")),
+        works(MakeGauge(registry,
+                        "auburnfold_works_in_flight",
+                        "Forwarded requests running or queued here.")),
+        call_by_class(registry,
+                      "auburnfold_call_seconds",
+                      "Time to the whole answer of a call, by class.",
+                      "class",
+                      limit),
+        call_by_tenant(registry,
+                       "auburnfold_tenant_call_seconds",
+                       "Time to the whole answer of a call, by tenant.",
+                       "tenant",
+                       limit),
+        work_by_class(registry,
+                      "auburnfold_work_seconds",
+                      "Time to the whole answer of a forwarded request.",
+                      "class",
+                      limit),
+        queue_by_class(registry,
+                       "auburnfold_queue_wait_seconds",
+                       "Time from arrival to the start at the endpoint.",
+                       "class",
+                       limit) {
+    for (std::size_t i = 0; i < kCounterCount; ++i) {
+      counters[i] = &MakeCounter(registry, NameOf(static_cast<counter>(i)));
+    }
+    for (std::size_t i = 0; i < kRuntimeCounterCount; ++i) {
+      runtime_counters[i] =
+          &MakeCounter(registry, NameOf(static_cast<runtime_counter>(i)));
+    }
+    auto& errors_family =
+        prometheus::BuildCounter()
+            .Name("auburnfold_errors_total")
+            .Help("Answers other than whole ones, by error kind.")
+            .Register(registry);
+    for (std::size_t i = 0; i < kErrorKindCount; ++i) {
+      const std::string_view name = AnswerFor(static_cast<error_kind>(i)).name;
+      errors[i] = &errors_family.Add({{"kind", std::string(name)}});
+    }
+  }
+
+  prometheus::Registry registry;
+  std::array<prometheus::Counter*, kCounterCount> counters{};
+  std::array<prometheus::Counter*, kRuntimeCounterCount> runtime_counters{};
+  std::array<prometheus::Counter*, kErrorKindCount> errors{};
+  prometheus::Gauge& calls;
+  prometheus::Gauge& works;
+  labelled_histograms call_by_class;
+  labelled_histograms call_by_tenant;
+  labelled_histograms work_by_class;
+  labelled_histograms queue_by_class;
+};
+
+node_metrics::node_metrics(std::size_t label_limit)
+    : parts_(std::make_unique<parts>(label_limit)) {}
+node_metrics::~node_metrics() = default;
+
+void node_metrics::Count(counter which, std::uint64_t amount) {
+  parts_->counters[static_cast<std::size_t>(which)]->Increment(
+      static_cast<double>(amount));
+}
+
+void node_metrics::Count(runtime_counter which, std::uint64_t amount) {
+  parts_->runtime_counters[static_cast<std::size_t>(which)]->Increment(
+      static_cast<double>(amount));
+}
+
+void node_metrics::CountError(error_kind kind) {
+  parts_->errors[static_cast<std::size_t>(kind)]->Increment();
+}
+
+void node_metrics::ObserveCall(const class_name& request_class,
+                               const tenant_name& tenant,
+                               elapsed took) {
+  parts_->call_by_class.Observe(request_class.value(), took);
+  parts_->call_by_tenant.Observe(tenant.value(), took);
+}
+
+void node_metrics::ObserveWork(const class_name& request_class, elapsed took) {
+  parts_->work_by_class.Observe(request_class.value(), took);
+}
+
+void node_metrics::ObserveQueueWait(const class_name& request_class,
+                                    elapsed waited) {
+  parts_->queue_by_class.Observe(request_class.value(), waited);
+}
+
+std::string node_metrics::Text(std::size_t open_calls, std::size_t open_works) {
+  parts_->calls.Set(static_cast<double>(open_calls));
+  parts_->works.Set(static_cast<double>(open_works));
+  return prometheus::TextSerializer().Serialize(parts_->registry.Collect());
+}
+
+}  // namespace auburnfold
--- /dev/null
+++ b/Libraries/LibRuntime/node_metrics.h
@@ -0,0 +1,61 @@
+#ifndef LIBRUNTIME_NODE_METRICS_H_
+#define LIBRUNTIME_NODE_METRICS_H_
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "LibDecision/counter.h"
+#include "LibDecision/error_kind.h"
+#include "LibDecision/ids.h"
+
+namespace auburnfold {
+
+/// What the runtime counts besides the decisions' own counters.
+enum class runtime_counter : std::uint8_t {
+  kMessagesLost,      ///< Control messages that could not be handed over.
+  kMessagesReceived,  ///< Control messages read.
+  kMessagesRejected,  ///< Control messages that could not be understood.
+  kBytesSent,         ///< Bytes of control messages handed over.
+  kBytesReceived,     ///< Bytes of control messages read.
+};
+
+inline constexpr std::size_t kRuntimeCounterCount =
+    static_cast<std::size_t>(runtime_counter::kBytesReceived) + 1;
+
+/// The figures that a node shows at `/metrics`.
+class node_metrics {
+ public:
+  using elapsed = std::chrono::steady_clock::duration;
+
+  /// Classes and tenants beyond `label_limit` are counted together as
+  /// `other`.
+  explicit node_metrics(std::size_t label_limit);
+  ~node_metrics();
+  node_metrics(const node_metrics&) = delete;
+  node_metrics& operator=(const node_metrics&) = delete;
+
+  void Count(counter which, std::uint64_t amount);
+  void Count(runtime_counter which, std::uint64_t amount = 1);
+  void CountError(error_kind kind);
+  void ObserveCall(const class_name& request_class,
+                   const tenant_name& tenant,
+                   elapsed took);
+  void ObserveWork(const class_name& request_class, elapsed took);
+  void ObserveQueueWait(const class_name& request_class, elapsed waited);
+
+  /// All figures in the Prometheus text format, with the requests that are
+  /// open now.
+  std::string Text(std::size_t open_calls, std::size_t open_works);
+
+ private:
+  struct parts;
+  std::unique_ptr<parts> parts_;
+};
+
+}  // namespace auburnfold
+
+#endif  // LIBRUNTIME_NODE_METRICS_H_
--- /dev/null
+++ b/Libraries/LibRuntime/node_runtime.h
@@ -0,0 +1,65 @@
+#ifndef LIBRUNTIME_NODE_RUNTIME_H_
+#define LIBRUNTIME_NODE_RUNTIME_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/leaf/result.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "LibRuntime/admin_handler.h"
+#include "LibRuntime/node_settings.h"
+#include "LibRuntime/store_caller.h"
+
+namespace auburnfold {
+
+/// A port that could not be listened at.
+struct listen_error {
+  std::string key;  ///< The settings key of the port.
+  std::uint16_t port = 0;
+  std::string reason;
+};
+
+/// One node: the reducer with its servers, connections and timers, all on one
+/// io_context and one thread.
+class node_runtime {
+ public:
+  node_runtime(boost::asio::io_context& io, const node_settings& settings);
+  ~node_runtime();
+  node_runtime(const node_runtime&) = delete;
+  node_runtime& operator=(const node_runtime&) = delete;
+
+  /// Without one, the key-value service counts as unavailable.
+  void SetStoreCaller(store_caller caller);
+  void SetAdminHandler(admin_handler handler);
+
+  /// Listens and begins. Fails with `listen_error`.
+  leaf::result<void> Start();
+  /// Begins a graceful stop; a second call changes nothing.
+  void Stop();
+  /// `on_stopped` is called once the stop is complete.
+  void SetStoppedHandler(std::function<void()> on_stopped);
+
+  /// Gives the reducer an administration request.
+  void RequestAdmin(admin_request request, admin_result_handler on_result);
+
+  /// Requests that the stop has cut.
+  std::uint64_t cut_requests() const;
+  /// All figures in the Prometheus text format.
+  std::string MetricsText() const;
+
+  /// Ports that were taken where the settings say 0.
+  std::uint16_t call_port() const;
+  std::uint16_t peer_port() const;
+  std::uint16_t control_port() const;
+  std::uint16_t admin_port() const;
+
+ private:
+  struct parts;
+  std::unique_ptr<parts> parts_;
+};
+
+}  // namespace auburnfold
+
+#endif  // LIBRUNTIME_NODE_RUNTIME_H_
--- /dev/null
+++ b/Libraries/LibRuntime/node_settings.cc
@@ -0,0 +1,114 @@
+#include "LibRuntime/node_settings.h"
+
+#include <boost/json/parse.hpp>
+#include <boost/leaf/error.hpp>
+#include <fstream>
+#include <sstream>
+#include <utility>
+
+#include "LibDecision/hash.h"
+#include "LibRuntime/settings_reader.h"
+
+namespace auburnfold {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::uint64_t kLongestStopMs = 600'000;
+constexpr std::uint64_t kLongestLingerMs = 60'000;
+constexpr std::uint64_t kMostLabels = 1'000;
+
+const std::vector<std::string_view>& LogLevels() {
+  static const std::vector<std::string_view> kLevels{"off", "error", "warn",
+                                                     "info", "debug"};
+  return kLevels;
+}
+
+leaf::result<json::value> ParseWithComments(const std::string& file,
+                                            std::string_view text) {
+  json::parse_options options;
+  options.allow_comments = true;
+  options.allow_trailing_commas = true;
+  boost::system::error_code error;
+  json::value parsed = json::parse(json::string_view(text.data(), text.size()),
+                                   error, {}, options);
+  if (error) {
+    return leaf::new_error(
+        settings_error{file, {}, "is not JSON: " + error.message()});
+  }
+  if (!parsed.is_object()) {
+    return leaf::new_error(settings_error{file, {}, "must be one JSON object"});
+  }
+  return parsed;
+}
+
+leaf::result<void> ReadPorts(settings_reader& reader, node_settings& settings) {
+  using enum presence;
+  BOOST_LEAF_CHECK(reader.ReadPort("call_port", kRequired, settings.call_port));
+  BOOST_LEAF_CHECK(reader.ReadPort("peer_port", kRequired, settings.peer_port));
+  BOOST_LEAF_CHECK(
+      reader.ReadPort("control_port", kRequired, settings.control_port));
+  return reader.ReadPort("admin_port", kRequired, settings.admin_port);
+}
+
+leaf::result<void> ReadStore(settings_reader& reader, node_settings& settings) {
+  using enum presence;
+  BOOST_LEAF_CHECK(
+      reader.ReadHost("store_host", kOptional, settings.store_host));
+  const presence port = settings.store_host.empty() ? kOptional : kRequired;
+  return reader.ReadPort("store_port", port, settings.store_port);
+}
+
+leaf::result<void> ReadLimits(settings_reader& reader,
+                              node_settings& settings) {
+  BOOST_LEAF_CHECK(reader.ReadMilliseconds("stop_limit_ms", kLongestStopMs,
+                                           settings.stop_limit));
+  BOOST_LEAF_CHECK(reader.ReadMilliseconds("stop_linger_ms", kLongestLingerMs,
+                                           settings.stop_linger));
+  std::uint64_t labels = settings.label_limit;
+  BOOST_LEAF_CHECK(reader.ReadInteger("label_limit", presence::kOptional, 1,
+                                      kMostLabels, labels));
+  settings.label_limit = labels;
+  return {};
+}
+
+}  // namespace
+
+leaf::result<node_settings> LoadNodeSettings(const std::string& file) {
+  std::ifstream stream(file, std::ios::binary);
+  std::ostringstream text;
+  text << stream.rdbuf();
+  if (!stream) {
+    return leaf::new_error(settings_error{file, {}, "cannot be read"});
+  }
+  return ParseNodeSettings(file, text.str());
+}
+
+leaf::result<node_settings> ParseNodeSettings(const std::string& file,
+                                              std::string_view text) {
+  using enum presence;
+  BOOST_LEAF_AUTO(parsed, ParseWithComments(file, text));
+  settings_reader reader(file, {}, parsed.get_object());
+  node_settings settings;
+  std::string domain;
+  BOOST_LEAF_CHECK(reader.ReadHost("host", kRequired, settings.host));
+  BOOST_LEAF_CHECK(reader.ReadName("domain", kRequired, domain));
+  settings.domain = domain_name(domain);
+  BOOST_LEAF_CHECK(ReadPorts(reader, settings));
+  settings.node = node_id(
+      StableHash(settings.host + ":" + std::to_string(settings.peer_port)));
+  BOOST_LEAF_CHECK(reader.ReadNodeId("node", settings.node));
+  BOOST_LEAF_CHECK(
+      reader.ReadHost("endpoint_host", kOptional, settings.endpoint_host));
+  BOOST_LEAF_CHECK(reader.ReadAddresses("seeds", settings.seeds));
+  BOOST_LEAF_CHECK(ReadStore(reader, settings));
+  BOOST_LEAF_CHECK(ReadLimits(reader, settings));
+  BOOST_LEAF_CHECK(
+      reader.ReadChoice("log_level", LogLevels(), settings.log_level));
+  BOOST_LEAF_CHECK(reader.ReadObjectText("admin", settings.admin));
+  BOOST_LEAF_CHECK(reader.Finish());
+  return settings;
+}
+
+}  // namespace auburnfold
--- /dev/null
+++ b/Libraries/LibRuntime/parent_token.h
@@ -0,0 +1,25 @@
+#ifndef LIBRUNTIME_PARENT_TOKEN_H_
+#define LIBRUNTIME_PARENT_TOKEN_H_
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "LibDecision/ids.h"
+
+namespace auburnfold {
+
+/// What the `Auburnfold-Parent` header names: work of one run of one node.
+struct parent_token {
+  node_id node;
+  incarnation run;
+  work_id work;
+
+  std::string Text() const;
+  /// Nothing if `text` was not made by `Text`.
+  static std::optional<parent_token> Parse(std::string_view text);
+};
+
+}  // namespace auburnfold
+
+#endif  // LIBRUNTIME_PARENT_TOKEN_H_
--- /dev/null
+++ b/Libraries/LibRuntime/server_session.cc
@@ -0,0 +1,189 @@
+#include "LibRuntime/server_session.h"
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+#include <boost/beast/http/write.hpp>
+#include <utility>
+
+#include "LibRuntime/answers.h"
+
+namespace auburnfold {
+
+namespace {
+
+// Longer than `kIdleLimit` of client_connection, so that it is the side that
+// sends which closes an idle connection and no request meets a closing one.
+constexpr std::chrono::seconds kIdleLimit{90};
+constexpr std::chrono::seconds kReadLimit{10};
+constexpr std::chrono::seconds kDrainLimit{2};
+constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+
+}  // namespace
+
+server_session::server_session(tcp::socket socket,
+                               const session_handlers& handlers)
+    : socket_(std::move(socket)), handlers_(handlers) {}
+
+void server_session::Start() {
+  error_code ignored;
+  socket_.set_option(tcp::no_delay(true), ignored);
+  PrepareNext();
+  Read();
+}
+
+void server_session::WatchCaller(std::function<void()> on_gone) {
+  on_gone_ = std::move(on_gone);
+}
+
+void server_session::Answer(http_response response) {
+  if (!is_open()) {
+    return;
+  }
+  on_gone_ = nullptr;
+  response_ = std::move(response);
+  FinishAnswer(response_, method_);
+  response_.keep_alive(keeps_alive_);
+  Write();
+}
+
+void server_session::AnswerAndClose(http_response response) {
+  keeps_alive_ = false;
+  Answer(std::move(response));
+}
+
+void server_session::Close() {
+  error_code ignored;
+  socket_.close(ignored);
+  on_gone_ = nullptr;
+}
+
+void server_session::CloseIfStale(clock::time_point now) {
+  if (!is_busy_ && now >= stale_at_) {
+    Close();
+  }
+}
+
+void server_session::Read() {
+  is_reading_ = true;
+  socket_.async_read_some(
+      buffer_.prepare(kReadChunkBytes),
+      [self = shared_from_this()](error_code error, std::size_t size) {
+        self->OnRead(error, size);
+      });
+}
+
+void server_session::OnRead(error_code error, std::size_t size) {
+  is_reading_ = false;
+  if (error) {
+    return OnClosed();
+  }
+  if (is_draining_) {
+    return Read();
+  }
+  buffer_.commit(size);
+  // Bytes of a pipelined request wait until the running one is answered.
+  if (!is_busy_) {
+    Parse();
+  }
+}
+
+void server_session::Parse() {
+  error_code error;
+  const std::size_t used = parser_->put(buffer_.data(), error);
+  buffer_.consume(used);
+  if (error && error != http::error::need_more) {
+    return Refuse(error);
+  }
+  if (parser_->is_done()) {
+    return Deliver();
+  }
+  if (!parser_->got_some()) {
+    stale_at_ = clock::now() + kIdleLimit;
+  } else {
+    stale_at_ = clock::now() + kReadLimit;
+  }
+  SendContinueIfExpected();
+  Read();
+}
+
+void server_session::Deliver() {
+  is_busy_ = true;
+  keeps_alive_ = parser_->keep_alive();
+  method_ = parser_->get().method();
+  http_request request = parser_->release();
+  if (buffer_.size() == 0) {
+    Read();
+  }
+  handlers_.on_request(shared_from_this(), std::move(request));
+}
+
+void server_session::Refuse(error_code error) {
+  is_busy_ = true;
+  const bool is_too_large = error == http::error::body_limit ||
+                            error == http::error::header_limit ||
+                            error == http::error::buffer_overflow;
+  handlers_.on_malformed(shared_from_this(),
+                         is_too_large ? error_kind::kRequestTooLarge
+                                      : error_kind::kMalformedRequest);
+}
+
+void server_session::SendContinueIfExpected() {
+  if (is_continue_sent_ || !parser_->is_header_done()) {
+    return;
+  }
+  if (!beast::iequals(parser_->get()[http::field::expect], "100-continue")) {
+    return;
+  }
+  is_continue_sent_ = true;
+  asio::async_write(socket_, asio::buffer(kContinue),
+                    [self = shared_from_this()](error_code, std::size_t) {});
+}
+
+void server_session::Write() {
+  serializer_.emplace(response_);
+  http::async_write(socket_, *serializer_,
+                    [self = shared_from_this()](error_code error, std::size_t) {
+                      self->OnWritten(error);
+                    });
+}
+
+void server_session::OnWritten(error_code error) {
+  if (error) {
+    return Close();
+  }
+  is_busy_ = false;
+  if (!keeps_alive_) {
+    socket_.shutdown(tcp::socket::shutdown_send, error);
+    is_draining_ = true;
+    stale_at_ = clock::now() + kDrainLimit;
+    if (!is_reading_) {
+      buffer_.clear();
+      Read();
+    }
+    return;
+  }
+  PrepareNext();
+  if (!is_reading_) {
+    Parse();
+  }
+}
+
+void server_session::PrepareNext() {
+  parser_.emplace();
+  parser_->eager(true);
+  parser_->header_limit(kHeaderLimitBytes);
+  parser_->body_limit(kBodyLimitBytes);
+  is_continue_sent_ = false;
+  stale_at_ = clock::now() + kIdleLimit;
+}
+
+void server_session::OnClosed() {
+  const std::function<void()> on_gone = std::move(on_gone_);
+  Close();
+  if (on_gone) {
+    on_gone();
+  }
+}
+
+}  // namespace auburnfold
--- /dev/null
+++ b/Libraries/LibRuntime/settings_reader.cc
@@ -0,0 +1,214 @@
+#include "LibRuntime/settings_reader.h"
+
+#include <algorithm>
+#include <boost/asio/ip/address.hpp>
+#include <boost/json/array.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/leaf/error.hpp>
+#include <limits>
+#include <utility>
+
+#include "LibRuntime/hexadecimal.h"
+
+namespace auburnfold {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::size_t kNameLimit = 64;
+
+std::string RangeText(std::uint64_t lowest, std::uint64_t highest) {
+  return "must be a whole number from " + std::to_string(lowest) + " to " +
+         std::to_string(highest);
+}
+
+}  // namespace
+
+settings_reader::settings_reader(std::string file,
+                                 std::string path,
+                                 const json::object& object)
+    : file_(std::move(file)), path_(std::move(path)), object_(object) {}
+
+leaf::result<void> settings_reader::ReadInteger(std::string_view key,
+                                                presence needed,
+                                                std::uint64_t lowest,
+                                                std::uint64_t highest,
+                                                std::uint64_t& value) {
+  BOOST_LEAF_AUTO(found, Find(key, needed));
+  if (found == nullptr) {
+    return {};
+  }
+  boost::system::error_code error;
+  const auto number = found->to_number<std::uint64_t>(error);
+  if (error || number < lowest || number > highest) {
+    return Fail(key, RangeText(lowest, highest));
+  }
+  value = number;
+  return {};
+}
+
+leaf::result<void> settings_reader::ReadPort(std::string_view key,
+                                             presence needed,
+                                             std::uint16_t& value) {
+  std::uint64_t number = value;
+  BOOST_LEAF_CHECK(ReadInteger(
+      key, needed, 0, std::numeric_limits<std::uint16_t>::max(), number));
+  value = static_cast<std::uint16_t>(number);
+  return {};
+}
+
+leaf::result<void> settings_reader::ReadMilliseconds(
+    std::string_view key,
+    std::uint64_t highest,
+    std::chrono::milliseconds& value) {
+  auto number = static_cast<std::uint64_t>(value.count());
+  BOOST_LEAF_CHECK(ReadInteger(key, presence::kOptional, 0, highest, number));
+  value = std::chrono::milliseconds(number);
+  return {};
+}
+
+leaf::result<void> settings_reader::ReadHost(std::string_view key,
+                                             presence needed,
+                                             std::string& value) {
+  BOOST_LEAF_AUTO(found, Find(key, needed));
+  if (found == nullptr) {
+    return {};
+  }
+  const json::string* text = found->if_string();
+  boost::system::error_code error;
+  if (text != nullptr) {
+    boost::asio::ip::make_address(std::string_view(*text), error);
+  }
+  if (text == nullptr || error) {
+    return Fail(key, "must be an IP number");
+  }
+  value = std::string_view(*text);
+  return {};
+}
+
+leaf::result<void> settings_reader::ReadName(std::string_view key,
+                                             presence needed,
+                                             std::string& value) {
+  BOOST_LEAF_AUTO(found, Find(key, needed));
+  if (found == nullptr) {
+    return {};
+  }
+  const json::string* text = found->if_string();
+  if (text == nullptr || text->empty() || text->size() > kNameLimit) {
+    return Fail(key, "must be a text of 1 to 64 characters");
+  }
+  value = std::string_view(*text);
+  return {};
+}
+
+leaf::result<void> settings_reader::ReadNodeId(std::string_view key,
+                                               node_id& value) {
+  BOOST_LEAF_AUTO(found, Find(key, presence::kOptional));
+  if (found == nullptr) {
+    return {};
+  }
+  const json::string* text = found->if_string();
+  const std::optional<std::uint64_t> number =
+      text == nullptr ? std::nullopt : FromHexadecimal(std::string_view(*text));
+  if (!number || *number == 0) {
+    return Fail(key, "must be 1 to 16 hexadecimal digits, not all zero");
+  }
+  value = node_id(*number);
+  return {};
+}
+
+leaf::result<void> settings_reader::ReadChoice(
+    std::string_view key,
+    const std::vector<std::string_view>& choices,
+    std::string& value) {
+  BOOST_LEAF_AUTO(found, Find(key, presence::kOptional));
+  if (found == nullptr) {
+    return {};
+  }
+  const json::string* text = found->if_string();
+  const bool is_known =
+      text != nullptr && std::find(choices.begin(), choices.end(),
+                                   std::string_view(*text)) != choices.end();
+  if (!is_known) {
+    std::string reason = "must be one of";
+    for (const std::string_view choice : choices) {
+      reason += ' ';
+      reason += choice;
+    }
+    return Fail(key, reason);
+  }
+  value = std::string_view(*text);
+  return {};
+}
+
+leaf::result<void> settings_reader::ReadAddresses(
+    std::string_view key,
+    std::vector<node_address>& value) {
+  BOOST_LEAF_AUTO(found, Find(key, presence::kOptional));
+  if (found == nullptr) {
+    return {};
+  }
+  const json::array* list = found->if_array();
+  if (list == nullptr) {
+    return Fail(key, "must be a list of addresses");
+  }
+  for (std::size_t i = 0; i < list->size(); ++i) {
+    const std::string place = std::string(key) + "[" + std::to_string(i) + "]";
+    const json::object* entry = (*list)[i].if_object();
+    if (entry == nullptr) {
+      return Fail(place, "must have host, peer_port and control_port");
+    }
+    settings_reader reader(file_, path_ + place + ".", *entry);
+    node_address address;
+    BOOST_LEAF_CHECK(
+        reader.ReadHost("host", presence::kRequired, address.host));
+    BOOST_LEAF_CHECK(
+        reader.ReadPort("peer_port", presence::kRequired, address.peer_port));
+    BOOST_LEAF_CHECK(reader.ReadPort("control_port", presence::kRequired,
+                                     address.control_port));
+    BOOST_LEAF_CHECK(reader.Finish());
+    value.push_back(std::move(address));
+  }
+  return {};
+}
+
+leaf::result<void> settings_reader::ReadObjectText(std::string_view key,
+                                                   std::string& value) {
+  BOOST_LEAF_AUTO(found, Find(key, presence::kOptional));
+  if (found == nullptr) {
+    return {};
+  }
+  if (!found->is_object()) {
+    return Fail(key, "must be an object");
+  }
+  value = json::serialize(*found);
+  return {};
+}
+
+leaf::result<void> settings_reader::Finish() const {
+  for (const json::key_value_pair& pair : object_) {
+    if (!known_.contains(std::string_view(pair.key()))) {
+      return Fail(pair.key(), "is not a known key");
+    }
+  }
+  return {};
+}
+
+leaf::result<const json::value*> settings_reader::Find(std::string_view key,
+                                                       presence needed) {
+  known_.emplace(key);
+  const json::value* found = object_.if_contains(key);
+  if (found == nullptr && needed == presence::kRequired) {
+    return Fail(key, "is missing");
+  }
+  return found;
+}
+
+leaf::error_id settings_reader::Fail(std::string_view key,
+                                     std::string reason) const {
+  return leaf::new_error(
+      settings_error{file_, path_ + std::string(key), std::move(reason)});
+}
+
+}  // namespace auburnfold
--- /dev/null
+++ b/Libraries/LibRuntime/settings_reader.h
@@ -0,0 +1,75 @@
+#ifndef LIBRUNTIME_SETTINGS_READER_H_
+#define LIBRUNTIME_SETTINGS_READER_H_
+
+#include <boost/json/object.hpp>
+#include <boost/leaf/result.hpp>
+#include <cstdint>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "LibDecision/ids.h"
+#include "LibRuntime/node_settings.h"
+
+namespace auburnfold {
+
+/// Whether a settings key may be left out.
+enum class presence : std::uint8_t { kRequired, kOptional };
+
+/// Reads the keys of one JSON object and remembers which were asked for. Each
+/// reader leaves `value` as it is if an optional key is absent, and fails with
+/// `settings_error`.
+class settings_reader {
+ public:
+  /// `path` goes before the names of keys in errors.
+  settings_reader(std::string file,
+                  std::string path,
+                  const boost::json::object& object);
+
+  leaf::result<void> ReadInteger(std::string_view key,
+                                 presence needed,
+                                 std::uint64_t lowest,
+                                 std::uint64_t highest,
+                                 std::uint64_t& value);
+  leaf::result<void> ReadPort(std::string_view key,
+                              presence needed,
+                              std::uint16_t& value);
+  leaf::result<void> ReadMilliseconds(std::string_view key,
+                                      std::uint64_t highest,
+                                      std::chrono::milliseconds& value);
+  /// An IP number.
+  leaf::result<void> ReadHost(std::string_view key,
+                              presence needed,
+                              std::string& value);
+  /// A name of 1 to 64 characters.
+  leaf::result<void> ReadName(std::string_view key,
+                              presence needed,
+                              std::string& value);
+  leaf::result<void> ReadNodeId(std::string_view key, node_id& value);
+  leaf::result<void> ReadChoice(std::string_view key,
+                                const std::vector<std::string_view>& choices,
+                                std::string& value);
+  leaf::result<void> ReadAddresses(std::string_view key,
+                                   std::vector<node_address>& value);
+  /// Keeps an object as JSON text.
+  leaf::result<void> ReadObjectText(std::string_view key, std::string& value);
+
+  /// Fails on the first key that nobody asked for.
+  leaf::result<void> Finish() const;
+
+ private:
+  /// Null if an optional key is absent.
+  leaf::result<const boost::json::value*> Find(std::string_view key,
+                                               presence needed);
+  leaf::error_id Fail(std::string_view key, std::string reason) const;
+
+  std::string file_;
+  std::string path_;
+  const boost::json::object& object_;
+  std::set<std::string, std::less<>> known_;
+};
+
+}  // namespace auburnfold
+
+#endif  // LIBRUNTIME_SETTINGS_READER_H_
--- /dev/null
+++ b/Libraries/LibRuntime/work_side.cc
@@ -0,0 +1,295 @@
+#include "LibRuntime/work_side.h"
+
+#include <algorithm>
+#include <boost/leaf/handle_errors.hpp>
+#include <utility>
+
+#include "LibRuntime/answers.h"
+#include "LibRuntime/header_names.h"
+#include "LibRuntime/headers.h"
+#include "LibRuntime/parent_token.h"
+
+namespace auburnfold {
+
+work_side::work_side(asio::io_context& io,
+                     const node_identity& self,
+                     connection_pool::id_source next_connection,
+                     event_sink sink,
+                     node_metrics& metrics)
+    : io_(io),
+      self_(self),
+      next_connection_(std::move(next_connection)),
+      sink_(std::move(sink)),
+      metrics_(metrics),
+      deadline_timer_(io, [this] { TimeOutRuns(); }) {}
+
+void work_side::OnWork(const std::shared_ptr<server_session>& session,
+                       http_request request) {
+  leaf::try_handle_all(
+      [&]() -> leaf::result<void> {
+        BOOST_LEAF_AUTO(read, ReadForwardedHeaders(request));
+        Accept(session, std::move(request), std::move(read.facts), read.from,
+               read.expected_run);
+        return {};
+      },
+      [&](const request_error& error) {
+        metrics_.CountError(error.kind);
+        session->Answer(MakeErrorAnswer(error.kind, run_state::kNotRun,
+                                        duration::zero(), request_id(),
+                                        error.reason));
+      },
+      [&] { session->Close(); });
+}
+
+void work_side::Accept(const std::shared_ptr<server_session>& session,
+                       http_request request,
+                       request_facts facts,
+                       node_id from,
+                       incarnation expected_run) {
+  const work_id id(next_work_++);
+  StripHeaders(request);
+  open_work& open = works_[id];
+  open.session = session;
+  open.request = std::move(request);
+  open.facts = facts;
+  open.arrived = clock::now();
+  session->WatchCaller([this, id] { OnSenderGone(id); });
+  sink_(work_arrived{id, from, std::move(facts), expected_run});
+}
+
+void work_side::OnSenderGone(work_id work) {
+  const auto found = works_.find(work);
+  if (found == works_.end()) {
+    return;
+  }
+  found->second.session.reset();
+  const bool is_running = found->second.is_running;
+  sink_(work_cancelled{work});
+  // Running work stays until the reducer cancels it or the endpoint answers.
+  if (!is_running) {
+    works_.erase(work);
+  }
+}
+
+void work_side::OnEndpointAt(const tcp::endpoint& where) {
+  if (pool_ && endpoint_ == where) {
+    return;
+  }
+  if (pool_) {
+    former_pools_.push_back(std::move(pool_));
+  }
+  endpoint_ = where;
+  pool_ = std::make_unique<connection_pool>(
+      io_, where, next_connection_, [this](connection_id closed) {
+        sink_(connection_closed{closed, {}});
+      });
+}
+
+void work_side::Execute(const run_work& run) {
+  const auto found = works_.find(run.work);
+  if (found == works_.end() || !pool_) {
+    return sink_(work_finished{run.work,
+                               {.error = error_kind::kEndpointUnreachable,
+                                .ran = run_state::kNotRun}});
+  }
+  open_work& open = found->second;
+  open.is_running = true;
+  open.deadline = clock::now() + run.time_left;
+  deadline_timer_.WantBy(open.deadline);
+  metrics_.ObserveQueueWait(open.facts.request_class,
+                            clock::now() - open.arrived);
+  auto request = std::make_shared<http_request>(std::move(open.request));
+  client_request out;
+  out.message.base() = std::move(request->base());
+  out.message.body() = {request->body().data(), request->body().size()};
+  WriteEndpointHeaders(out.message, open.facts, run.time_left,
+                       parent_token{self_.node, self_.run, run.work}.Text());
+  out.message.prepare_payload();
+  out.body_owner = std::move(request);
+  out.on_sending = [this, work = run.work](connection_id connection) {
+    sink_(work_sent{work, connection});
+  };
+  out.on_finished = [this, work = run.work](client_result result) {
+    OnRunFinished(work, std::move(result));
+  };
+  open.connection = pool_->Send(std::move(out));
+}
+
+void work_side::Execute(const cancel_work& cancelled) {
+  const auto found = works_.find(cancelled.work);
+  if (found == works_.end()) {
+    return;
+  }
+  found->second.is_running = false;
+  if (const auto connection = found->second.connection.lock()) {
+    connection->Cancel();
+  }
+  if (!found->second.session) {
+    works_.erase(found);
+  }
+}
+
+void work_side::Execute(const relay_work_answer& relayed) {
+  const auto found = works_.find(relayed.work);
+  if (found == works_.end()) {
+    return;
+  }
+  http_response response = std::move(found->second.response);
+  StripHeaders(response);
+  MarkWhole(response, found->second.facts.root);
+  metrics_.ObserveWork(found->second.facts.request_class,
+                       clock::now() - found->second.arrived);
+  Answer(relayed.work, std::move(response), relayed.facts);
+}
+
+void work_side::Execute(const refuse_work& refused) {
+  metrics_.CountError(refused.kind);
+  const auto found = works_.find(refused.work);
+  if (found == works_.end()) {
+    return;
+  }
+  Answer(refused.work,
+         MakeErrorAnswer(refused.kind, refused.ran, refused.facts.retry_after,
+                         found->second.facts.root, {}),
+         refused.facts);
+}
+
+void work_side::Execute(const answer_with_key& issued) {
+  const auto found = works_.find(issued.work);
+  if (found == works_.end()) {
+    return;
+  }
+  http_response response =
+      MakeTextAnswer(http::status::created, "text/plain", issued.key.value());
+  response.set(kKeyHeader, issued.key.value());
+  MarkWhole(response, found->second.facts.root);
+  Answer(issued.work, std::move(response), issued.facts);
+}
+
+void work_side::Execute(const remember_answer& remembered) {
+  const auto found = works_.find(remembered.work);
+  if (found == works_.end()) {
+    return;
+  }
+  http_response& kept = remembered_[remembered.key];
+  kept = found->second.response;
+  StripHeaders(kept);
+}
+
+void work_side::Execute(const replay_answer& replayed) {
+  const auto found = works_.find(replayed.work);
+  const auto kept = remembered_.find(replayed.key);
+  if (found == works_.end()) {
+    return;
+  }
+  const request_id& root = found->second.facts.root;
+  if (kept == remembered_.end()) {
+    return Answer(replayed.work,
+                  MakeErrorAnswer(error_kind::kInternal, run_state::kUnknown,
+                                  duration::zero(), root,
+                                  "the remembered answer is missing"),
+                  replayed.facts);
+  }
+  http_response response = kept->second;
+  MarkWhole(response, root);
+  Answer(replayed.work, std::move(response), replayed.facts);
+}
+
+void work_side::Execute(const forget_answer& forgotten) {
+  remembered_.erase(forgotten.key);
+}
+
+void work_side::OnFinishHandled(work_id work) {
+  const auto found = works_.find(work);
+  if (found == works_.end()) {
+    return;
+  }
+  found->second.is_running = false;
+  if (!found->second.session) {
+    works_.erase(found);
+  }
+}
+
+bool work_side::Close(connection_id connection) {
+  if (pool_ && pool_->Close(connection)) {
+    return true;
+  }
+  return std::any_of(
+      former_pools_.begin(), former_pools_.end(),
+      [connection](const std::unique_ptr<connection_pool>& pool) {
+        return pool->Close(connection);
+      });
+}
+
+void work_side::Sweep() {
+  if (pool_) {
+    pool_->Sweep();
+  }
+  for (const std::unique_ptr<connection_pool>& pool : former_pools_) {
+    pool->Sweep();
+  }
+  std::erase_if(former_pools_,
+                [](const std::unique_ptr<connection_pool>& pool) {
+                  return pool->open_count() == 0;
+                });
+}
+
+const request_facts* work_side::FactsOf(work_id work) const {
+  const auto found = works_.find(work);
+  return found == works_.end() ? nullptr : &found->second.facts;
+}
+
+void work_side::OnRunFinished(work_id work, client_result result) {
+  outcome ended{.error = result.error, .ran = result.ran};
+  if (!result.error) {
+    ended.body_size = result.response.body().size();
+    if (IsEndpointRefusal(result.response)) {
+      ended.error = error_kind::kOverloaded;
+      ended.ran = run_state::kNotRun;
+    }
+    const auto found = works_.find(work);
+    if (found != works_.end()) {
+      found->second.response = std::move(result.response);
+    }
+  }
+  sink_(work_finished{work, ended});
+}
+
+void work_side::Answer(work_id work,
+                       http_response response,
+                       const answer_facts& facts) {
+  const auto found = works_.find(work);
+  const std::shared_ptr<server_session> session =
+      std::move(found->second.session);
+  works_.erase(found);
+  if (!session) {
+    return;
+  }
+  WriteAnswerFacts(response, facts);
+  if (is_stopping_) {
+    return session->AnswerAndClose(std::move(response));
+  }
+  session->Answer(std::move(response));
+}
+
+void work_side::TimeOutRuns() {
+  const clock::time_point now = clock::now();
+  clock::time_point next = clock::time_point::max();
+  std::vector<std::shared_ptr<client_connection>> due;
+  for (const auto& [id, open] : works_) {
+    if (!open.is_running) {
+      continue;
+    }
+    if (open.deadline > now) {
+      next = std::min(next, open.deadline);
+    } else if (auto connection = open.connection.lock()) {
+      due.push_back(std::move(connection));
+    }
+  }
+  deadline_timer_.WantBy(next);
+  for (const std::shared_ptr<client_connection>& connection : due) {
+    connection->TimeOut();
+  }
+}
+
+}  // namespace auburnfold
--- /dev/null
+++ b/Libraries/LibRuntime/work_side.h
@@ -0,0 +1,102 @@
+#ifndef LIBRUNTIME_WORK_SIDE_H_
+#define LIBRUNTIME_WORK_SIDE_H_
+
+#include <chrono>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "LibDecision/effect.h"
+#include "LibRuntime/connection_pool.h"
+#include "LibRuntime/event_sink.h"
+#include "LibRuntime/http_types.h"
+#include "LibRuntime/lazy_timer.h"
+#include "LibRuntime/node_identity.h"
+#include "LibRuntime/node_metrics.h"
+#include "LibRuntime/server_session.h"
+
+namespace auburnfold {
+
+/// Takes requests that other nodes forward and runs them at the own endpoint.
+class work_side {
+ public:
+  using clock = std::chrono::steady_clock;
+
+  work_side(asio::io_context& io,
+            const node_identity& self,
+            connection_pool::id_source next_connection,
+            event_sink sink,
+            node_metrics& metrics);
+
+  /// A forwarded request was read from `session`.
+  void OnWork(const std::shared_ptr<server_session>& session,
+              http_request request);
+  /// The endpoint says where it listens.
+  void OnEndpointAt(const tcp::endpoint& where);
+
+  void Execute(const run_work& run);
+  void Execute(const cancel_work& cancelled);
+  void Execute(const relay_work_answer& relayed);
+  void Execute(const refuse_work& refused);
+  void Execute(const answer_with_key& issued);
+  void Execute(const remember_answer& remembered);
+  void Execute(const replay_answer& replayed);
+  void Execute(const forget_answer& forgotten);
+
+  /// The reducer has dealt with the end of `work` at the endpoint.
+  void OnFinishHandled(work_id work);
+  /// Closes the named connection if it leads to the endpoint.
+  bool Close(connection_id connection);
+  /// Answers from now on close their connections.
+  void OnStopRequested() { is_stopping_ = true; }
+  /// Closes idle connections. Call it about once a second.
+  void Sweep();
+
+  /// What travelled with open work; null if there is no such work.
+  const request_facts* FactsOf(work_id work) const;
+  std::size_t open_count() const { return works_.size(); }
+  std::size_t remembered_count() const { return remembered_.size(); }
+
+ private:
+  struct open_work {
+    /// Unset once the forwarding node has gone.
+    std::shared_ptr<server_session> session;
+    http_request request;
+    request_facts facts;
+    http_response response;
+    std::weak_ptr<client_connection> connection;
+    clock::time_point arrived;
+    clock::time_point deadline = clock::time_point::max();
+    bool is_running = false;
+  };
+
+  void Accept(const std::shared_ptr<server_session>& session,
+              http_request request,
+              request_facts facts,
+              node_id from,
+              incarnation expected_run);
+  void OnSenderGone(work_id work);
+  void OnRunFinished(work_id work, client_result result);
+  void Answer(work_id work, http_response response, const answer_facts& facts);
+  void TimeOutRuns();
+
+  asio::io_context& io_;
+  const node_identity& self_;
+  connection_pool::id_source next_connection_;
+  event_sink sink_;
+  node_metrics& metrics_;
+  lazy_timer deadline_timer_;
+  std::uint64_t next_work_ = 1;
+  std::unordered_map<work_id, open_work> works_;
+  std::unordered_map<idempotency_key, http_response> remembered_;
+  tcp::endpoint endpoint_;
+  std::unique_ptr<connection_pool> pool_;
+  /// Pools to where the endpoint listened before; kept until they are empty.
+  std::vector<std::unique_ptr<connection_pool>> former_pools_;
+  bool is_stopping_ = false;
+};
+
+}  // namespace auburnfold
+
+#endif  // LIBRUNTIME_WORK_SIDE_H_
--- /dev/null
+++ b/Services/auburnfold-node/main.cc
@@ -0,0 +1,115 @@
+#include <log4cplus/consoleappender.h>
+#include <log4cplus/initializer.h>
+#include <log4cplus/logger.h>
+#include <sysexits.h>
+#include <tclap/CmdLine.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/leaf/handle_errors.hpp>
+#include <csignal>
+#include <iostream>
+#include <memory>
+#include <string>
+
+#include "LibRuntime/node_runtime.h"
+#include "LibRuntime/node_settings.h"
+
+namespace auburnfold {
+
+namespace {
+
+struct options {
+  std::string settings_file;
+  bool is_check_only = false;
+};
+
+options ReadCommandLine(int argc, char** argv) {
+  TCLAP::CmdLine line(
+      "The auburnfold process beside an endpoint. Exit codes: 0 stopped as "
+      "asked, 64 wrong usage, 69 a port cannot be listened at, 70 internal "
+      "error, 78 wrong settings.",
+      ' ', AUBURNFOLD_VERSION);
+  TCLAP::ValueArg<std::string> settings("s", "settings", "Settings file", true,
+                                        "", "FILE", line);
+  TCLAP::SwitchArg check("c", "check", "Check the settings and exit", line);
+  line.setExceptionHandling(false);
+  line.parse(argc, argv);
+  return {settings.getValue(), check.getValue()};
+}
+
+void StartLogging(const std::string& level) {
+  log4cplus::SharedAppenderPtr console(
+      new log4cplus::ConsoleAppender(true, true));
+  console->setLayout(std::make_unique<log4cplus::PatternLayout>(
+      LOG4CPLUS_TEXT("%D{%Y-%m-%dT%H:%M:%S.%q} %-5p %c %m%n")));
+  log4cplus::Logger root = log4cplus::Logger::getRoot();
+  root.addAppender(console);
+  std::string name = level;
+  for (char& letter : name) {
+    letter =
+        static_cast<char>(std::toupper(static_cast<unsigned char>(letter)));
+  }
+  root.setLogLevel(log4cplus::getLogLevelManager().fromString(name));
+}
+
+leaf::result<int> Serve(const node_settings& settings) {
+  boost::asio::io_context io(1);
+  node_runtime node(io, settings);
+  boost::asio::signal_set signals(io, SIGTERM, SIGINT);
+  signals.async_wait([&node](boost::system::error_code error, int) {
+    if (!error) {
+      node.Stop();
+    }
+  });
+  node.SetStoppedHandler([&io] { io.stop(); });
+  BOOST_LEAF_CHECK(node.Start());
+  io.run();
+  return EX_OK;
+}
+
+leaf::result<int> Run(const options& chosen) {
+  BOOST_LEAF_AUTO(settings, LoadNodeSettings(chosen.settings_file));
+  if (chosen.is_check_only) {
+    std::cout << chosen.settings_file << ": settings are valid\n";
+    return EX_OK;
+  }
+  StartLogging(settings.log_level);
+  return Serve(settings);
+}
+
+int RunAndReport(const options& chosen) {
+  return leaf::try_handle_all([&] { return Run(chosen); },
+                              [](const settings_error& error) {
+                                std::cerr << error.file << ": " << error.key
+                                          << (error.key.empty() ? "" : " ")
+                                          << error.reason << "\n";
+                                return EX_CONFIG;
+                              },
+                              [](const listen_error& error) {
+                                std::cerr << "cannot listen at " << error.key
+                                          << " " << error.port << ": "
+                                          << error.reason << "\n";
+                                return EX_UNAVAILABLE;
+                              },
+                              [] {
+                                std::cerr << "internal error\n";
+                                return EX_SOFTWARE;
+                              });
+}
+
+}  // namespace
+
+}  // namespace auburnfold
+
+int main(int argc, char** argv) {
+  const log4cplus::Initializer logging;
+  try {
+    return auburnfold::RunAndReport(auburnfold::ReadCommandLine(argc, argv));
+  } catch (const TCLAP::ExitException& exit) {
+    return exit.getExitStatus();
+  } catch (const TCLAP::ArgException& error) {
+    std::cerr << error.argId() << " " << error.error() << "\n";
+    return EX_USAGE;
+  }
+}
