LibPlatform: Add the client of the key-value service

Each call opens its own connection: calls are rare, and a connection left open may have gone silent. A failure to connect is certainly without effect; a write whose answer is lost is unknown, a read whose answer is lost had no effect. A watch is a long poll bounded in time.

--- /dev/null
+++ b/Tests/LibPlatform/store_client_test.cc
@@ -0,0 +1,170 @@
+#include "LibPlatform/store_client.h"
+
+#include <gtest/gtest.h>
+
+#include <boost/asio.hpp>
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace auburnfold {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+/// Reads one request and does as told: sends `answer`, or closes, or, with
+/// `is_silent`, never answers.
+class a_store : public testing::Test {
+ protected:
+  a_store() : acceptor_(context_, {asio::ip::make_address("127.0.0.1"), 0}) {}
+
+  void Serve() {
+    acceptor_.async_accept([this](const auto& error, tcp::socket socket) {
+      ASSERT_FALSE(error);
+      socket_.emplace(std::move(socket));
+      asio::async_read_until(*socket_, asio::dynamic_buffer(received_),
+                             "\r\n\r\n", [this](const auto&, std::size_t) {
+                               if (!is_silent_) {
+                                 asio::write(*socket_, asio::buffer(answer_));
+                                 socket_->close();
+                               }
+                             });
+    });
+  }
+
+  store_result Call(store_request request) {
+    store_client client(
+        context_.get_executor(),
+        {.host = "127.0.0.1", .port = acceptor_.local_endpoint().port()},
+        {.answer = answer_timeout(), .watch = answer_timeout()});
+    std::optional<store_result> result;
+    client.Call(std::move(request),
+                [&result](const store_result& got) { result = got; });
+    while (!result) {
+      context_.run_one();
+    }
+    return *result;
+  }
+
+  // Only a store that stays silent is waited for to the end.
+  std::chrono::milliseconds answer_timeout() const {
+    return std::chrono::milliseconds(is_silent_ ? 50 : 30000);
+  }
+
+  static std::string Answer(std::string_view status, std::string_view body) {
+    return "HTTP/1.1 " + std::string(status) +
+           "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+           std::string(body);
+  }
+
+  asio::io_context context_;
+  tcp::acceptor acceptor_;
+  std::optional<tcp::socket> socket_;
+  std::string received_;
+  std::string answer_;
+  bool is_silent_ = false;
+};
+
+const store_compare_and_swap kWrite{"table/a b/c", "new", store_revision(4)};
+
+class a_write : public a_store {};
+
+TEST_F(a_write, IsSentWithItsKeyEncodedAndTheExpectedRevision) {
+  answer_ =
+      Answer("200 OK", R"({"key":"table/a b/c","value":"new","revision":5})");
+  Serve();
+  const store_result result = Call(kWrite);
+  EXPECT_EQ(received_.substr(0, received_.find('\r')),
+            "PUT /v1/kv?key=table%2Fa%20b%2Fc&expected=4 HTTP/1.1");
+  EXPECT_EQ(result.status, store_status::kDone);
+  ASSERT_EQ(result.entries.size(), 1U);
+  EXPECT_EQ(result.entries[0].revision, store_revision(5));
+}
+
+TEST_F(a_write, ThatMeetsAnotherRevisionIsToldTheCurrentEntry) {
+  answer_ = Answer(
+      "409 Conflict",
+      R"({"entries":[{"key":"k","value":"theirs","revision":9}],"revision":9})");
+  Serve();
+  const store_result result = Call(kWrite);
+  EXPECT_EQ(result.status, store_status::kConflict);
+  ASSERT_EQ(result.entries.size(), 1U);
+  EXPECT_EQ(result.entries[0].value, "theirs");
+}
+
+TEST_F(a_write, IsUnknownIfTheConnectionClosesBeforeTheAnswer) {
+  Serve();
+  EXPECT_EQ(Call(kWrite).status, store_status::kUnknown);
+}
+
+TEST_F(a_write, IsUnknownIfTheStoreStaysSilent) {
+  is_silent_ = true;
+  Serve();
+  EXPECT_EQ(Call(kWrite).status, store_status::kUnknown);
+}
+
+TEST_F(a_write, IsUnknownIfTheAnswerIsTruncated) {
+  answer_ = "HTTP/1.1 200 OK\r\nContent-Length: 90\r\n\r\n{\"entries\":[";
+  Serve();
+  EXPECT_EQ(Call(kWrite).status, store_status::kUnknown);
+}
+
+TEST_F(a_write, IsUnknownIfTheStoreFailsInside) {
+  answer_ = Answer("500 Internal Server Error", "");
+  Serve();
+  EXPECT_EQ(Call(kWrite).status, store_status::kUnknown);
+}
+
+TEST_F(a_write, IsCertainlyWithoutEffectIfTheStoreIsNotReached) {
+  acceptor_.close();
+  tcp::acceptor closed(context_, {asio::ip::make_address("127.0.0.1"), 0});
+  const auto port = closed.local_endpoint().port();
+  closed.close();
+  store_client client(context_.get_executor(),
+                      {.host = "127.0.0.1", .port = port});
+  std::optional<store_result> result;
+  client.Call(kWrite, [&result](const store_result& got) { result = got; });
+  context_.run();
+  ASSERT_TRUE(result);
+  EXPECT_EQ(result->status, store_status::kUnavailable);
+}
+
+class a_read : public a_store {};
+
+TEST_F(a_read, GetsEveryEntryAndTheRevision) {
+  answer_ = Answer("200 OK",
+                   R"({"entries":[{"key":"a","value":"1","revision":2},)"
+                   R"({"key":"b","value":"2","revision":3}],"revision":7})");
+  Serve();
+  const store_result result = Call(store_list{"table/"});
+  EXPECT_EQ(result.status, store_status::kDone);
+  EXPECT_EQ(result.entries.size(), 2U);
+  EXPECT_EQ(result.revision, store_revision(7));
+}
+
+TEST_F(a_read, IsUnavailableIfItsAnswerIsLostOrMakesNoSense) {
+  answer_ = Answer("200 OK", R"({"entries":[{"key":1}]})");
+  Serve();
+  EXPECT_EQ(Call(store_get{"k"}).status, store_status::kUnavailable);
+}
+
+class a_watch : public a_store {};
+
+TEST_F(a_watch, ThatSeesNoChangeEndsWithTheRevisionItStartedAfter) {
+  is_silent_ = true;
+  Serve();
+  const store_result result = Call(store_watch{"table/", store_revision(6)});
+  EXPECT_EQ(result.status, store_status::kDone);
+  EXPECT_TRUE(result.entries.empty());
+  EXPECT_EQ(result.revision, store_revision(6));
+}
+
+TEST_F(a_watch, IsUnavailableIfTheStoreClosesIt) {
+  Serve();
+  EXPECT_EQ(Call(store_watch{"table/", store_revision(6)}).status,
+            store_status::kUnavailable);
+}
+
+}  // namespace
+}  // namespace auburnfold
