Meta: Make the lint stamps depend on the source

The preprocessor failed on the second -o and its error was dropped, so every source shared one stamp and only the first was checked. A source that cannot be preprocessed now fails the check. The fixtures that were misnamed meanwhile are renamed.

--- a/Meta/lint.sh
+++ b/Meta/lint.sh
@@ -14,9 +14,11 @@
 export stamps build
 check_one() {
   local source=$1 command key
+  set -o pipefail
   command=$(jq -r --arg f "$PWD/$source" '[.[] | select(.file==$f)][0].command // empty' "$build/compile_commands.json")
   [ -n "$command" ] || { echo "not compiled: $source"; return 1; }
-  key=$( (cat .clang-tidy; eval "${command#*ccache } -E -P -o -" 2>/dev/null | cat) | sha256sum | cut -d' ' -f1)
+  command=$(sed -E 's/^[^ ]*ccache //; s/ -o [^ ]+ -c / /' <<<"$command")
+  key=$( (cat .clang-tidy; eval "$command -E -P") | sha256sum | cut -d' ' -f1) || { echo "not preprocessed: $source"; return 1; }
   [ -f "$stamps/$key" ] && return 0
   clang-tidy --quiet -p "$build" "$source" 2>/dev/null || { echo "clang-tidy: $source"; return 1; }
   : > "$stamps/$key"
--- a/Tests/LibDecision/reducer_test.cc
+++ b/Tests/LibDecision/reducer_test.cc
@@ -20,9 +20,9 @@
   return std::nullopt;
 }
 
-class ANodeBesideItsEndpoint : public testing::Test {
+class a_node_beside_its_endpoint : public testing::Test {
  protected:
-  ANodeBesideItsEndpoint() {
+  a_node_beside_its_endpoint() {
     Happen(node_started{.node = node_id(1), .run = incarnation(7)});
     Happen(endpoint_reported{.service = service_name("listings")});
   }
@@ -43,9 +43,9 @@
   instant now_{};
 };
 
-class ACallThatArrives : public ANodeBesideItsEndpoint {};
+class a_call_that_arrives : public a_node_beside_its_endpoint {};
 
-TEST_F(ACallThatArrives, IsForwardedToTheNodeBesideAnEndpointOfItsService) {
+TEST_F(a_call_that_arrives, IsForwardedToTheNodeBesideAnEndpointOfItsService) {
   const effects made =
       Happen(call_arrived{.call = call_id(1), .facts = Lookup()});
   const auto sent = FindEffect<send_attempt>(made);
@@ -54,7 +54,7 @@
   EXPECT_EQ(sent->expected_run, incarnation(7));
 }
 
-TEST_F(ACallThatArrives, IsRefusedAsNotRunIfNobodyOffersItsService) {
+TEST_F(a_call_that_arrives, IsRefusedAsNotRunIfNobodyOffersItsService) {
   request_facts facts = Lookup();
   facts.service = service_name("nobody");
   const auto refused = FindEffect<refuse_call>(
@@ -64,7 +64,7 @@
   EXPECT_EQ(refused->ran, run_state::kNotRun);
 }
 
-TEST_F(ACallThatArrives, IsAnsweredUnknownAtOnceWhenItsDeadlinePasses) {
+TEST_F(a_call_that_arrives, IsAnsweredUnknownAtOnceWhenItsDeadlinePasses) {
   Happen(call_arrived{.call = call_id(1), .facts = Lookup()});
   now_ += 250ms;
   const auto refused = FindEffect<refuse_call>(Happen(time_passed{}));
@@ -73,9 +73,9 @@
   EXPECT_EQ(refused->ran, run_state::kUnknown);
 }
 
-class WorkThatArrives : public ANodeBesideItsEndpoint {};
+class work_that_arrives : public a_node_beside_its_endpoint {};
 
-TEST_F(WorkThatArrives, RunsAtTheEndpointAndItsAnswerIsRelayed) {
+TEST_F(work_that_arrives, RunsAtTheEndpointAndItsAnswerIsRelayed) {
   EXPECT_TRUE(FindEffect<run_work>(
       Happen(work_arrived{.work = work_id(1), .facts = Lookup()})));
   Happen(work_sent{work_id(1), connection_id(1)});
@@ -83,7 +83,7 @@
       FindEffect<relay_work_answer>(Happen(work_finished{work_id(1), {}})));
 }
 
-TEST_F(WorkThatArrives, IsRefusedAsNotRunWhileTheEndpointLeaves) {
+TEST_F(work_that_arrives, IsRefusedAsNotRunWhileTheEndpointLeaves) {
   Happen(endpoint_reported{.service = service_name("listings"),
                            .state = endpoint_state::kLeaving});
   const auto refused = FindEffect<refuse_work>(
@@ -93,9 +93,9 @@
   EXPECT_EQ(refused->ran, run_state::kNotRun);
 }
 
-class APlannedStop : public ANodeBesideItsEndpoint {};
+class a_planned_stop : public a_node_beside_its_endpoint {};
 
-TEST_F(APlannedStop, WaitsForTheWorkThatRuns) {
+TEST_F(a_planned_stop, WaitsForTheWorkThatRuns) {
   Happen(work_arrived{.work = work_id(1), .facts = Lookup()});
   EXPECT_FALSE(FindEffect<stop_process>(Happen(stop_requested{})));
   EXPECT_TRUE(FindEffect<stop_process>(Happen(work_finished{work_id(1), {}})));
