--- /dev/null
+++ b/Libraries/LibDecision/Pressure/rank.h
@@ -0,0 +1,53 @@
+#ifndef LIBDECISION_PRESSURE_RANK_H_
+#define LIBDECISION_PRESSURE_RANK_H_
+
+#include <algorithm>
+#include <cstdint>
+
+#include "LibDecision/hash.h"
+#include "LibDecision/ids.h"
+
+namespace auburnfold {
+
+inline constexpr std::uint8_t kHighestPriority = 7;
+/// Ranks within one priority.
+inline constexpr std::uint32_t kRanksPerPriority = 8192;
+/// Share of every class that callers let through whatever the level says, so
+/// that a recovery is noticed.
+inline constexpr double kProbeShare = 0.02;
+
+/// Position of a root request in the order of admission: its priority, then a
+/// hash of its id. Every node gives the same request the same rank, so that
+/// all refuse the same requests.
+struct rank {
+  std::uint16_t value = 0;
+
+  /// Position within the priority, 0 to `kRanksPerPriority` - 1.
+  std::uint32_t within_priority() const { return value % kRanksPerPriority; }
+
+  friend auto operator<=>(const rank&, const rank&) = default;
+};
+
+inline rank RankOf(std::uint8_t priority, const request_id& root) {
+  const std::uint64_t hash = StableHash(root.value()) % kRanksPerPriority;
+  const std::uint64_t bounded = std::min(priority, kHighestPriority);
+  return {static_cast<std::uint16_t>(bounded * kRanksPerPriority + hash)};
+}
+
+/// Callers let a request of this rank through at admission level `level`.
+inline bool Passes(rank of, std::uint16_t level) {
+  constexpr auto kProbes =
+      static_cast<std::uint32_t>(kRanksPerPriority * (1 - kProbeShare));
+  return of.value >= level || of.within_priority() >= kProbes;
+}
+
+/// Share of the requests of `priority` that pass `level`.
+inline double PassingShare(std::uint8_t priority, std::uint16_t level) {
+  const double above =
+      static_cast<double>((priority + 1) * kRanksPerPriority) - level;
+  return std::clamp(above / kRanksPerPriority, kProbeShare, 1.0);
+}
+
+}  // namespace auburnfold
+
+#endif  // LIBDECISION_PRESSURE_RANK_H_
