--- /dev/null
+++ b/Libraries/LibDecision/Routing/endpoint_view.cc
@@ -0,0 +1,91 @@
+#include "LibDecision/Routing/endpoint_view.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace auburnfold {
+
+namespace {
+
+constexpr std::uint32_t kFailuresToEject = 3;
+constexpr std::uint32_t kUnansweredToEject = 8;
+constexpr duration kFirstEjection = std::chrono::milliseconds(500);
+constexpr std::uint32_t kMostDoublings = 6;
+constexpr double kSmoothing = 0.1;
+constexpr double kShortestLatencyNs = 1e5;
+/// An endpoint that refused is less attractive for this long.
+constexpr duration kRefusalMemory = std::chrono::milliseconds(20);
+constexpr double kRefusalCost = 3;
+constexpr duration kColdRamp = std::chrono::seconds(5);
+constexpr double kColdShare = 0.2;
+
+bool IsEndpointFailure(error_kind kind) {
+  return kind == error_kind::kEndpointUnreachable ||
+         kind == error_kind::kAnswerLost ||
+         kind == error_kind::kAnswerTruncated;
+}
+
+}  // namespace
+
+void endpoint_view::OnFinished(instant now,
+                               const outcome& result,
+                               duration elapsed) {
+  --in_flight_;
+  if (result.peer) {
+    unanswered_ = 0;
+    if (result.peer->is_cold && !is_cold_) {
+      cold_since_ = now;
+    }
+    is_cold_ = result.peer->is_cold;
+  }
+  if (result.is_whole()) {
+    failures_ = 0;
+    ejections_ = 0;
+    const auto seen = static_cast<double>(elapsed.count());
+    latency_ns_ = latency_ns_ == 0
+                      ? seen
+                      : latency_ns_ + kSmoothing * (seen - latency_ns_);
+    return;
+  }
+  if (IsEndpointFailure(*result.error)) {
+    ++failures_;
+  } else {
+    refused_at_ = now;
+  }
+}
+
+void endpoint_view::OnUnanswered(instant) {
+  ++unanswered_;
+}
+
+double endpoint_view::Cost(instant now) const {
+  const double latency = std::max(latency_ns_, kShortestLatencyNs);
+  const bool has_refused =
+      refused_at_ != instant::min() && now - refused_at_ < kRefusalMemory;
+  const double refusal = has_refused ? kRefusalCost : 1;
+  return (in_flight_ + 1) * latency * refusal / ColdShare(now);
+}
+
+bool endpoint_view::is_failing() const {
+  return failures_ >= kFailuresToEject || unanswered_ >= kUnansweredToEject;
+}
+
+void endpoint_view::Eject(instant now) {
+  const std::uint32_t doublings = std::min(ejections_, kMostDoublings);
+  ejected_until_ = now + kFirstEjection * (1U << doublings);
+  ++ejections_;
+  // One more failure after the return ejects it again.
+  failures_ = kFailuresToEject - 1;
+  unanswered_ = kUnansweredToEject - 1;
+}
+
+double endpoint_view::ColdShare(instant now) const {
+  if (!is_cold_) {
+    return 1;
+  }
+  const double warmed = static_cast<double>((now - cold_since_).count()) /
+                        static_cast<double>(kColdRamp.count());
+  return std::clamp(kColdShare + (1 - kColdShare) * warmed, kColdShare, 1.0);
+}
+
+}  // namespace auburnfold
--- /dev/null
+++ b/Libraries/LibDecision/Routing/endpoint_view.h
@@ -0,0 +1,45 @@
+#ifndef LIBDECISION_ROUTING_ENDPOINT_VIEW_H_
+#define LIBDECISION_ROUTING_ENDPOINT_VIEW_H_
+
+#include <cstdint>
+
+#include "LibDecision/instant.h"
+#include "LibDecision/outcome.h"
+
+namespace auburnfold {
+
+/// What this node itself has seen of one endpoint. Load and health that the
+/// endpoint reports are not part of it.
+class endpoint_view {
+ public:
+  void OnSent() { ++in_flight_; }
+  void OnCancelled() { --in_flight_; }
+  void OnFinished(instant now, const outcome& result, duration elapsed);
+  /// An attempt got no answer before its deadline.
+  void OnUnanswered(instant now);
+
+  /// Expected cost of one more request; lower is better.
+  double Cost(instant now) const;
+  /// Failures in a row are enough to stop using the endpoint for a while.
+  bool is_failing() const;
+  bool IsEjected(instant now) const { return now < ejected_until_; }
+  /// Stops using the endpoint, each time in a row for twice as long.
+  void Eject(instant now);
+
+ private:
+  double ColdShare(instant now) const;
+
+  std::uint32_t in_flight_ = 0;
+  std::uint32_t failures_ = 0;
+  std::uint32_t unanswered_ = 0;
+  std::uint32_t ejections_ = 0;
+  double latency_ns_ = 0;
+  instant ejected_until_{};
+  instant refused_at_ = instant::min();
+  bool is_cold_ = false;
+  instant cold_since_{};
+};
+
+}  // namespace auburnfold
+
+#endif  // LIBDECISION_ROUTING_ENDPOINT_VIEW_H_
