LibDecision: Run admission, pressure, retries and routing in the reducer

The reducer now tells works when their deeper calls begin and end, so that the wait is not own time. Calls are refused early below the level heard from the service; a retry needs allowance, the node's share and a service that does not refuse as a whole; an answer cannot bring back more allowance than its attempt carried. node_options selects the baselines.

--- a/Libraries/LibDecision/Admission/admission.cc
+++ b/Libraries/LibDecision/Admission/admission.cc
@@ -1,50 +1,300 @@
 #include "LibDecision/Admission/admission.h"
 
+#include <algorithm>
+#include <chrono>
+
 namespace auburnfold {
 
 namespace {
 
-constexpr std::uint32_t kDefaultLimit = 64;
-constexpr duration kRetryAfter = std::chrono::milliseconds(200);
+constexpr std::uint32_t kFixedLimit = 64;
+constexpr std::size_t kShortestQueue = 16;
+constexpr std::size_t kLongestQueue = 1024;
+/// Expired requests are looked for at most this often.
+constexpr duration kExpiryGrain = std::chrono::milliseconds(1);
+constexpr duration kBaseRetryAfter = std::chrono::milliseconds(100);
+constexpr duration kLongestRetryAfter = std::chrono::seconds(1);
+constexpr duration kColdPeriod = std::chrono::seconds(5);
+/// Share of the limit that the highest priority may use on top.
+constexpr std::uint32_t kReservedPart = 8;
+
+std::variant<adaptive_limit, fixed_limit> Make(limit_choice choice) {
+  switch (choice) {
+    case limit_choice::kAdaptive:
+      return adaptive_limit();
+    case limit_choice::kFixed:
+      return fixed_limit(kFixedLimit);
+    case limit_choice::kUnlimited:
+      return fixed_limit(fixed_limit::kUnlimited);
+  }
+  return adaptive_limit();
+}
+
+rank RankOf(const request_facts& facts, const row_settings& settings) {
+  return RankOf(facts.priority.value_or(settings.priority), facts.root);
+}
 
 }  // namespace
 
-// FIXME: The limit is fixed and there is no queue.
+admission::admission(limit_choice choice) : limit_(Make(choice)) {}
+
 std::vector<admission_decision> admission::Offer(step& now,
                                                  work_id work,
-                                                 const request_facts&,
+                                                 const request_facts& facts,
                                                  const row_settings& settings) {
-  const std::uint32_t limit = settings.concurrency_limit == 0
-                                  ? kDefaultLimit
-                                  : settings.concurrency_limit;
-  if (running_ >= limit) {
-    now.Count(counter::kRefusedByLimit);
-    return {{work, error_kind::kOverloaded}};
+  const rank position = RankOf(facts, settings);
+  const auto priority =
+      static_cast<std::uint8_t>(position.value / kRanksPerPriority);
+  demand_.OnOffered(now.now(), facts.request_class, settings.weight, position);
+  std::vector<admission_decision> decisions;
+  if (!HasClassRoom(facts.request_class, settings)) {
+    Refuse(now, work, error_kind::kOverloaded, decisions);
+    return decisions;
+  }
+  if (HasRoom(priority) && queue_.empty()) {
+    ++held_per_class_[facts.request_class];
+    return {Admit(now, work, facts.request_class)};
+  }
+  const auto on_limited = [this](auto& limit) { limit.OnLimited(occupancy_); };
+  std::visit(on_limited, limit_);
+  const bool has_queue =
+      std::visit([](const auto& limit) { return limit.has_queue(); }, limit_);
+  if (!has_queue) {
+    Refuse(now, work, error_kind::kOverloaded, decisions);
+    return decisions;
+  }
+  const instant deadline =
+      now.now() + facts.time_left - times_.ShortestWhole(facts.request_class);
+  const queued_request request{
+      work, position, std::min(deadline, now.now() + settings.queue_limit)};
+  return Enqueue(now, request, facts, settings);
+}
+
+std::vector<admission_decision> admission::Enqueue(
+    step& now,
+    const queued_request& request,
+    const request_facts& facts,
+    const row_settings& settings) {
+  std::vector<admission_decision> decisions;
+  if (request.useful_until <= now.now()) {
+    Refuse(now, request.work, error_kind::kQueueDeadline, decisions);
+    return decisions;
+  }
+  queue_.Push(request, facts.request_class, settings.weight, facts.tenant);
+  ++held_per_class_[facts.request_class];
+  queued_classes_[request.work] = facts.request_class;
+  if (next_expiry_ && request.useful_until < *next_expiry_) {
+    WatchExpiry(now, request.useful_until);
+  }
+  if (queue_.size() > QueueLimit()) {
+    const queued_request last = *queue_.PopLast();
+    ReleaseClass(queued_classes_.extract(last.work).mapped());
+    Refuse(now, last.work, error_kind::kOverloaded, decisions);
+  }
+  const std::vector<admission_decision> admitted = FillRoom(now);
+  decisions.insert(decisions.end(), admitted.begin(), admitted.end());
+  return decisions;
+}
+
+std::vector<admission_decision> admission::OnFinished(step& now,
+                                                      work_id work,
+                                                      const outcome& result,
+                                                      duration own_time) {
+  const auto found = admitted_.find(work);
+  if (found == admitted_.end()) {
+    return {};
+  }
+  const class_name request_class = found->second.request_class;
+  const duration whole_time = now.now() - found->second.started;
+  const bool is_refused =
+      !result.is_whole() && result.ran == run_state::kNotRun;
+  const limit_sample sample{occupancy_, own_time,
+                            times_.ExpectedOwn(request_class), is_refused};
+  if (result.is_whole()) {
+    times_.OnFinished(request_class, own_time, whole_time);
+  }
+  if (result.is_whole() || is_refused) {
+    times_.Rescale(std::visit(
+        [&](auto& limit) { return limit.OnFinished(now.now(), sample); },
+        limit_));
+  }
+  demand_.OnFinished(now.now());
+  Forget(work);
+  return FillRoom(now);
+}
+
+std::vector<admission_decision> admission::OnCancelled(step& now,
+                                                       work_id work) {
+  if (const auto queued = queued_classes_.extract(work)) {
+    ReleaseClass(queued.mapped());
+    queue_.Remove(work);
+    WatchQueue(now);
+    return {};
+  }
+  Forget(work);
+  return FillRoom(now);
+}
+
+std::vector<admission_decision> admission::OnWaiting(step& now, work_id work) {
+  const auto found = admitted_.find(work);
+  if (found == admitted_.end() || found->second.is_waiting) {
+    return {};
+  }
+  found->second.is_waiting = true;
+  --occupancy_.active;
+  return FillRoom(now);
+}
+
+void admission::OnResumed(work_id work) {
+  const auto found = admitted_.find(work);
+  if (found == admitted_.end() || !found->second.is_waiting) {
+    return;
+  }
+  found->second.is_waiting = false;
+  ++occupancy_.active;
+}
+
+std::vector<admission_decision> admission::OnTimer(step& now, std::uint64_t) {
+  next_expiry_.reset();
+  return FillRoom(now);
+}
+
+void admission::OnEndpointReported(step& now, const endpoint_reported& report) {
+  connection_limit_ = report.connection_limit;
+  if (report.run != endpoint_run_) {
+    endpoint_run_ = report.run;
+    endpoint_since_ = now.now();
+  }
+}
+
+void admission::Describe(instant now,
+                         const request_facts& facts,
+                         answer_facts& answer) const {
+  answer.level = demand_.LevelFor(facts.request_class);
+  answer.in_flight =
+      occupancy_.total + static_cast<std::uint32_t>(queue_.size());
+  const double share = std::max(demand_.served_share(), 0.01);
+  const auto pressed = std::chrono::duration_cast<duration>(
+      std::chrono::duration<double, std::nano>(kBaseRetryAfter) / share);
+  answer.retry_after = std::min(pressed, kLongestRetryAfter);
+  answer.is_cold = now - endpoint_since_ < kColdPeriod;
+}
+
+std::uint32_t admission::limit() const {
+  return std::visit([](const auto& limit) { return limit.limit(); }, limit_);
+}
+
+// The highest priority may go a little over the limit, so that it does not
+// wait behind lower work that takes long.
+bool admission::HasRoom(std::uint8_t priority) const {
+  if (connection_limit_ > 0 && occupancy_.total >= connection_limit_) {
+    return false;
+  }
+  endpoint_occupancy counted = occupancy_;
+  if (priority == kHighestPriority) {
+    const std::uint32_t reserved = 1 + limit() / kReservedPart;
+    counted.active -= std::min(counted.active, reserved);
+    counted.total -= std::min(counted.total, reserved);
+  }
+  return std::visit(
+      [counted](const auto& limit) { return limit.HasRoom(counted); }, limit_);
+}
+
+bool admission::HasClassRoom(const class_name& request_class,
+                             const row_settings& settings) const {
+  if (settings.concurrency_limit == 0) {
+    return true;
   }
-  ++running_;
-  return {{work, std::nullopt}};
+  const auto found = held_per_class_.find(request_class);
+  return found == held_per_class_.end() ||
+         found->second < settings.concurrency_limit;
 }
 
-std::vector<admission_decision> admission::OnFinished(step&,
-                                                      work_id,
-                                                      const outcome&,
-                                                      duration) {
-  --running_;
-  return {};
+admission_decision admission::Admit(step& now,
+                                    work_id work,
+                                    const class_name& request_class) {
+  ++occupancy_.active;
+  ++occupancy_.total;
+  admitted_[work] = {request_class, now.now()};
+  return {work, std::nullopt};
 }
 
-std::vector<admission_decision> admission::OnCancelled(step&, work_id) {
-  --running_;
-  return {};
+void admission::Forget(work_id work) {
+  const auto found = admitted_.find(work);
+  if (found == admitted_.end()) {
+    return;
+  }
+  --occupancy_.total;
+  if (!found->second.is_waiting) {
+    --occupancy_.active;
+  }
+  ReleaseClass(found->second.request_class);
+  admitted_.erase(found);
+}
+
+void admission::ReleaseClass(const class_name& request_class) {
+  const auto count = held_per_class_.find(request_class);
+  if (--count->second == 0) {
+    held_per_class_.erase(count);
+  }
+}
+
+std::vector<admission_decision> admission::FillRoom(step& now) {
+  std::vector<admission_decision> decisions;
+  DropExpired(now, decisions);
+  while (!queue_.empty() && HasRoom(queue_.first_priority())) {
+    const queued_request first = *queue_.PopFirst();
+    const auto queued = queued_classes_.extract(first.work);
+    decisions.push_back(Admit(now, first.work, queued.mapped()));
+  }
+  WatchQueue(now);
+  return decisions;
+}
+
+void admission::DropExpired(step& now,
+                            std::vector<admission_decision>& decisions) {
+  if (queue_.empty() || !next_expiry_ || *next_expiry_ > now.now()) {
+    return;
+  }
+  for (const queued_request& expired : queue_.PopExpired(now.now())) {
+    ReleaseClass(queued_classes_.extract(expired.work).mapped());
+    Refuse(now, expired.work, error_kind::kQueueDeadline, decisions);
+  }
+  next_expiry_.reset();
+}
+
+void admission::Refuse(step& now,
+                       work_id work,
+                       error_kind kind,
+                       std::vector<admission_decision>& decisions) {
+  now.Count(kind == error_kind::kQueueDeadline ? counter::kDroppedFromQueue
+                                               : counter::kRefusedByLimit);
+  decisions.push_back({work, kind});
+}
+
+void admission::WatchQueue(step& now) {
+  demand_.OnWaiting(now.now(), !queue_.empty());
+  if (queue_.empty()) {
+    if (next_expiry_) {
+      next_expiry_.reset();
+      now.timers().Cancel({timer_owner::kAdmission});
+    }
+    return;
+  }
+  if (next_expiry_) {
+    return;
+  }
+  WatchExpiry(now, queue_.first_expiry());
 }
 
-std::vector<admission_decision> admission::OnTimer(step&, std::uint64_t) {
-  return {};
+void admission::WatchExpiry(step& now, instant when) {
+  next_expiry_ = std::max(when, now.now() + kExpiryGrain);
+  now.timers().Subscribe({timer_owner::kAdmission}, *next_expiry_);
 }
 
-void admission::Describe(const request_facts&, answer_facts& answer) const {
-  answer.in_flight = running_;
-  answer.retry_after = kRetryAfter;
+// About as many as the endpoint finishes in one service time.
+std::size_t admission::QueueLimit() const {
+  return std::clamp<std::size_t>(limit(), kShortestQueue, kLongestQueue);
 }
 
 }  // namespace auburnfold
--- a/Libraries/LibDecision/Admission/admission.h
+++ b/Libraries/LibDecision/Admission/admission.h
@@ -3,10 +3,19 @@
 
 #include <cstdint>
 #include <optional>
+#include <unordered_map>
+#include <variant>
 #include <vector>
 
+#include "LibDecision/Admission/adaptive_limit.h"
+#include "LibDecision/Admission/fixed_limit.h"
+#include "LibDecision/Admission/request_queue.h"
+#include "LibDecision/Admission/service_times.h"
+#include "LibDecision/Pressure/demand_meter.h"
 #include "LibDecision/answer_facts.h"
 #include "LibDecision/error_kind.h"
+#include "LibDecision/event.h"
+#include "LibDecision/node_options.h"
 #include "LibDecision/outcome.h"
 #include "LibDecision/request_facts.h"
 #include "LibDecision/step.h"
@@ -24,6 +33,8 @@
 /// Decides which work may run at the own endpoint, and when.
 class admission {
  public:
+  explicit admission(limit_choice choice);
+
   /// Offers new work. The decisions may concern other, queued work; work that
   /// is in no decision waits in the queue.
   std::vector<admission_decision> Offer(step& now,
@@ -38,16 +49,68 @@
                                              duration own_time);
   /// Queued or admitted work is no longer wanted.
   std::vector<admission_decision> OnCancelled(step& now, work_id work);
+  /// Admitted work began to wait for a deeper call.
+  std::vector<admission_decision> OnWaiting(step& now, work_id work);
+  /// Admitted work has no open deeper call any more.
+  void OnResumed(work_id work);
   std::vector<admission_decision> OnTimer(step& now, std::uint64_t key);
+  void OnEndpointReported(step& now, const endpoint_reported& report);
 
   /// Fills in level, in-flight count and delay for an answer to `facts`.
-  void Describe(const request_facts& facts, answer_facts& answer) const;
+  void Describe(instant now,
+                const request_facts& facts,
+                answer_facts& answer) const;
 
   /// Works admitted and not yet ended.
-  std::uint32_t running() const { return running_; }
+  std::uint32_t running() const { return occupancy_.total; }
+  /// Works waiting in the queue.
+  std::size_t queued() const { return queue_.size(); }
+  /// Most active works at once.
+  std::uint32_t limit() const;
 
  private:
-  std::uint32_t running_ = 0;
+  using limit_variant = std::variant<adaptive_limit, fixed_limit>;
+  struct admitted_work {
+    class_name request_class;
+    instant started;
+    bool is_waiting = false;
+  };
+
+  bool HasRoom(std::uint8_t priority) const;
+  bool HasClassRoom(const class_name& request_class,
+                    const row_settings& settings) const;
+  admission_decision Admit(step& now,
+                           work_id work,
+                           const class_name& request_class);
+  std::vector<admission_decision> Enqueue(step& now,
+                                          const queued_request& request,
+                                          const request_facts& facts,
+                                          const row_settings& settings);
+  std::vector<admission_decision> FillRoom(step& now);
+  void Forget(work_id work);
+  void ReleaseClass(const class_name& request_class);
+  void DropExpired(step& now, std::vector<admission_decision>& decisions);
+  void Refuse(step& now,
+              work_id work,
+              error_kind kind,
+              std::vector<admission_decision>& decisions);
+  void WatchQueue(step& now);
+  void WatchExpiry(step& now, instant when);
+  std::size_t QueueLimit() const;
+
+  limit_variant limit_;
+  std::uint32_t connection_limit_ = 0;
+  endpoint_occupancy occupancy_;
+  request_queue queue_;
+  service_times times_;
+  demand_meter demand_;
+  std::unordered_map<work_id, admitted_work> admitted_;
+  std::unordered_map<work_id, class_name> queued_classes_;
+  /// Queued and admitted works.
+  std::unordered_map<class_name, std::uint32_t> held_per_class_;
+  std::optional<instant> next_expiry_;
+  incarnation endpoint_run_;
+  instant endpoint_since_{};
 };
 
 }  // namespace auburnfold
--- a/Libraries/LibDecision/Calls/outgoing_calls.cc
+++ b/Libraries/LibDecision/Calls/outgoing_calls.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "LibDecision/Once/key_register.h"
+#include "LibDecision/Pressure/rank.h"
 
 namespace auburnfold {
 
@@ -11,25 +12,20 @@
 
 constexpr duration kSoonRetryAfter = std::chrono::milliseconds(100);
 
-duration RetryAfterFor(error_kind kind,
-                       const std::optional<answer_facts>& peer) {
-  switch (AnswerFor(kind).when) {
-    case come_back::kNever:
-      return duration::zero();
-    case come_back::kSoon:
-      return kSoonRetryAfter;
-    case come_back::kAfterPressure:
-      return peer ? std::max(peer->retry_after, kSoonRetryAfter)
-                  : kSoonRetryAfter;
-  }
-  return duration::zero();
+// Of the three-tries baseline.
+constexpr std::size_t kMostTries = 3;
+
+bool IsOverload(error_kind kind) {
+  return kind == error_kind::kOverloaded ||
+         kind == error_kind::kQueueDeadline ||
+         kind == error_kind::kTenantOverShare;
 }
 
 }  // namespace
 
 void outgoing_calls::OnArrived(step& now,
                                const call_arrived& arrived,
-                               std::optional<std::uint8_t> priority) {
+                               const request_facts* parent) {
   const request_facts& facts = arrived.facts;
   const row_settings& row =
       rows_.SettingsFor(facts.service, facts.request_class);
@@ -38,12 +34,14 @@
   open.parent = arrived.parent;
   open.is_idempotent = row.is_idempotent;
   open.deadline = now.now() + std::min(facts.time_left, row.longest_deadline);
-  open.facts.priority = priority ? priority : row.priority;
-  if (arrived.parent) {
-    open.allowance = allowance_.Grant(*arrived.parent);
-  } else if (!arrived.has_parent && facts.client_attempt == 1) {
-    open.allowance = row.retry_allowance;
+  if (parent != nullptr) {
+    open.facts.priority = parent->priority;
+    open.parent_class = parent->request_class;
+    children_.emplace(*arrived.parent, arrived.call);
+  } else if (!open.facts.priority) {
+    open.facts.priority = row.priority;
   }
+  open.allowance = AllowanceFor(arrived, row);
   if (!rows_.has_service(facts.service) &&
       !members_.has_service(facts.service)) {
     return Refuse(now, arrived.call, error_kind::kUnknownService,
@@ -55,9 +53,45 @@
   }
   now.timers().Subscribe({timer_owner::kCalls, arrived.call.value()},
                          open.deadline);
+  if (IsRefusedEarly(now, open)) {
+    return Refuse(now, arrived.call, error_kind::kOverloaded,
+                  RetryAfterFor(now, open, error_kind::kOverloaded));
+  }
+  retry_share_.OnFirstAttempt();
   Send(now, arrived.call, open);
 }
 
+// A resend and a call of an unknown parent get nothing: what their root
+// request may spend was given out before.
+std::uint16_t outgoing_calls::AllowanceFor(const call_arrived& arrived,
+                                           const row_settings& row) {
+  if (arrived.facts.client_attempt > 1) {
+    return 0;
+  }
+  if (arrived.parent) {
+    return allowance_.Grant(*arrived.parent);
+  }
+  return arrived.has_parent ? 0 : row.retry_allowance;
+}
+
+bool outgoing_calls::IsRefusedEarly(step& now, const call& open) {
+  if (!options_.refuses_early) {
+    return false;
+  }
+  const std::uint16_t level = pressure_.LevelFor(now.now(), open.facts.service,
+                                                 open.facts.request_class);
+  const rank position =
+      RankOf(open.facts.priority.value_or(0), open.facts.root);
+  if (Passes(position, level)) {
+    return false;
+  }
+  now.Count(counter::kRefusedEarly);
+  if (open.parent) {
+    pressure_.OnDeepCall(now.now(), open.parent_class, level);
+  }
+  return true;
+}
+
 void outgoing_calls::OnCancelled(step& now, call_id id) {
   if (calls_.contains(id)) {
     Close(now, id);
@@ -78,9 +112,11 @@
   const outcome& result = finished.result;
   router_.OnFinished(now, open.tried.back(), result,
                      now.now() - open.attempt_started);
-  if (result.peer) {
-    open.allowance = static_cast<std::uint16_t>(open.allowance +
-                                                result.peer->allowance_left);
+  TakeBackAllowance(open, result);
+  pressure_.OnAnswer(now.now(), open.facts.service, open.facts.request_class,
+                     result);
+  if (open.parent && result.peer) {
+    pressure_.OnDeepCall(now.now(), open.parent_class, result.peer->level);
   }
   if (result.is_whole()) {
     now.Emit(relay_answer{id, finished.attempt, open.allowance});
@@ -89,12 +125,23 @@
   if (result.ran != run_state::kNotRun) {
     open.may_have_run = true;
   }
-  if (ShouldRetry(now, open, result)) {
-    --open.allowance;
+  if (MayRetry(now, open, result) && HasRetryLeft(now, open, result)) {
     now.Count(counter::kRetries);
     return Send(now, id, open);
   }
-  Refuse(now, id, *result.error, RetryAfterFor(*result.error, result.peer));
+  Refuse(now, id, *result.error, RetryAfterFor(now, open, *result.error));
+}
+
+// What a lost answer carried stays spent, and no answer brings back more than
+// its attempt carried.
+void outgoing_calls::TakeBackAllowance(call& open,
+                                       const outcome& result) const {
+  if (result.peer) {
+    const std::uint16_t left =
+        std::min(result.peer->allowance_left, open.carried);
+    open.allowance = static_cast<std::uint16_t>(open.allowance + left);
+  }
+  open.carried = 0;
 }
 
 void outgoing_calls::OnTimer(step& now, std::uint64_t key) {
@@ -105,16 +152,16 @@
   }
   if (found->second.attempt) {
     found->second.may_have_run = true;
+    router_.OnUnanswered(now, found->second.tried.back());
   }
   Refuse(now, id, error_kind::kAnswerTimeout, duration::zero());
 }
 
 void outgoing_calls::CancelChildrenOf(step& now, work_id parent) {
   std::vector<call_id> children;
-  for (const auto& [id, open] : calls_) {
-    if (open.parent == parent) {
-      children.push_back(id);
-    }
+  const auto [first, last] = children_.equal_range(parent);
+  for (auto child = first; child != last; ++child) {
+    children.push_back(child->second);
   }
   for (const call_id id : children) {
     now.Count(counter::kCancelledDown);
@@ -123,9 +170,8 @@
 }
 
 void outgoing_calls::Send(step& now, call_id id, call& open) {
-  const std::vector<const member_record*> ready =
-      members_.ReadyEndpoints(open.facts.service);
-  const member_record* chosen = router_.Choose(now, ready, open.tried);
+  const member_record* chosen =
+      router_.Choose(now, open.facts.service, open.tried);
   if (chosen == nullptr) {
     return Refuse(now, id, error_kind::kNoEndpoint, kSoonRetryAfter);
   }
@@ -138,7 +184,8 @@
   request_facts facts = open.facts;
   facts.time_left = open.deadline - now.now();
   // What travels with the attempt is spent until its answer brings it back.
-  facts.allowance = std::exchange(open.allowance, std::uint16_t{0});
+  open.carried = std::exchange(open.allowance, std::uint16_t{0});
+  facts.allowance = open.carried;
   now.Count(counter::kAttempts);
   now.Emit(send_attempt{attempt, id, chosen->node, chosen->run, chosen->address,
                         std::move(facts)});
@@ -165,28 +212,72 @@
   }
   if (open.parent) {
     allowance_.Return(*open.parent, open.allowance);
+    const auto [first, last] = children_.equal_range(*open.parent);
+    children_.erase(std::find_if(
+        first, last, [id](const auto& child) { return child.second == id; }));
+    ended_children_.push_back(*open.parent);
   }
   now.timers().Cancel({timer_owner::kCalls, id.value()});
   calls_.erase(found);
 }
 
-bool outgoing_calls::ShouldRetry(step& now,
-                                 const call& open,
-                                 const outcome& result) const {
+std::vector<work_id> outgoing_calls::TakeEndedChildren() {
+  return std::exchange(ended_children_, {});
+}
+
+bool outgoing_calls::MayRetry(step& now,
+                              const call& open,
+                              const outcome& result) {
   const bool is_safe = result.ran == run_state::kNotRun || open.is_idempotent;
   if (!is_safe || open.deadline <= now.now()) {
     return false;
   }
-  const bool is_worth_it =
-      AnswerFor(*result.error).is_retryable || result.ran != run_state::kNotRun;
-  if (!is_worth_it) {
-    return false;
+  return AnswerFor(*result.error).is_retryable ||
+         result.ran != run_state::kNotRun;
+}
+
+bool outgoing_calls::HasRetryLeft(step& now,
+                                  call& open,
+                                  const outcome& result) {
+  switch (options_.retries) {
+    case retry_choice::kThreeTries:
+      return open.tried.size() < kMostTries;
+    case retry_choice::kAllowance:
+      break;
   }
   if (open.allowance == 0) {
     now.Count(counter::kRetriesDeniedByAllowance);
     return false;
   }
+  const bool is_refusing_as_whole =
+      IsOverload(*result.error) &&
+      pressure_.RefusesAsWhole(now.now(), open.facts.service,
+                               open.facts.request_class);
+  if (is_refusing_as_whole) {
+    now.Count(counter::kRetriesDeniedByPressure);
+    return false;
+  }
+  if (!retry_share_.TryTake()) {
+    now.Count(counter::kRetriesDeniedByNodeShare);
+    return false;
+  }
+  --open.allowance;
   return true;
 }
 
+duration outgoing_calls::RetryAfterFor(step& now,
+                                       const call& open,
+                                       error_kind kind) const {
+  switch (AnswerFor(kind).when) {
+    case come_back::kNever:
+      return duration::zero();
+    case come_back::kSoon:
+      return kSoonRetryAfter;
+    case come_back::kAfterPressure:
+      return pressure_.RetryAfter(now, open.facts.service,
+                                  open.facts.request_class);
+  }
+  return duration::zero();
+}
+
 }  // namespace auburnfold
--- a/Libraries/LibDecision/Calls/outgoing_calls.h
+++ b/Libraries/LibDecision/Calls/outgoing_calls.h
@@ -7,10 +7,13 @@
 #include <vector>
 
 #include "LibDecision/Membership/membership.h"
+#include "LibDecision/Pressure/pressure_memory.h"
 #include "LibDecision/Retries/retry_allowance.h"
+#include "LibDecision/Retries/retry_share.h"
 #include "LibDecision/Routing/router.h"
 #include "LibDecision/Table/table.h"
 #include "LibDecision/event.h"
+#include "LibDecision/node_options.h"
 #include "LibDecision/step.h"
 
 namespace auburnfold {
@@ -22,27 +25,41 @@
  public:
   outgoing_calls(const table& rows,
                  const membership& members,
-                 retry_allowance& allowance)
-      : rows_(rows), members_(members), allowance_(allowance) {}
+                 retry_allowance& allowance,
+                 pressure_memory& pressure,
+                 const node_options& options)
+      : rows_(rows),
+        members_(members),
+        allowance_(allowance),
+        pressure_(pressure),
+        options_(options),
+        router_(members) {}
 
-  /// `priority` is that of the parent work, if the node knows it.
+  /// `parent` holds the facts of the parent work, if the node knows it.
   void OnArrived(step& now,
                  const call_arrived& arrived,
-                 std::optional<std::uint8_t> priority);
+                 const request_facts* parent);
   void OnCancelled(step& now, call_id call);
   void OnAttemptFinished(step& now, const attempt_finished& finished);
   void OnTimer(step& now, std::uint64_t key);
   /// Ends every call made for `parent`, whose caller has gone.
   void CancelChildrenOf(step& now, work_id parent);
 
+  /// Parents of the calls that ended since the last time, once for each call.
+  std::vector<work_id> TakeEndedChildren();
+
   std::size_t open_count() const { return calls_.size(); }
 
  private:
   struct call {
     request_facts facts;
     std::optional<work_id> parent;
+    class_name parent_class;
     instant deadline;
+    /// Retries not yet spent here or passed on.
     std::uint16_t allowance = 0;
+    /// Retries that travel with the attempt under way.
+    std::uint16_t carried = 0;
     std::vector<node_id> tried;
     std::optional<attempt_id> attempt;
     instant attempt_started;
@@ -55,14 +72,26 @@
   void Send(step& now, call_id id, call& open);
   void Refuse(step& now, call_id id, error_kind kind, duration retry_after);
   void Close(step& now, call_id id);
-  bool ShouldRetry(step& now, const call& open, const outcome& result) const;
+  std::uint16_t AllowanceFor(const call_arrived& arrived,
+                             const row_settings& row);
+  bool IsRefusedEarly(step& now, const call& open);
+  void TakeBackAllowance(call& open, const outcome& result) const;
+  bool MayRetry(step& now, const call& open, const outcome& result);
+  /// Takes one retry if the allowance and the node's share have one.
+  bool HasRetryLeft(step& now, call& open, const outcome& result);
+  duration RetryAfterFor(step& now, const call& open, error_kind kind) const;
 
   const table& rows_;
   const membership& members_;
   retry_allowance& allowance_;
+  pressure_memory& pressure_;
+  const node_options& options_;
+  retry_share retry_share_;
   router router_;
   call_map calls_;
   std::unordered_map<attempt_id, call_id> attempts_;
+  std::unordered_multimap<work_id, call_id> children_;
+  std::vector<work_id> ended_children_;
   std::uint64_t next_attempt_ = 1;
 };
 
--- a/Libraries/LibDecision/Routing/router.cc
+++ b/Libraries/LibDecision/Routing/router.cc
@@ -1,42 +1,129 @@
 #include "LibDecision/Routing/router.h"
 
 #include <algorithm>
+#include <chrono>
+
+#include "LibDecision/Routing/endpoint_subset.h"
 
 namespace auburnfold {
 
-const member_record* router::Choose(
-    step& now,
-    const std::vector<const member_record*>& ready,
-    const std::vector<node_id>& tried) {
-  std::vector<const member_record*> candidates;
-  for (const member_record* record : ready) {
-    if (std::find(tried.begin(), tried.end(), record->node) == tried.end()) {
-      candidates.push_back(record);
+namespace {
+
+/// Membership is looked at again after this time.
+constexpr duration kRefreshAfter = std::chrono::milliseconds(100);
+/// An endpoint of another failure domain must be this much better.
+constexpr double kOtherDomainCost = 1.25;
+constexpr int kDraws = 2;
+
+}  // namespace
+
+const member_record* router::Choose(step& now,
+                                    const service_name& service,
+                                    const std::vector<node_id>& tried) {
+  const std::vector<member_record>& subset = SubsetOf(now.now(), service);
+  const auto is_tried = [&tried](const member_record& record) {
+    return std::find(tried.begin(), tried.end(), record.node) != tried.end();
+  };
+  candidates_.clear();
+  for (const member_record& record : subset) {
+    if (!is_tried(record) && !endpoints_[record.node].IsEjected(now.now())) {
+      candidates_.push_back(&record);
     }
   }
-  if (candidates.empty()) {
-    candidates = ready;
+  if (candidates_.empty()) {
+    for (const member_record& record : subset) {
+      candidates_.push_back(&record);
+    }
   }
-  if (candidates.empty()) {
+  if (candidates_.empty()) {
     return nullptr;
   }
-  const member_record* first = candidates[now.RandomBelow(candidates.size())];
-  const member_record* second = candidates[now.RandomBelow(candidates.size())];
-  const bool is_first_freer =
-      endpoints_[first->node].in_flight <= endpoints_[second->node].in_flight;
-  return is_first_freer ? first : second;
+  const domain_name& own_domain = members_.self().domain;
+  const auto cost = [&](const member_record* record) {
+    const double own = endpoints_[record->node].Cost(now.now());
+    return record->domain == own_domain ? own : own * kOtherDomainCost;
+  };
+  const auto first_other =
+      std::partition(candidates_.begin(), candidates_.end(),
+                     [&own_domain](const member_record* record) {
+                       return record->domain == own_domain;
+                     });
+  const auto local_count =
+      static_cast<std::size_t>(first_other - candidates_.begin());
+  const member_record* best = candidates_[now.RandomBelow(
+      local_count > 0 ? local_count : candidates_.size())];
+  for (int i = 0; i < kDraws; ++i) {
+    const member_record* drawn =
+        candidates_[now.RandomBelow(candidates_.size())];
+    if (cost(drawn) < cost(best)) {
+      best = drawn;
+    }
+  }
+  return best;
 }
 
 void router::OnSent(step&, node_id node) {
-  ++endpoints_[node].in_flight;
+  endpoints_[node].OnSent();
 }
 
-void router::OnFinished(step&, node_id node, const outcome&, duration) {
-  --endpoints_[node].in_flight;
+void router::OnFinished(step& now,
+                        node_id node,
+                        const outcome& result,
+                        duration elapsed) {
+  endpoints_[node].OnFinished(now.now(), result, elapsed);
+  EjectIfFailing(now, node);
 }
 
 void router::OnCancelled(step&, node_id node) {
-  --endpoints_[node].in_flight;
+  endpoints_[node].OnCancelled();
+}
+
+void router::OnUnanswered(step& now, node_id node) {
+  endpoints_[node].OnUnanswered(now.now());
+  EjectIfFailing(now, node);
+}
+
+const std::vector<member_record>& router::SubsetOf(
+    instant now,
+    const service_name& service) {
+  service_view& view = services_[service];
+  if (view.subset.empty() || now - view.refreshed >= kRefreshAfter) {
+    const member_record& self = members_.self();
+    view.subset =
+        SubsetFor(self.node, self.domain, members_.ReadyEndpoints(service));
+    view.refreshed = now;
+  }
+  return view.subset;
+}
+
+void router::EjectIfFailing(step& now, node_id node) {
+  endpoint_view& view = endpoints_[node];
+  if (!view.is_failing() || view.IsEjected(now.now()) ||
+      !MayEject(now.now(), node)) {
+    return;
+  }
+  view.Eject(now.now());
+  now.Count(counter::kEndpointsEjected);
+}
+
+// At most half of the endpoints of a service are ejected at once: the others
+// could not bear the load of more.
+bool router::MayEject(instant now, node_id node) const {
+  for (const auto& [name, view] : services_) {
+    std::size_t ejected = 1;
+    bool is_member = false;
+    for (const member_record& record : view.subset) {
+      is_member = is_member || record.node == node;
+      const auto seen = endpoints_.find(record.node);
+      if (seen != endpoints_.end() && seen->second.IsEjected(now)) {
+        ++ejected;
+      }
+    }
+    if (is_member && ejected * 2 > view.subset.size()) {
+      return false;
+    }
+  }
+  return true;
 }
 
 }  // namespace auburnfold
--- a/Libraries/LibDecision/Routing/router.h
+++ b/Libraries/LibDecision/Routing/router.h
@@ -1,11 +1,11 @@
 #ifndef LIBDECISION_ROUTING_ROUTER_H_
 #define LIBDECISION_ROUTING_ROUTER_H_
 
-#include <cstdint>
-#include <optional>
 #include <unordered_map>
 #include <vector>
 
+#include "LibDecision/Membership/membership.h"
+#include "LibDecision/Routing/endpoint_view.h"
 #include "LibDecision/member_record.h"
 #include "LibDecision/outcome.h"
 #include "LibDecision/step.h"
@@ -15,10 +15,13 @@
 /// Chooses the endpoint for each attempt, from this node's own observations.
 class router {
  public:
-  /// Chooses among `ready`, leaving out the nodes in `tried` where another
-  /// remains. Nothing if `ready` is empty.
+  explicit router(const membership& members) : members_(members) {}
+
+  /// Chooses an endpoint of `service`, leaving out the nodes in `tried` where
+  /// another remains. Nothing if none is ready. The result is valid until the
+  /// next call.
   const member_record* Choose(step& now,
-                              const std::vector<const member_record*>& ready,
+                              const service_name& service,
                               const std::vector<node_id>& tried);
 
   void OnSent(step& now, node_id node);
@@ -27,12 +30,24 @@
                   const outcome& result,
                   duration elapsed);
   void OnCancelled(step& now, node_id node);
+  /// The deadline passed without an answer from `node`.
+  void OnUnanswered(step& now, node_id node);
 
  private:
-  struct observed_endpoint {
-    std::uint32_t in_flight = 0;
+  struct service_view {
+    instant refreshed{};
+    std::vector<member_record> subset;
   };
-  std::unordered_map<node_id, observed_endpoint> endpoints_;
+
+  const std::vector<member_record>& SubsetOf(instant now,
+                                             const service_name& service);
+  bool MayEject(instant now, node_id node) const;
+  void EjectIfFailing(step& now, node_id node);
+
+  const membership& members_;
+  std::unordered_map<service_name, service_view> services_;
+  std::unordered_map<node_id, endpoint_view> endpoints_;
+  std::vector<const member_record*> candidates_;
 };
 
 }  // namespace auburnfold
--- a/Libraries/LibDecision/Works/incoming_works.cc
+++ b/Libraries/LibDecision/Works/incoming_works.cc
@@ -1,5 +1,7 @@
 #include "LibDecision/Works/incoming_works.h"
 
+#include <algorithm>
+
 namespace auburnfold {
 
 void incoming_works::Start(const node_started& self) {
@@ -40,7 +42,7 @@
         break;
       case key_verdict::kReplay: {
         const answer_facts facts =
-            DescribeAnswer(open, allowance_.Close(arrived.work));
+            DescribeAnswer(now, open, allowance_.Close(arrived.work));
         now.Emit(replay_answer{arrived.work, *arrived.facts.key, facts});
         return Close(now, arrived.work);
       }
@@ -91,7 +93,7 @@
     return;
   }
   work& open = found->second;
-  const duration own_time = now.now() - open.started - open.waited_for_children;
+  const duration own_time = OwnTimeOf(now.now(), open);
   const std::vector<admission_decision> decisions =
       admission_.OnFinished(now, finished.work, finished.result, own_time);
   if (finished.result.is_whole()) {
@@ -99,7 +101,7 @@
       keys_.OnFinished(now, *open.facts.key, finished.work, finished.result);
     }
     const answer_facts facts =
-        DescribeAnswer(open, allowance_.Close(finished.work));
+        DescribeAnswer(now, open, allowance_.Close(finished.work));
     now.Emit(relay_work_answer{finished.work, facts});
     Close(now, finished.work);
   } else {
@@ -110,8 +112,9 @@
   Apply(now, decisions);
 }
 
-void incoming_works::OnEndpointReported(step&,
+void incoming_works::OnEndpointReported(step& now,
                                         const endpoint_reported& report) {
+  admission_.OnEndpointReported(now, report);
   endpoint_ = report;
 }
 
@@ -135,6 +138,7 @@
   }
   if (found->second.open_children++ == 0) {
     found->second.children_since = now.now();
+    Apply(now, admission_.OnWaiting(now, id));
   }
 }
 
@@ -146,6 +150,7 @@
   work& open = found->second;
   if (--open.open_children == 0) {
     open.waited_for_children += now.now() - open.children_since;
+    admission_.OnResumed(id);
   }
 }
 
@@ -184,7 +189,7 @@
       keys_.OnFinished(now, *open.facts.key, id, {kind, ran});
     }
   }
-  const answer_facts facts = DescribeAnswer(open, allowance_.Close(id));
+  const answer_facts facts = DescribeAnswer(now, open, allowance_.Close(id));
   now.Emit(refuse_work{id, kind, ran, facts});
   Close(now, id);
 }
@@ -195,19 +200,30 @@
     return Refuse(now, id, error_kind::kKeyMemoryFull, run_state::kNotRun);
   }
   const answer_facts facts =
-      DescribeAnswer(works_.at(id), allowance_.Close(id));
+      DescribeAnswer(now, works_.at(id), allowance_.Close(id));
   now.Emit(answer_with_key{id, *key, facts});
   Close(now, id);
 }
 
-answer_facts incoming_works::DescribeAnswer(const work& open,
+// The level covers what the class calls deeper down, so that callers refuse
+// early what would be refused there.
+answer_facts incoming_works::DescribeAnswer(const step& now,
+                                            const work& open,
                                             std::uint16_t allowance) const {
   answer_facts facts;
-  admission_.Describe(open.facts, facts);
+  admission_.Describe(now.now(), open.facts, facts);
+  facts.level = std::max(
+      facts.level, pressure_.DeepLevelFor(now.now(), open.facts.request_class));
   facts.allowance_left = allowance;
   return facts;
 }
 
+duration incoming_works::OwnTimeOf(instant now, const work& open) const {
+  const duration waiting =
+      open.open_children > 0 ? now - open.children_since : duration::zero();
+  return now - open.started - open.waited_for_children - waiting;
+}
+
 void incoming_works::Close(step&, work_id id) {
   allowance_.Close(id);
   works_.erase(id);
--- a/Libraries/LibDecision/Works/incoming_works.h
+++ b/Libraries/LibDecision/Works/incoming_works.h
@@ -8,9 +8,11 @@
 
 #include "LibDecision/Admission/admission.h"
 #include "LibDecision/Once/key_register.h"
+#include "LibDecision/Pressure/pressure_memory.h"
 #include "LibDecision/Retries/retry_allowance.h"
 #include "LibDecision/Table/table.h"
 #include "LibDecision/event.h"
+#include "LibDecision/node_options.h"
 #include "LibDecision/step.h"
 
 namespace auburnfold {
@@ -19,8 +21,14 @@
 /// or runs once, and ends with exactly one answer to the forwarding node.
 class incoming_works {
  public:
-  incoming_works(const table& rows, retry_allowance& allowance)
-      : rows_(rows), allowance_(allowance) {}
+  incoming_works(const table& rows,
+                 retry_allowance& allowance,
+                 const pressure_memory& pressure,
+                 const node_options& options)
+      : rows_(rows),
+        allowance_(allowance),
+        pressure_(pressure),
+        admission_(options.limit) {}
 
   void Start(const node_started& self);
   void OnArrived(step& now, const work_arrived& arrived);
@@ -57,11 +65,15 @@
   void Run(step& now, work_id id);
   void Refuse(step& now, work_id id, error_kind kind, run_state ran);
   void IssueKey(step& now, work_id id);
-  answer_facts DescribeAnswer(const work& open, std::uint16_t allowance) const;
+  answer_facts DescribeAnswer(const step& now,
+                              const work& open,
+                              std::uint16_t allowance) const;
+  duration OwnTimeOf(instant now, const work& open) const;
   void Close(step& now, work_id id);
 
   const table& rows_;
   retry_allowance& allowance_;
+  const pressure_memory& pressure_;
   incarnation run_;
   bool is_stopping_ = false;
   std::optional<endpoint_reported> endpoint_;
--- a/Libraries/LibDecision/reducer.cc
+++ b/Libraries/LibDecision/reducer.cc
@@ -5,6 +5,7 @@
 
 #include "LibDecision/Calls/outgoing_calls.h"
 #include "LibDecision/Membership/membership.h"
+#include "LibDecision/Pressure/pressure_memory.h"
 #include "LibDecision/Retries/retry_allowance.h"
 #include "LibDecision/Table/table.h"
 #include "LibDecision/Timers/timer_service.h"
@@ -14,12 +15,16 @@
 namespace auburnfold {
 
 struct node_state::parts {
+  explicit parts(const node_options& chosen) : options(chosen) {}
+
+  node_options options;
   timer_service timers;
   table rows;
   membership members;
   retry_allowance allowance;
-  outgoing_calls calls{rows, members, allowance};
-  incoming_works works{rows, allowance};
+  pressure_memory pressure;
+  outgoing_calls calls{rows, members, allowance, pressure, options};
+  incoming_works works{rows, allowance, pressure, options};
   bool is_stopping = false;
   bool is_stopped = false;
   std::optional<instant> wake;
@@ -44,9 +49,12 @@
     if (parent == nullptr) {
       call_arrived orphan = arrived;
       orphan.parent.reset();
-      return calls.OnArrived(now, orphan, arrived.facts.priority);
+      return calls.OnArrived(now, orphan, nullptr);
     }
-    calls.OnArrived(now, arrived, parent->priority);
+    // The call may end the parent work, and with it the facts.
+    const request_facts facts = *parent;
+    works.OnChildStarted(now, *arrived.parent);
+    calls.OnArrived(now, arrived, &facts);
   }
 
   void On(step& now, const call_cancelled& cancelled) {
@@ -119,6 +127,12 @@
     }
   }
 
+  void ResumeParents(step& now) {
+    for (const work_id parent : calls.TakeEndedChildren()) {
+      works.OnChildFinished(now, parent);
+    }
+  }
+
   void StopIfIdle(step& now) {
     const bool is_idle = calls.open_count() == 0 && works.open_count() == 0;
     if (is_stopping && !is_stopped && is_idle) {
@@ -136,7 +150,8 @@
   }
 };
 
-node_state::node_state() : parts_(std::make_unique<parts>()) {}
+node_state::node_state(const node_options& options)
+    : parts_(std::make_unique<parts>(options)) {}
 node_state::~node_state() = default;
 node_state::node_state(node_state&&) noexcept = default;
 node_state& node_state::operator=(node_state&&) noexcept = default;
@@ -149,6 +164,7 @@
   }
   std::visit([&](const auto& content) { parts.On(now, content); },
              happened.content);
+  parts.ResumeParents(now);
   parts.StopIfIdle(now);
   parts.AskForWake(now);
   return now.TakeEffects();
--- a/Libraries/LibDecision/reducer.h
+++ b/Libraries/LibDecision/reducer.h
@@ -5,6 +5,7 @@
 
 #include "LibDecision/effect.h"
 #include "LibDecision/event.h"
+#include "LibDecision/node_options.h"
 
 namespace auburnfold {
 
@@ -12,7 +13,7 @@
 /// event.
 class node_state {
  public:
-  node_state();
+  explicit node_state(const node_options& options = {});
   ~node_state();
   node_state(node_state&&) noexcept;
   node_state& operator=(node_state&&) noexcept;
