--- a/Libraries/LibDecision/Calls/outgoing_calls.cc
+++ b/Libraries/LibDecision/Calls/outgoing_calls.cc
@@ -3,31 +3,28 @@
 #include <algorithm>
 #include <utility>
 
+#include "LibDecision/Pressure/rank.h"
+
 namespace auburnfold {
 
 namespace {
 
 constexpr duration kSoonRetryAfter = std::chrono::milliseconds(100);
 
-duration RetryAfterFor(error_kind kind,
-                       const std::optional<answer_facts>& peer) {
-  switch (AnswerFor(kind).when) {
-    case come_back::kNever:
-      return duration::zero();
-    case come_back::kSoon:
-      return kSoonRetryAfter;
-    case come_back::kAfterPressure:
-      return peer ? std::max(peer->retry_after, kSoonRetryAfter)
-                  : kSoonRetryAfter;
-  }
-  return duration::zero();
+// Of the three-tries baseline.
+constexpr std::size_t kMostTries = 3;
+
+bool IsOverload(error_kind kind) {
+  return kind == error_kind::kOverloaded ||
+         kind == error_kind::kQueueDeadline ||
+         kind == error_kind::kTenantOverShare;
 }
 
 }  // namespace
 
 void outgoing_calls::OnArrived(step& now,
                                const call_arrived& arrived,
-                               std::optional<std::uint8_t> priority) {
+                               const request_facts* parent) {
   const request_facts& facts = arrived.facts;
   const row_settings& row =
       rows_.SettingsFor(facts.service, facts.request_class);
@@ -38,12 +35,14 @@
   open.is_idempotent =
       row.is_idempotent || facts.purpose == request_purpose::kIssueKey;
   open.deadline = now.now() + std::min(facts.time_left, row.longest_deadline);
-  open.facts.priority = priority ? priority : row.priority;
-  if (arrived.parent) {
-    open.allowance = allowance_.Grant(*arrived.parent);
-  } else if (!arrived.has_parent && facts.client_attempt == 1) {
-    open.allowance = row.retry_allowance;
+  if (parent != nullptr) {
+    open.facts.priority = parent->priority;
+    open.parent_class = parent->request_class;
+    children_.emplace(*arrived.parent, arrived.call);
+  } else if (!open.facts.priority) {
+    open.facts.priority = row.priority;
   }
+  open.allowance = AllowanceFor(arrived, row);
   if (is_stopping_ && !arrived.parent) {
     return Refuse(now, arrived.call, error_kind::kNodeStopping,
                   kSoonRetryAfter);
@@ -59,9 +58,45 @@
   }
   now.timers().Subscribe({timer_owner::kCalls, arrived.call.value()},
                          open.deadline);
+  if (IsRefusedEarly(now, open)) {
+    return Refuse(now, arrived.call, error_kind::kOverloaded,
+                  RetryAfterFor(now, open, error_kind::kOverloaded));
+  }
+  retry_share_.OnFirstAttempt();
   Send(now, arrived.call, open);
 }
 
+// A resend and a call of an unknown parent get nothing: what their root
+// request may spend was given out before.
+std::uint16_t outgoing_calls::AllowanceFor(const call_arrived& arrived,
+                                           const row_settings& row) {
+  if (arrived.facts.client_attempt > 1) {
+    return 0;
+  }
+  if (arrived.parent) {
+    return allowance_.Grant(*arrived.parent);
+  }
+  return arrived.has_parent ? 0 : row.retry_allowance;
+}
+
+bool outgoing_calls::IsRefusedEarly(step& now, const call& open) {
+  if (!options_.refuses_early) {
+    return false;
+  }
+  const std::uint16_t level = pressure_.LevelFor(now.now(), open.facts.service,
+                                                 open.facts.request_class);
+  const rank position =
+      RankOf(open.facts.priority.value_or(0), open.facts.root);
+  if (Passes(position, level)) {
+    return false;
+  }
+  now.Count(counter::kRefusedEarly);
+  if (open.parent) {
+    pressure_.OnDeepCall(now.now(), open.parent_class, level);
+  }
+  return true;
+}
+
 void outgoing_calls::OnCancelled(step& now, call_id id) {
   if (calls_.contains(id)) {
     Close(now, id);
@@ -97,9 +132,11 @@
   }
   router_.OnFinished(now, open.tried.back(), result,
                      now.now() - open.attempt_started);
-  if (result.peer) {
-    open.allowance = static_cast<std::uint16_t>(open.allowance +
-                                                result.peer->allowance_left);
+  TakeBackAllowance(open, result);
+  pressure_.OnAnswer(now.now(), open.facts.service, open.facts.request_class,
+                     result);
+  if (open.parent && result.peer) {
+    pressure_.OnDeepCall(now.now(), open.parent_class, result.peer->level);
   }
   if (result.is_whole()) {
     now.Emit(relay_answer{id, finished.attempt, open.allowance});
@@ -108,12 +145,23 @@
   if (result.ran != run_state::kNotRun) {
     open.may_have_run = true;
   }
-  if (ShouldRetry(now, open, result)) {
-    --open.allowance;
+  if (MayRetry(now, open, result) && HasRetryLeft(now, open, result)) {
     now.Count(counter::kRetries);
     return Send(now, id, open);
   }
-  Refuse(now, id, *result.error, RetryAfterFor(*result.error, result.peer));
+  Refuse(now, id, *result.error, RetryAfterFor(now, open, *result.error));
+}
+
+// What a lost answer carried stays spent, and no answer brings back more than
+// its attempt carried.
+void outgoing_calls::TakeBackAllowance(call& open,
+                                       const outcome& result) const {
+  if (result.peer) {
+    const std::uint16_t left =
+        std::min(result.peer->allowance_left, open.carried);
+    open.allowance = static_cast<std::uint16_t>(open.allowance + left);
+  }
+  open.carried = 0;
 }
 
 void outgoing_calls::OnTimer(step& now, std::uint64_t key) {
@@ -122,6 +170,9 @@
   if (found == calls_.end()) {
     return;
   }
+  if (found->second.attempt) {
+    router_.OnUnanswered(now, found->second.tried.back());
+  }
   Refuse(now, id, error_kind::kAnswerTimeout, duration::zero());
 }
 
@@ -137,10 +188,9 @@
 
 void outgoing_calls::CancelChildrenOf(step& now, work_id parent) {
   std::vector<call_id> children;
-  for (const auto& [id, open] : calls_) {
-    if (open.parent == parent) {
-      children.push_back(id);
-    }
+  const auto [first, last] = children_.equal_range(parent);
+  for (auto child = first; child != last; ++child) {
+    children.push_back(child->second);
   }
   for (const call_id id : children) {
     now.Count(counter::kCancelledDown);
@@ -163,7 +213,8 @@
   request_facts facts = open.facts;
   facts.time_left = open.deadline - now.now();
   // What travels with the attempt is spent until its answer brings it back.
-  facts.allowance = std::exchange(open.allowance, std::uint16_t{0});
+  open.carried = std::exchange(open.allowance, std::uint16_t{0});
+  facts.allowance = open.carried;
   now.Count(counter::kAttempts);
   now.Emit(send_attempt{attempt, id, chosen->node, chosen->run, chosen->address,
                         std::move(facts)});
@@ -184,9 +235,8 @@
       return nullptr;
     }
   }
-  const std::vector<const member_record*> ready =
-      members_.ReadyEndpoints(open.facts.service);
-  const member_record* chosen = router_.Choose(now, ready, open.tried);
+  const member_record* chosen =
+      router_.Choose(now, open.facts.service, open.tried);
   if (chosen == nullptr) {
     Refuse(now, id, error_kind::kNoEndpoint, kSoonRetryAfter);
   }
@@ -232,32 +282,79 @@
   }
   if (open.parent) {
     allowance_.Return(*open.parent, open.allowance);
+    const auto [first, last] = children_.equal_range(*open.parent);
+    children_.erase(std::find_if(
+        first, last, [id](const auto& child) { return child.second == id; }));
+    ended_children_.push_back(*open.parent);
   }
   now.timers().Cancel({timer_owner::kCalls, id.value()});
   calls_.erase(found);
 }
 
-bool outgoing_calls::ShouldRetry(step& now,
-                                 const call& open,
-                                 const outcome& result) const {
+std::vector<work_id> outgoing_calls::TakeEndedChildren() {
+  return std::exchange(ended_children_, {});
+}
+
+bool outgoing_calls::MayRetry(step& now,
+                              const call& open,
+                              const outcome& result) {
   if (open.deadline <= now.now()) {
     return false;
   }
-  // The home of a key runs its work once, however often it is sent; if the
-  // home itself answered, it has nothing better to say.
   const bool is_bound_to_home =
       open.facts.key && key_register::HomeOf(*open.facts.key);
-  const bool is_safe = result.ran == run_state::kNotRun || open.is_idempotent;
-  const bool is_worth_it =
-      AnswerFor(*result.error).is_retryable || result.ran != run_state::kNotRun;
-  if (is_bound_to_home ? result.peer.has_value() : !is_safe || !is_worth_it) {
-    return false;
+  if (is_bound_to_home) {
+    // The home runs the work once, however often it is sent; if the home
+    // itself answered, it has nothing better to say.
+    return !result.peer;
+  }
+  const bool is_not_run = result.ran == run_state::kNotRun;
+  const bool is_safe = is_not_run || open.is_idempotent;
+  return is_safe && (AnswerFor(*result.error).is_retryable || !is_not_run);
+}
+
+bool outgoing_calls::HasRetryLeft(step& now,
+                                  call& open,
+                                  const outcome& result) {
+  switch (options_.retries) {
+    case retry_choice::kThreeTries:
+      return open.tried.size() < kMostTries;
+    case retry_choice::kAllowance:
+      break;
   }
   if (open.allowance == 0) {
     now.Count(counter::kRetriesDeniedByAllowance);
     return false;
   }
+  const bool is_refusing_as_whole =
+      IsOverload(*result.error) &&
+      pressure_.RefusesAsWhole(now.now(), open.facts.service,
+                               open.facts.request_class);
+  if (is_refusing_as_whole) {
+    now.Count(counter::kRetriesDeniedByPressure);
+    return false;
+  }
+  if (!retry_share_.TryTake()) {
+    now.Count(counter::kRetriesDeniedByNodeShare);
+    return false;
+  }
+  --open.allowance;
   return true;
 }
 
+duration outgoing_calls::RetryAfterFor(step& now,
+                                       const call& open,
+                                       error_kind kind) const {
+  switch (AnswerFor(kind).when) {
+    case come_back::kNever:
+      return duration::zero();
+    case come_back::kSoon:
+      return kSoonRetryAfter;
+    case come_back::kAfterPressure:
+      return pressure_.RetryAfter(now, open.facts.service,
+                                  open.facts.request_class);
+  }
+  return duration::zero();
+}
+
 }  // namespace auburnfold
--- a/Libraries/LibDecision/Works/incoming_works.cc
+++ b/Libraries/LibDecision/Works/incoming_works.cc
@@ -1,5 +1,6 @@
 #include "LibDecision/Works/incoming_works.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace auburnfold {
@@ -66,7 +67,8 @@
       open.holds_key = true;
       return true;
     case key_verdict::kReplay: {
-      const answer_facts facts = DescribeAnswer(open, allowance_.Close(id));
+      const answer_facts facts =
+          DescribeAnswer(now, open, allowance_.Close(id));
       now.Emit(replay_answer{id, *open.facts.key, facts});
       Close(now, id);
       return false;
@@ -114,7 +116,7 @@
     return;
   }
   work& open = found->second;
-  const duration own_time = now.now() - open.started - open.waited_for_children;
+  const duration own_time = OwnTimeOf(now.now(), open);
   const std::vector<admission_decision> decisions =
       admission_.OnFinished(now, finished.work, finished.result, own_time);
   if (finished.result.is_whole()) {
@@ -123,7 +125,7 @@
       keys_.OnFinished(now, *open.facts.key, finished.work, finished.result);
     }
     const answer_facts facts =
-        DescribeAnswer(open, allowance_.Close(finished.work));
+        DescribeAnswer(now, open, allowance_.Close(finished.work));
     if (!open.is_caller_gone) {
       now.Emit(relay_work_answer{finished.work, facts});
     }
@@ -146,6 +148,9 @@
     step& now,
     const endpoint_reported& report) {
   const report_effect effect = endpoint_.OnReported(now, report);
+  if (effect != report_effect::kIgnored) {
+    admission_.OnEndpointReported(now, report);
+  }
   if (effect != report_effect::kReplaced) {
     return effect;
   }
@@ -202,6 +207,7 @@
   }
   if (found->second.open_children++ == 0) {
     found->second.children_since = now.now();
+    Apply(now, admission_.OnWaiting(now, id));
   }
 }
 
@@ -213,6 +219,7 @@
   work& open = found->second;
   if (--open.open_children == 0) {
     open.waited_for_children += now.now() - open.children_since;
+    admission_.OnResumed(id);
   }
 }
 
@@ -261,7 +268,7 @@
 void incoming_works::GiveUp(step& now, work_id id, error_kind kind) {
   const work& open = works_.at(id);
   const outcome lost{kind, run_state::kUnknown};
-  const duration own_time = now.now() - open.started - open.waited_for_children;
+  const duration own_time = OwnTimeOf(now.now(), open);
   now.Emit(cancel_work{id});
   const std::vector<admission_decision> decisions =
       kind == error_kind::kCallerGone
@@ -281,7 +288,7 @@
   } else if (open.holds_key) {
     keys_.OnFinished(now, *open.facts.key, id, {kind, ran});
   }
-  const answer_facts facts = DescribeAnswer(open, allowance_.Close(id));
+  const answer_facts facts = DescribeAnswer(now, open, allowance_.Close(id));
   if (!open.is_caller_gone) {
     now.Emit(refuse_work{id, kind, ran, facts});
   }
@@ -294,19 +301,30 @@
   if (!key) {
     return Refuse(now, id, error_kind::kKeyMemoryFull, run_state::kNotRun);
   }
-  const answer_facts facts = DescribeAnswer(open, allowance_.Close(id));
+  const answer_facts facts = DescribeAnswer(now, open, allowance_.Close(id));
   now.Emit(answer_with_key{id, *key, facts});
   Close(now, id);
 }
 
-answer_facts incoming_works::DescribeAnswer(const work& open,
+// The level covers what the class calls deeper down, so that callers refuse
+// early what would be refused there.
+answer_facts incoming_works::DescribeAnswer(const step& now,
+                                            const work& open,
                                             std::uint16_t allowance) const {
   answer_facts facts;
-  admission_.Describe(open.facts, facts);
+  admission_.Describe(now.now(), open.facts, facts);
+  facts.level = std::max(
+      facts.level, pressure_.DeepLevelFor(now.now(), open.facts.request_class));
   facts.allowance_left = allowance;
   return facts;
 }
 
+duration incoming_works::OwnTimeOf(instant now, const work& open) const {
+  const duration waiting =
+      open.open_children > 0 ? now - open.children_since : duration::zero();
+  return now - open.started - open.waited_for_children - waiting;
+}
+
 void incoming_works::Close(step& now, work_id id) {
   allowance_.Close(id);
   now.timers().Cancel({timer_owner::kWorks, id.value()});
--- a/Libraries/LibDecision/reducer.cc
+++ b/Libraries/LibDecision/reducer.cc
@@ -5,6 +5,7 @@
 
 #include "LibDecision/Calls/outgoing_calls.h"
 #include "LibDecision/Membership/membership.h"
+#include "LibDecision/Pressure/pressure_memory.h"
 #include "LibDecision/Retries/retry_allowance.h"
 #include "LibDecision/Table/table.h"
 #include "LibDecision/Timers/timer_service.h"
@@ -21,12 +22,16 @@
 }  // namespace
 
 struct node_state::parts {
+  explicit parts(const node_options& chosen) : options(chosen) {}
+
+  node_options options;
   timer_service timers;
   table rows;
   membership members;
   retry_allowance allowance;
-  outgoing_calls calls{rows, members, allowance};
-  incoming_works works{rows, allowance};
+  pressure_memory pressure;
+  outgoing_calls calls{rows, members, allowance, pressure, options};
+  incoming_works works{rows, allowance, pressure, options};
   bool is_stopping = false;
   bool is_stopped = false;
   std::optional<instant> wake;
@@ -53,9 +58,12 @@
     if (parent == nullptr) {
       call_arrived orphan = arrived;
       orphan.parent.reset();
-      return calls.OnArrived(now, orphan, arrived.facts.priority);
+      return calls.OnArrived(now, orphan, nullptr);
     }
-    calls.OnArrived(now, arrived, parent->priority);
+    // The call may end the parent work, and with it the facts.
+    const request_facts facts = *parent;
+    works.OnChildStarted(now, *arrived.parent);
+    calls.OnArrived(now, arrived, &facts);
   }
 
   void On(step& now, const call_cancelled& cancelled) {
@@ -153,6 +161,12 @@
     }
   }
 
+  void ResumeParents(step& now) {
+    for (const work_id parent : calls.TakeEndedChildren()) {
+      works.OnChildFinished(now, parent);
+    }
+  }
+
   void Stop(step& now, std::size_t cut_requests) {
     if (!is_stopped) {
       is_stopped = true;
@@ -175,7 +189,8 @@
   }
 };
 
-node_state::node_state() : parts_(std::make_unique<parts>()) {}
+node_state::node_state(const node_options& options)
+    : parts_(std::make_unique<parts>(options)) {}
 node_state::~node_state() = default;
 node_state::node_state(node_state&&) noexcept = default;
 node_state& node_state::operator=(node_state&&) noexcept = default;
@@ -189,6 +204,7 @@
   std::visit([&](const auto& content) { parts.On(now, content); },
              happened.content);
   parts.CancelChildrenOfEndedWorks(now);
+  parts.ResumeParents(now);
   parts.StopIfIdle(now);
   parts.AskForWake(now);
   return now.TakeEffects();
--- a/Tests/LibDecision/key_register_test.cc
+++ b/Tests/LibDecision/key_register_test.cc
@@ -12,9 +12,9 @@
 
 constexpr key_bounds kSmallBounds{.keys = 4, .answer_bytes = 4096};
 
-class AHomeOfKeys : public testing::Test {
+class a_home_of_keys : public testing::Test {
  protected:
-  AHomeOfKeys() { register_.Start(node_id(2), incarnation(9)); }
+  a_home_of_keys() { register_.Start(node_id(2), incarnation(9)); }
 
   step Now() { return {now_, ++entropy_, timers_}; }
 
@@ -52,13 +52,13 @@
   key_register register_{kSmallBounds};
 };
 
-TEST_F(AHomeOfKeys, IsNamedByEachKeyItIssues) {
+TEST_F(a_home_of_keys, IsNamedByEachKeyItIssues) {
   const auto home = key_register::HomeOf(*Issue());
   ASSERT_TRUE(home);
   EXPECT_EQ(*home, (key_home{node_id(2), incarnation(9)}));
 }
 
-TEST_F(AHomeOfKeys, RefusesTextsItDidNotIssue) {
+TEST_F(a_home_of_keys, RefusesTextsItDidNotIssue) {
   const std::string issued = Issue()->value();
   for (const std::string& text :
        {std::string("order-77"), std::string(), issued + "0", issued.substr(1),
@@ -71,7 +71,7 @@
   }
 }
 
-TEST_F(AHomeOfKeys, RefusesAForgedKey) {
+TEST_F(a_home_of_keys, RefusesAForgedKey) {
   issued_key forged = *ParseKey(*Issue());
   ++forged.nonce;
   EXPECT_EQ(Offer(Format(forged), 1).refusal, error_kind::kKeyNotIssued);
@@ -80,7 +80,7 @@
   EXPECT_EQ(Offer(Format(forged), 1).refusal, error_kind::kKeyNotIssued);
 }
 
-TEST_F(AHomeOfKeys, RefusesTheKeyOfAnEarlierRunAsUnknown) {
+TEST_F(a_home_of_keys, RefusesTheKeyOfAnEarlierRunAsUnknown) {
   const idempotency_key key = *Issue();
   register_ = key_register(kSmallBounds);
   register_.Start(node_id(2), incarnation(10));
@@ -89,7 +89,7 @@
   EXPECT_EQ(decision.ran, run_state::kUnknown);
 }
 
-TEST_F(AHomeOfKeys, RefusesAKeyThatWasIssuedForAnotherClass) {
+TEST_F(a_home_of_keys, RefusesAKeyThatWasIssuedForAnotherClass) {
   request_facts facts = Booking();
   facts.key = *Issue();
   facts.request_class = class_name("cancel");
@@ -98,12 +98,12 @@
             error_kind::kKeyNotIssued);
 }
 
-class AnIssuedKey : public AHomeOfKeys {
+class an_issued_key : public a_home_of_keys {
  protected:
   const idempotency_key key_ = *Issue();
 };
 
-TEST_F(AnIssuedKey, RunsOnceAndIsThenReplayed) {
+TEST_F(an_issued_key, RunsOnceAndIsThenReplayed) {
   EXPECT_EQ(Offer(key_, 1).verdict, key_verdict::kRun);
   EXPECT_EQ(Offer(key_, 2).refusal, error_kind::kKeyInProgress);
   const effects made = Finish(key_, 1, {.body_size = 100});
@@ -112,7 +112,7 @@
   EXPECT_EQ(Offer(key_, 3).verdict, key_verdict::kReplay);
 }
 
-TEST_F(AnIssuedKey, IsFreeAgainAfterWorkThatWasNotRun) {
+TEST_F(an_issued_key, IsFreeAgainAfterWorkThatWasNotRun) {
   Offer(key_, 1);
   register_.OnNotRun(key_, work_id(1));
   EXPECT_EQ(Offer(key_, 2).verdict, key_verdict::kRun);
@@ -120,7 +120,7 @@
   EXPECT_EQ(Offer(key_, 3).refusal, error_kind::kKeyInProgress);
 }
 
-TEST_F(AnIssuedKey, NeverRunsAgainAfterAnUnknownEnd) {
+TEST_F(an_issued_key, NeverRunsAgainAfterAnUnknownEnd) {
   Offer(key_, 1);
   Finish(key_, 1, {error_kind::kAnswerTimeout, run_state::kUnknown});
   const key_decision decision = Offer(key_, 2);
@@ -128,7 +128,7 @@
   EXPECT_EQ(decision.ran, run_state::kUnknown);
 }
 
-TEST_F(AnIssuedKey, ExpiresByTheTimeOfItsIssueAndNeverRunsAfterwards) {
+TEST_F(an_issued_key, ExpiresByTheTimeOfItsIssueAndNeverRunsAfterwards) {
   Offer(key_, 1);
   Finish(key_, 1, {.body_size = 100});
   now_ += kKeyLife;
@@ -138,7 +138,7 @@
   EXPECT_EQ(register_.answer_bytes(), 0U);
 }
 
-TEST_F(AnIssuedKey, IsForgottenByTheTimerWithItsAnswer) {
+TEST_F(an_issued_key, IsForgottenByTheTimerWithItsAnswer) {
   Offer(key_, 1);
   Finish(key_, 1, {.body_size = 100});
   now_ = *timers_.next();
@@ -151,9 +151,9 @@
   EXPECT_FALSE(timers_.next());
 }
 
-class AFullMemory : public AHomeOfKeys {};
+class a_full_memory : public a_home_of_keys {};
 
-TEST_F(AFullMemory, OfKeysStopsIssuingAndForgetsNone) {
+TEST_F(a_full_memory, OfKeysStopsIssuingAndForgetsNone) {
   const idempotency_key first = *Issue();
   for (std::size_t more = 1; more < kSmallBounds.keys; ++more) {
     EXPECT_TRUE(Issue());
@@ -164,7 +164,7 @@
   EXPECT_TRUE(Issue());
 }
 
-TEST_F(AFullMemory, OfAnswersRefusesNewWorkAndKeepsTheFactOfTheLastRun) {
+TEST_F(a_full_memory, OfAnswersRefusesNewWorkAndKeepsTheFactOfTheLastRun) {
   const idempotency_key kept = *Issue();
   const idempotency_key too_large = *Issue();
   const idempotency_key filler = *Issue();
--- a/Tests/Scenarios/fault_pairs_test.cc
+++ b/Tests/Scenarios/fault_pairs_test.cc
@@ -67,10 +67,10 @@
          Faults()[std::get<1>(pair)].name;
 }
 
-class APairOfFaults
+class a_pair_of_faults
     : public testing::TestWithParam<std::tuple<std::size_t, std::size_t>> {};
 
-TEST_P(APairOfFaults, BreaksNoPromiseForAnySeed) {
+TEST_P(a_pair_of_faults, BreaksNoPromiseForAnySeed) {
   scenario plan = ReadScenario(SCENARIO_FOLDER "/fault_pairs/base.json");
   Add(Faults()[std::get<0>(GetParam())], plan);
   Add(Faults()[std::get<1>(GetParam())], plan);
@@ -85,7 +85,7 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(Every,
-                         APairOfFaults,
+                         a_pair_of_faults,
                          testing::ValuesIn(Pairs()),
                          [](const auto& pair) {
                            return NameOfPair(pair.param);
