Connections: Replace connections that are silent while others answer

Requests on a silent connection waited for the caller's deadline, and each idle connection that the same fault had silenced took another victim. An attempt is now given up when it waits four times as long as the slowest recent one of its class while its peer answered three later requests; the endpoint is not blamed. Idle connections that were last used before an overdue attempt was sent are closed, and so are those unused for 30 s.

--- a/Libraries/LibDecision/Calls/outgoing_calls.cc
+++ b/Libraries/LibDecision/Calls/outgoing_calls.cc
@@ -110,7 +110,10 @@
     now.Emit(cancel_attempt{sent.attempt});
     return;
   }
-  calls_.at(found->second).is_attempt_sent = true;
+  call& open = calls_.at(found->second);
+  open.is_attempt_sent = true;
+  connections_.OnSent(now, sent.attempt, sent.connection, open.tried.back(),
+                      open.facts.request_class);
 }
 
 void outgoing_calls::OnAttemptFinished(step& now,
@@ -130,6 +133,11 @@
     // Bytes left this node and nobody says what became of them.
     result.ran = run_state::kUnknown;
   }
+  if (result.peer) {
+    connections_.OnAnswered(now, finished.attempt);
+  } else {
+    connections_.OnGivenUp(finished.attempt);
+  }
   router_.OnFinished(now, open.tried.back(), result,
                      now.now() - open.attempt_started);
   TakeBackAllowance(open, result);
@@ -172,10 +180,36 @@
   }
   if (found->second.attempt) {
     router_.OnUnanswered(now, found->second.tried.back());
+    connections_.OnDeadline(now, *found->second.attempt);
   }
   Refuse(now, id, error_kind::kAnswerTimeout, duration::zero());
 }
 
+void outgoing_calls::OnConnectionTimer(step& now) {
+  for (const attempt_id lost : connections_.OnTimer(now)) {
+    OnAttemptLost(now, lost);
+  }
+}
+
+// The endpoint answers others, so it is not blamed; whether the request
+// reached it is not known.
+void outgoing_calls::OnAttemptLost(step& now, attempt_id attempt) {
+  const call_id id = attempts_.at(attempt);
+  attempts_.erase(attempt);
+  call& open = calls_.at(id);
+  open.attempt.reset();
+  open.may_have_run = true;
+  open.carried = 0;
+  router_.OnCancelled(now, open.tried.back());
+  now.Emit(cancel_attempt{attempt});
+  const outcome lost{error_kind::kAnswerLost, run_state::kUnknown};
+  if (MayRetry(now, open, lost) && HasRetryLeft(now, open, lost)) {
+    now.Count(counter::kRetries);
+    return Send(now, id, open);
+  }
+  Refuse(now, id, error_kind::kAnswerLost, duration::zero());
+}
+
 void outgoing_calls::CutAll(step& now) {
   std::vector<call_id> open_calls;
   for (const auto& [id, open] : calls_) {
@@ -277,6 +311,7 @@
   const call& open = found->second;
   if (open.attempt) {
     attempts_.erase(*open.attempt);
+    connections_.OnGivenUp(*open.attempt);
     router_.OnCancelled(now, open.tried.back());
     now.Emit(cancel_attempt{*open.attempt});
   }
--- a/Libraries/LibDecision/Calls/outgoing_calls.h
+++ b/Libraries/LibDecision/Calls/outgoing_calls.h
@@ -6,6 +6,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "LibDecision/Connections/connection_monitor.h"
 #include "LibDecision/Membership/membership.h"
 #include "LibDecision/Once/key_register.h"
 #include "LibDecision/Pressure/pressure_memory.h"
@@ -43,7 +44,12 @@
   void OnCancelled(step& now, call_id call);
   void OnSent(step& now, const attempt_sent& sent);
   void OnAttemptFinished(step& now, const attempt_finished& finished);
+  void OnConnectionClosed(connection_id closed) {
+    connections_.OnClosed(closed);
+  }
   void OnTimer(step& now, std::uint64_t key);
+  /// Gives up the attempts whose connections have gone silent.
+  void OnConnectionTimer(step& now);
   /// From now on only calls for works of the own endpoint are carried out.
   void OnStopRequested() { is_stopping_ = true; }
   /// Ends everything: the stop took too long.
@@ -82,6 +88,7 @@
   const member_record* ChooseMember(step& now, call_id id, const call& open);
   /// As above for a call whose key names its home.
   const member_record* ChooseHome(step& now, call_id id, const key_home& home);
+  void OnAttemptLost(step& now, attempt_id attempt);
   void Refuse(step& now, call_id id, error_kind kind, duration retry_after);
   void Close(step& now, call_id id);
   std::uint16_t AllowanceFor(const call_arrived& arrived,
@@ -100,6 +107,7 @@
   const node_options& options_;
   retry_share retry_share_;
   router router_;
+  connection_monitor connections_;
   call_map calls_;
   std::unordered_map<attempt_id, call_id> attempts_;
   std::unordered_multimap<work_id, call_id> children_;
--- a/Libraries/LibDecision/Works/incoming_works.cc
+++ b/Libraries/LibDecision/Works/incoming_works.cc
@@ -138,12 +138,6 @@
   Apply(now, decisions);
 }
 
-void incoming_works::OnLost(step& now, work_id id) {
-  if (works_.contains(id)) {
-    GiveUp(now, id, error_kind::kAnswerLost);
-  }
-}
-
 report_effect incoming_works::OnEndpointReported(
     step& now,
     const endpoint_reported& report) {
--- a/Libraries/LibDecision/Works/incoming_works.h
+++ b/Libraries/LibDecision/Works/incoming_works.h
@@ -36,8 +36,6 @@
   void OnCancelled(step& now, work_id work);
   void OnSent(step& now, work_id work);
   void OnFinished(step& now, const work_finished& finished);
-  /// The connection to the endpoint that carries `work` was found silent.
-  void OnLost(step& now, work_id work);
   report_effect OnEndpointReported(step& now, const endpoint_reported& report);
   void OnStopRequested(step& now);
   /// Ends everything: the stop took too long.
--- a/Libraries/LibDecision/reducer.cc
+++ b/Libraries/LibDecision/reducer.cc
@@ -96,7 +96,9 @@
     }
   }
 
-  void On(step&, const connection_closed&) {}
+  void On(step&, const connection_closed& closed) {
+    calls.OnConnectionClosed(closed.connection);
+  }
 
   void On(step& now, const message_received& received) {
     members.OnMessage(now, received.message);
@@ -133,8 +135,9 @@
         return OnEndpointTimer(now);
       case timer_owner::kStop:
         return Cut(now);
-      case timer_owner::kRouting:
       case timer_owner::kConnections:
+        return calls.OnConnectionTimer(now);
+      case timer_owner::kRouting:
         return;
     }
   }
