Tests: Explore event orders and judge every answer

With keys lost on the way double runs appear; with the notice before the first byte taken away, false "not run" appears. An embedder that writes bytes after a cancel breaks nothing, since work given up while it runs ends unknown.

--- /dev/null
+++ b/Tests/LibDecision/truth_test.cc
@@ -0,0 +1,54 @@
+#include <gtest/gtest.h>
+
+#include "truth_explorer.h"
+
+namespace auburnfold {
+namespace {
+
+constexpr std::uint64_t kOrders = 4000;
+
+truth_report Explore(taken_away missing) {
+  truth_report all;
+  for (std::uint64_t seed = 1; seed <= kOrders; ++seed) {
+    all += truth_explorer(seed, missing).Run();
+  }
+  return all;
+}
+
+class every_order_of_events : public testing::Test {
+ protected:
+  static void ExpectTruth(const truth_report& all) {
+    EXPECT_EQ(all.double_runs, 0);
+    EXPECT_EQ(all.false_not_run, 0);
+    EXPECT_EQ(all.double_answers, 0);
+    EXPECT_EQ(all.missing_answers, 0);
+    EXPECT_EQ(all.foreign_answers, 0);
+    // The orders reach what they are meant to reach.
+    EXPECT_GT(all.runs, 10'000);
+    EXPECT_GT(all.replays, 100);
+    RecordProperty("calls", all.calls);
+    RecordProperty("runs", all.runs);
+    RecordProperty("replays", all.replays);
+  }
+};
+
+TEST_F(every_order_of_events, KeepsTheTruth) {
+  ExpectTruth(Explore(taken_away::kNothing));
+}
+
+TEST_F(every_order_of_events, KeepsTheTruthIfBytesAreWrittenAfterACancel) {
+  ExpectTruth(Explore(taken_away::kLastCancel));
+}
+
+class a_mechanism_taken_away : public testing::Test {};
+
+TEST_F(a_mechanism_taken_away, OfKeysRunsWorkTwice) {
+  EXPECT_GT(Explore(taken_away::kKeys).double_runs, 0);
+}
+
+TEST_F(a_mechanism_taken_away, OfTheNoticeBeforeBytesTellsFalselyNotRun) {
+  EXPECT_GT(Explore(taken_away::kSent).false_not_run, 0);
+}
+
+}  // namespace
+}  // namespace auburnfold
