Tests: Fuzz keys, messages, settings, reports and headers

Five decoders take bytes from other processes. The targets also check that a key is read only as it was written, a message survives a second writing, and an answer that does not say how it ended is neither whole nor "not run".

--- a/Libraries/LibDecision/reducer.cc
+++ b/Libraries/LibDecision/reducer.cc
@@ -17,7 +17,7 @@
 namespace {
 
 /// Longest time that a planned stop waits for what runs.
-constexpr duration kStopLimit = std::chrono::seconds(30);
+constexpr duration kStopLimit = std::chrono::seconds(25);
 
 }  // namespace
 
--- /dev/null
+++ b/Tests/Fuzz/fuzz_targets.h
@@ -0,0 +1,28 @@
+#ifndef TESTS_FUZZ_FUZZ_TARGETS_H_
+#define TESTS_FUZZ_FUZZ_TARGETS_H_
+
+#include <cstdint>
+#include <span>
+
+namespace auburnfold::fuzz {
+
+using input = std::span<const std::uint8_t>;
+
+/// Each target decodes any bytes whatever and aborts if a property of the
+/// decoder does not hold.
+
+/// An idempotency key is read only if it is exactly what was once written.
+void Key(input bytes);
+/// A control message that was read is written and read again unchanged.
+void Message(input bytes);
+/// A settings file is read or refused.
+void Settings(input bytes);
+/// A report of an endpoint is read or refused.
+void Report(input bytes);
+/// Headers of callers and nodes are read or refused; an answer that does not
+/// say how it ended is neither whole nor "not run".
+void Headers(input bytes);
+
+}  // namespace auburnfold::fuzz
+
+#endif  // TESTS_FUZZ_FUZZ_TARGETS_H_
--- /dev/null
+++ b/Tests/Fuzz/fuzz_test.cc
@@ -0,0 +1,101 @@
+#include <gtest/gtest.h>
+
+#include <random>
+#include <string>
+#include <vector>
+
+#include "LibDecision/Once/issued_key.h"
+#include "LibWire/cbor_codec.h"
+#include "fuzz_targets.h"
+
+namespace auburnfold::fuzz {
+namespace {
+
+constexpr int kInputs = 4000;
+constexpr std::size_t kLongest = 400;
+
+struct target {
+  std::string name;
+  void (*run)(input);
+  /// A well-formed input, from which others are made.
+  std::string sample;
+};
+
+std::string MessageSample() {
+  peer_message message;
+  message.from = node_id(7);
+  message.content = member_update{
+      {{.node = node_id(7), .service = service_name("listings")}}};
+  const wire_bytes bytes = cbor_codec::Encode(message);
+  return {bytes.begin(), bytes.end()};
+}
+
+std::vector<target> Targets() {
+  return {
+      {"Key", Key, Format({{node_id(1), incarnation(2)}, 3, 4}).value()},
+      {"Message", Message, MessageSample()},
+      {"Settings", Settings,
+       R"({"host": "127.0.0.1", "domain": "d1", "call_port": 1, // ports
+           "peer_port": 2, "control_port": 3, "admin_port": 4})"},
+      {"Report", Report,
+       R"({"service": "listings", "port": 9100, "run": 5, "state": "ready",
+           "load": 0.4, "healthy": true, "connection_limit": 1100})"},
+      {"Headers", Headers,
+       "Auburnfold-Service:listings\nAuburnfold-Class:lookup\n"
+       "Auburnfold-Timeout-Ms:250\nAuburnfold-From:0000000000000007\n"
+       "Auburnfold-Expected-Run:9\nAuburnfold-Result:overloaded\n"
+       "Auburnfold-Ran:not-run\nAuburnfold-Level:3"},
+  };
+}
+
+std::string Mutate(std::string text, std::mt19937_64& random) {
+  const std::size_t changes = 1 + random() % 4;
+  for (std::size_t i = 0; i < changes && !text.empty(); ++i) {
+    const std::size_t at = random() % text.size();
+    switch (random() % 4) {
+      case 0:
+        text[at] = static_cast<char>(random());
+        break;
+      case 1:
+        text.erase(at, 1 + random() % 4);
+        break;
+      case 2:
+        text.insert(at, text.substr(random() % text.size(), 8));
+        break;
+      default:
+        text.resize(at);
+    }
+  }
+  return text;
+}
+
+std::string RandomText(std::mt19937_64& random) {
+  std::string text(random() % kLongest, '\0');
+  for (char& each : text) {
+    each = static_cast<char>(random());
+  }
+  return text;
+}
+
+class a_decoder : public testing::TestWithParam<target> {};
+
+TEST_P(a_decoder, TakesAnyBytes) {
+  std::mt19937_64 random(1);
+  const auto offer = [](const std::string& text) {
+    GetParam().run(
+        {reinterpret_cast<const std::uint8_t*>(text.data()), text.size()});
+  };
+  offer(GetParam().sample);
+  for (int i = 0; i < kInputs; ++i) {
+    offer(Mutate(GetParam().sample, random));
+    offer(RandomText(random));
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(Every,
+                         a_decoder,
+                         testing::ValuesIn(Targets()),
+                         [](const auto& each) { return each.param.name; });
+
+}  // namespace
+}  // namespace auburnfold::fuzz
