--- a/Tests/Scenarios/virtual_cluster.cc
+++ b/Tests/Scenarios/virtual_cluster.cc
@@ -462,7 +462,10 @@
   const connection link = TakeConnection(from, target.index);
   from.attempts[made.attempt] = {
       .call = made.call, .target = target.index, .connection = link.id};
-  Happen(from, attempt_sent{made.attempt, link.id});
+  // No byte is sent where nobody accepts the connection.
+  if (target.is_alive) {
+    Happen(from, attempt_sent{made.attempt, link.id});
+  }
   if (link.is_silent || IsCut(from, target)) {
     return;
   }
