--- a/Tests/Scenarios/run_record.cc
+++ b/Tests/Scenarios/run_record.cc
@@ -95,8 +95,9 @@
     retries += root.retries;
     sends += root.sends;
   }
-  figures["retries_per_root"] = retries / std::max<double>(1, roots_.size());
-  figures["sends_per_root"] = sends / std::max<double>(1, roots_.size());
+  const double roots = std::max(1.0, static_cast<double>(roots_.size()));
+  figures["retries_per_root"] = retries / roots;
+  figures["sends_per_root"] = sends / roots;
   for (const auto& [name, count] : errors_) {
     figures["error_" + name] = static_cast<double>(count);
   }
--- a/Tests/Scenarios/virtual_cluster.cc
+++ b/Tests/Scenarios/virtual_cluster.cc
@@ -312,7 +312,7 @@
   });
 }
 
-void virtual_cluster::ResendFromClient(client_request request,
+void virtual_cluster::ResendFromClient(const client_request& request,
                                        duration retry_after) {
   const duration wait = plan_.has_hard_clients
                             ? plan_.client_backoff
@@ -625,13 +625,14 @@
 
 void virtual_cluster::Do(machine& from, const call_store& made) {
   After(kStoreDelay, [this, &from, made, run = from.run] {
-    store_.Call(made.request, [this, &from, made, run](store_result result) {
-      After(kStoreDelay, [this, &from, made, run, result] {
-        if (from.run == run) {
-          Happen(from, store_answered{made.call, result});
-        }
-      });
-    });
+    store_.Call(made.request,
+                [this, &from, made, run](const store_result& result) {
+                  After(kStoreDelay, [this, &from, made, run, result] {
+                    if (from.run == run) {
+                      Happen(from, store_answered{made.call, result});
+                    }
+                  });
+                });
   });
 }
 
--- a/Tests/Scenarios/virtual_cluster.h
+++ b/Tests/Scenarios/virtual_cluster.h
@@ -114,7 +114,7 @@
 
   void ScheduleArrival(duration at);
   void SendFromClient(client_request request);
-  void ResendFromClient(client_request request, duration retry_after);
+  void ResendFromClient(const client_request& request, duration retry_after);
   void AnswerClient(const journey& travel,
                     const std::string& body,
                     const refuse_call* refusal);
