--- /dev/null
+++ b/Meta/deployment.sh
@@ -0,0 +1,160 @@
+# Sourced by scripts that run a deployment of real processes on this machine.
+# Set `build`, `work` (a scratch folder) and `base_port` first, and call
+# StopAll on exit. Only processes started here are ever ended, by their pid.
+
+host=127.0.0.1
+pids=()
+declare -A pid_of call_port_of admin_port_of endpoint_port_of
+ports_per_node=5 # call, peer, control, admin, and one for its endpoint
+nodes_started=0
+seed_count=${AUBURNFOLD_SEEDS:-3}
+store_port=
+
+# Starts "$@" under the name $1, with its output in $work/$1.log.
+StartProcess() {
+  local name=$1
+  shift
+  "$@" >"$work/$name.log" 2>&1 &
+  pid_of[$name]=$!
+  pids+=("$!")
+}
+
+# Waits until "$@" succeeds; fails after about $1 tenths of a second.
+WaitUntil() {
+  local tries=$1
+  shift
+  while ! "$@" >/dev/null 2>&1; do
+    tries=$((tries - 1))
+    [ "$tries" -gt 0 ] || return 1
+    sleep 0.1
+  done
+}
+
+Fetch() {
+  curl -sf -m 5 "$@"
+}
+
+StartStore() {
+  store_port=$base_port
+  StartProcess store "$build/Tests/StandIns/stand-in-store" --listen "$host:$store_port"
+  WaitUntil 100 Fetch "http://$host:$store_port/test/counts"
+}
+
+NodePort() {
+  echo $((base_port + 1 + ports_per_node * $1))
+}
+
+# The first nodes of the deployment, which every node knows from its settings.
+SeedsJson() {
+  local i
+  for ((i = 0; i < seed_count; i++)); do
+    jq -n --arg host "$host" --argjson port "$(NodePort $i)" \
+      '{host: $host, peer_port: ($port + 1), control_port: ($port + 2)}'
+  done | jq -s -c .
+}
+
+# Starts a node named $1 in failure domain $2.
+StartNode() {
+  local name=$1 domain=$2 port
+  port=$(NodePort $nodes_started)
+  nodes_started=$((nodes_started + 1))
+  call_port_of[$name]=$port
+  admin_port_of[$name]=$((port + 3))
+  [ -n "${seeds:=$(SeedsJson)}" ]
+  jq -n --arg host "$host" --arg domain "$domain" --argjson port "$port" \
+    --argjson seeds "$seeds" --argjson store "${store_port:-null}" \
+    '{host: $host, endpoint_host: $host, domain: $domain, call_port: $port,
+      peer_port: ($port + 1), control_port: ($port + 2), admin_port: ($port + 3),
+      seeds: $seeds}
+     + if $store then {store_host: $host, store_port: $store} else {} end' >"$work/$name.json"
+  RunNode "$name"
+}
+
+# Starts the node named $1 again with the settings it had.
+RunNode() {
+  StartProcess "$1" "$build/Services/auburnfold-node/auburnfold-node" --settings "$work/$1.json"
+}
+
+# Starts an endpoint of service $3 named $1 beside the node named $2; the rest
+# are its options.
+StartEndpoint() {
+  local name=$1 node=$2 service=$3
+  local port=$((call_port_of[$node] + 4))
+  shift 3
+  endpoint_port_of[$name]=$port
+  StartProcess "$name" "$build/Tests/StandIns/stand-in-endpoint" --service "$service" \
+    --listen "$host:$port" --node "$host:${call_port_of[$node]}" "$@"
+}
+
+# Starts $2 endpoints of service $1 with a node each, over $3 failure domains;
+# the rest are options of the endpoints.
+StartService() {
+  local service=$1 count=$2 domains=$3 i
+  shift 3
+  for ((i = 1; i <= count; i++)); do
+    StartNode "$service-$i-node" "domain-$(((i - 1) % domains + 1))"
+    StartEndpoint "$service-$i" "$service-$i-node" "$service" --seed "$i" "$@"
+  done
+}
+
+# One call of service $2 and class $3 through the node named $1.
+CallThrough() {
+  Fetch -X POST -H "Auburnfold-Service: $2" -H "Auburnfold-Class: $3" \
+    -H 'Auburnfold-Timeout-Ms: 2000' -H "Auburnfold-Request-Id: wait-$RANDOM-$RANDOM" \
+    -d wait "http://$host:${call_port_of[$1]}/$3"
+}
+
+# The addresses of all nodes' call ports, as a JSON list.
+NodesJson() {
+  printf '%s\n' "${call_port_of[@]}" | jq -R --arg host "$host" '"\($host):\(.)"' | jq -s -c .
+}
+
+# Waits until every node reaches service $1 with class $2.
+WaitForService() {
+  local name
+  for name in "${!call_port_of[@]}"; do
+    WaitUntil 200 CallThrough "$name" "$1" "$2" || {
+      echo "node $name does not reach $1/$2:" >&2
+      tail -5 "$work/$name.log" >&2
+      return 1
+    }
+  done
+}
+
+# Switches faults $2 (JSON) at the endpoint named $1.
+SetFaults() {
+  Fetch -X PUT -d "$2" "http://$host:${endpoint_port_of[$1]}/test/faults" >/dev/null
+}
+
+# The sum of field $1 over the summaries of the endpoints named by the rest.
+SumRecorded() {
+  local field=$1 name
+  shift
+  for name in "$@"; do
+    Fetch "http://$host:${endpoint_port_of[$name]}/test/summary"
+  done | jq -s --arg field "$field" 'map(.[$field]) | add'
+}
+
+# Ends every process started here and waits for it.
+StopAll() {
+  local pid
+  for pid in "${pids[@]}"; do
+    kill -CONT "$pid" 2>/dev/null || true
+    kill -TERM "$pid" 2>/dev/null || true
+  done
+  for pid in "${pids[@]}"; do
+    # A process that ignores SIGTERM is killed after five seconds.
+    WaitUntil 50 HasEnded "$pid" || kill -KILL "$pid" 2>/dev/null || true
+    wait "$pid" 2>/dev/null || true
+  done
+  pids=()
+  pid_of=()
+  call_port_of=()
+  admin_port_of=()
+  endpoint_port_of=()
+  nodes_started=0
+}
+
+HasEnded() {
+  ! kill -0 "$1" 2>/dev/null || grep -q '^State:	Z' "/proc/$1/status"
+}
--- a/Utilities/auburnfold-load/load_plan.h
+++ b/Utilities/auburnfold-load/load_plan.h
@@ -50,7 +50,7 @@
   /// If above 0, so many callers call in turn and `rate` is unused.
   std::uint32_t callers = 0;
   load_path path = load_path::kNode;
-  /// The end of the last such phase is where recovery is counted from.
+  /// Recovery is counted from its end.
   bool is_surge = false;
 };
 
--- a/Utilities/auburnfold-load/load_report.cc
+++ b/Utilities/auburnfold-load/load_report.cc
@@ -2,7 +2,30 @@
 
 namespace auburnfold {
 
-load_report::load_report(const load_plan& plan) : plan_(plan) {
+namespace {
+
+std::vector<surge_window> SurgesOf(const load_plan& plan) {
+  std::vector<surge_window> surges;
+  std::chrono::milliseconds end{0};
+  for (const load_phase& phase : plan.phases) {
+    if (phase.is_surge && !surges.empty()) {
+      surges.back().until = end;
+    }
+    end += phase.length;
+    if (phase.is_surge) {
+      surges.push_back({phase.name, end, end});
+    }
+  }
+  if (!surges.empty()) {
+    surges.back().until = end;
+  }
+  return surges;
+}
+
+}  // namespace
+
+load_report::load_report(const load_plan& plan)
+    : plan_(plan), surges_(SurgesOf(plan)) {
   const std::size_t classes = plan.classes.size();
   node_.by_class.resize(classes);
   direct_.by_class.resize(classes);
@@ -56,29 +79,15 @@
   return by_second_[second][class_index];
 }
 
-std::optional<std::chrono::milliseconds> load_report::Recovery() const {
-  return RecoveryOf(recovery_);
+std::optional<std::chrono::milliseconds> load_report::Recovery(
+    const surge_window& surge) const {
+  return recovery_.RecoveryAfter(surge.end, surge.until);
 }
 
 std::optional<std::chrono::milliseconds> load_report::Recovery(
+    const surge_window& surge,
     std::size_t class_index) const {
-  return RecoveryOf(recovery_by_class_[class_index]);
-}
-
-std::optional<std::chrono::milliseconds> load_report::RecoveryOf(
-    const recovery_meter& meter) const {
-  std::optional<std::chrono::milliseconds> surge_end;
-  std::chrono::milliseconds end{0};
-  for (const load_phase& phase : plan_.phases) {
-    end += phase.length;
-    if (phase.is_surge) {
-      surge_end = end;
-    }
-  }
-  if (!surge_end) {
-    return std::nullopt;
-  }
-  return meter.RecoveryAfter(*surge_end, end);
+  return recovery_by_class_[class_index].RecoveryAfter(surge.end, surge.until);
 }
 
 }  // namespace auburnfold
--- a/Utilities/auburnfold-load/load_report.h
+++ b/Utilities/auburnfold-load/load_report.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <optional>
+#include <string>
 #include <vector>
 
 #include "auburnfold-load/call_tally.h"
@@ -11,6 +12,14 @@
 
 namespace auburnfold {
 
+/// The end of a surge, and until when recovery from it can show. Times count
+/// from the start of the run.
+struct surge_window {
+  std::string phase;
+  std::chrono::milliseconds end{};
+  std::chrono::milliseconds until{};
+};
+
 /// What came of a run, by class, path, phase and second.
 class load_report {
  public:
@@ -30,10 +39,13 @@
   std::size_t seconds() const { return by_second_.size(); }
   const log_linear_histogram& send_delay() const { return send_delay_; }
 
-  /// Over all classes, or of one class; nothing without a surge phase, or if
-  /// the run ended before recovery.
-  std::optional<std::chrono::milliseconds> Recovery() const;
+  /// The surges of the plan, each with the time until the next one.
+  const std::vector<surge_window>& surges() const { return surges_; }
+  /// Over all classes, or of one class; nothing if the window ended first.
+  std::optional<std::chrono::milliseconds> Recovery(
+      const surge_window& surge) const;
   std::optional<std::chrono::milliseconds> Recovery(
+      const surge_window& surge,
       std::size_t class_index) const;
 
  private:
@@ -44,10 +56,9 @@
   };
 
   const path_tallies& of_path(load_path path) const;
-  std::optional<std::chrono::milliseconds> RecoveryOf(
-      const recovery_meter& meter) const;
 
   const load_plan& plan_;
+  std::vector<surge_window> surges_;
   path_tallies node_;
   path_tallies direct_;
   std::vector<tallies> by_phase_;
--- a/Utilities/auburnfold-load/report_json.cc
+++ b/Utilities/auburnfold-load/report_json.cc
@@ -32,6 +32,21 @@
   return std::chrono::duration<double>(*recovery).count();
 }
 
+// By surge phase, then by class; seconds, or null if it was not seen.
+boost::json::object RecoveriesJson(const load_report& report) {
+  boost::json::object json;
+  for (const surge_window& surge : report.surges()) {
+    boost::json::object classes;
+    for (std::size_t i = 0; i < report.plan().classes.size(); ++i) {
+      classes[report.plan().classes[i].name] =
+          RecoveryJson(report.Recovery(surge, i));
+    }
+    classes["all"] = RecoveryJson(report.Recovery(surge));
+    json[surge.phase] = classes;
+  }
+  return json;
+}
+
 boost::json::object PhaseJson(const load_report& report, std::size_t phase) {
   boost::json::object json;
   json["name"] = report.plan().phases[phase].name;
@@ -61,13 +76,12 @@
   boost::json::object json;
   json["total"] = TallyJson(report.total(load_path::kNode));
   json["direct"] = TallyJson(report.total(load_path::kDirect));
-  json["recovery_s"] = RecoveryJson(report.Recovery());
+  json["recoveries"] = RecoveriesJson(report);
   json["send_delay_p99_ms"] = Milliseconds(report.send_delay().Quantile(0.99));
   boost::json::object classes;
   for (std::size_t i = 0; i < report.plan().classes.size(); ++i) {
-    boost::json::object one = TallyJson(report.of_class(i, load_path::kNode));
-    one["recovery_s"] = RecoveryJson(report.Recovery(i));
-    classes[report.plan().classes[i].name] = one;
+    classes[report.plan().classes[i].name] =
+        TallyJson(report.of_class(i, load_path::kNode));
   }
   json["classes"] = classes;
   boost::json::array phases;
--- a/Utilities/auburnfold-load/report_table.cc
+++ b/Utilities/auburnfold-load/report_table.cc
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr int kNameWidth = 22;
+constexpr int kNameWidth = 24;
 constexpr int kCountWidth = 9;
 constexpr double kMicrosecondsPerMillisecond = 1000.0;
 
@@ -44,14 +44,26 @@
 }
 
 void WriteRecovery(std::ostream& out,
+                   const std::string& name,
                    std::optional<std::chrono::milliseconds> recovery) {
-  if (!recovery) {
-    out << std::setw(kCountWidth) << "-"
-        << "\n";
-    return;
+  out << "  " << std::left << std::setw(kNameWidth) << name << std::right;
+  if (recovery) {
+    out << std::setprecision(2)
+        << std::chrono::duration<double>(*recovery).count() << " s\n";
+  } else {
+    out << "not before the next phase under surge, or the end\n";
+  }
+}
+
+void WriteRecoveries(std::ostream& out, const load_report& report) {
+  for (const surge_window& surge : report.surges()) {
+    out << "recovery after " << surge.phase << "\n";
+    for (std::size_t i = 0; i < report.plan().classes.size(); ++i) {
+      WriteRecovery(out, report.plan().classes[i].name,
+                    report.Recovery(surge, i));
+    }
+    WriteRecovery(out, "all", report.Recovery(surge));
   }
-  out << std::setw(kCountWidth) << std::setprecision(2)
-      << std::chrono::duration<double>(*recovery).count() << "\n";
 }
 
 void WriteSeconds(std::ostream& out, const load_report& report) {
@@ -79,14 +91,15 @@
   for (std::size_t i = 0; i < report.plan().classes.size(); ++i) {
     WriteRow(out, report.plan().classes[i].name,
              report.of_class(i, load_path::kNode));
-    WriteRecovery(out, report.Recovery(i));
+    out << "\n";
   }
   WriteRow(out, "all", report.total(load_path::kNode));
-  WriteRecovery(out, report.Recovery());
+  out << "\n";
   if (report.total(load_path::kDirect).sent() > 0) {
     WriteRow(out, "all, direct", report.total(load_path::kDirect));
-    WriteRecovery(out, std::nullopt);
+    out << "\n";
   }
+  WriteRecoveries(out, report);
   out << "sent late by the load tool itself, p99: "
       << static_cast<double>(report.send_delay().Quantile(0.99).count()) /
              kMicrosecondsPerMillisecond
