--- a/Libraries/LibDecision/Calls/outgoing_calls.cc
+++ b/Libraries/LibDecision/Calls/outgoing_calls.cc
@@ -301,16 +301,16 @@
   if (open.deadline <= now.now()) {
     return false;
   }
-  // The home of a key runs its work once, however often it is sent; if the
-  // home itself answered, it has nothing better to say.
   const bool is_bound_to_home =
       open.facts.key && key_register::HomeOf(*open.facts.key);
   if (is_bound_to_home) {
-    return !result.peer.has_value();
+    // The home runs the work once, however often it is sent; if the home
+    // itself answered, it has nothing better to say.
+    return !result.peer;
   }
-  const bool is_safe = result.ran == run_state::kNotRun || open.is_idempotent;
-  return is_safe && (AnswerFor(*result.error).is_retryable ||
-                     result.ran != run_state::kNotRun);
+  const bool is_not_run = result.ran == run_state::kNotRun;
+  const bool is_safe = is_not_run || open.is_idempotent;
+  return is_safe && (AnswerFor(*result.error).is_retryable || !is_not_run);
 }
 
 bool outgoing_calls::HasRetryLeft(step& now,
--- a/Libraries/LibDecision/Works/incoming_works.cc
+++ b/Libraries/LibDecision/Works/incoming_works.cc
@@ -149,6 +149,9 @@
     const endpoint_reported& report) {
   admission_.OnEndpointReported(now, report);
   const report_effect effect = endpoint_.OnReported(now, report);
+  if (effect != report_effect::kIgnored) {
+    admission_.OnEndpointReported(now, report);
+  }
   if (effect != report_effect::kReplaced) {
     return effect;
   }
