--- a/Libraries/LibDecision/reducer.cc
+++ b/Libraries/LibDecision/reducer.cc
@@ -142,6 +142,12 @@
     }
   }
 
+  void ResumeParents(step& now) {
+    for (const work_id parent : calls.TakeEndedChildren()) {
+      works.OnChildFinished(now, parent);
+    }
+  }
+
   // A silent endpoint is announced as leaving: it may still answer what runs.
   void OnEndpointTimer(step& now) {
     if (works.OnEndpointTimer(now)) {
@@ -164,12 +170,6 @@
     }
   }
 
-  void ResumeParents(step& now) {
-    for (const work_id parent : calls.TakeEndedChildren()) {
-      works.OnChildFinished(now, parent);
-    }
-  }
-
   void Stop(step& now, std::size_t cut_requests) {
     if (!is_stopped) {
       is_stopped = true;
--- a/Tests/Scenarios/virtual_cluster.cc
+++ b/Tests/Scenarios/virtual_cluster.cc
@@ -368,7 +368,7 @@
   });
 }
 
-void virtual_cluster::ResendFromClient(client_request request,
+void virtual_cluster::ResendFromClient(const client_request& request,
                                        duration retry_after) {
   const duration wait = plan_.has_hard_clients
                             ? plan_.client_backoff
@@ -539,7 +539,10 @@
   const connection link = TakeConnection(from, target.index);
   from.attempts[made.attempt] = {
       .call = made.call, .target = target.index, .connection = link.id};
-  Happen(from, attempt_sent{made.attempt, link.id});
+  // No byte is sent where nobody accepts the connection.
+  if (target.is_alive) {
+    Happen(from, attempt_sent{made.attempt, link.id});
+  }
   if (link.is_silent || IsCut(from, target)) {
     return;
   }
@@ -733,13 +736,14 @@
 
 void virtual_cluster::Do(machine& from, const call_store& made) {
   After(kStoreDelay, [this, &from, made, run = from.run] {
-    store_.Call(made.request, [this, &from, made, run](store_result result) {
-      After(kStoreDelay, [this, &from, made, run, result] {
-        if (from.run == run) {
-          Happen(from, store_answered{made.call, result});
-        }
-      });
-    });
+    store_.Call(made.request,
+                [this, &from, made, run](const store_result& result) {
+                  After(kStoreDelay, [this, &from, made, run, result] {
+                    if (from.run == run) {
+                      Happen(from, store_answered{made.call, result});
+                    }
+                  });
+                });
   });
 }
 
