--- /dev/null
+++ b/Utilities/auburnfold-bench/key_register_bench.cc
@@ -0,0 +1,89 @@
+#include <benchmark/benchmark.h>
+#include <malloc.h>
+
+#include <vector>
+
+#include "LibDecision/Once/key_register.h"
+
+namespace auburnfold {
+namespace {
+
+constexpr std::size_t kKeys = 1000;
+
+request_facts Booking() {
+  request_facts facts;
+  facts.service = service_name("bookings");
+  facts.request_class = class_name("book");
+  facts.tenant = tenant_name("parkwiese");
+  return facts;
+}
+
+std::size_t BytesInUse() {
+  return mallinfo2().uordblks;
+}
+
+// The whole life of one key: issued, used, remembered, replayed.
+void LifeOfAKey(benchmark::State& state) {
+  timer_service timers;
+  key_register keys;
+  keys.Start(node_id(1), incarnation(2));
+  instant now{};
+  std::uint64_t work = 0;
+  request_facts facts = Booking();
+  for (auto _ : state) {
+    now += kKeyLife / kKeys;
+    step step_now(now, ++work, timers);
+    facts.key = keys.Issue(step_now, facts);
+    keys.OnWork(step_now, facts, work_id(work));
+    keys.OnFinished(step_now, *facts.key, work_id(work), {.body_size = 64});
+    benchmark::DoNotOptimize(keys.OnWork(step_now, facts, work_id(work + 1)));
+  }
+}
+BENCHMARK(LifeOfAKey);
+
+// A resend of one of many remembered keys.
+void Replay(benchmark::State& state) {
+  timer_service timers;
+  key_register keys;
+  keys.Start(node_id(1), incarnation(2));
+  std::vector<request_facts> sends(kKeys, Booking());
+  for (std::size_t i = 0; i < kKeys; ++i) {
+    step now(instant(), i, timers);
+    sends[i].key = keys.Issue(now, sends[i]);
+    keys.OnWork(now, sends[i], work_id(i));
+    keys.OnFinished(now, *sends[i].key, work_id(i), {.body_size = 64});
+  }
+  std::size_t next = 0;
+  for (auto _ : state) {
+    step now(instant(), 1, timers);
+    benchmark::DoNotOptimize(
+        keys.OnWork(now, sends[next++ % kKeys], work_id(kKeys)));
+  }
+}
+BENCHMARK(Replay);
+
+// What the register itself keeps for 1,000 keys, without the answers.
+void MemoryOf1000Keys(benchmark::State& state) {
+  std::size_t bytes = 0;
+  for (auto _ : state) {
+    timer_service timers;
+    const std::size_t before = BytesInUse();
+    key_register keys;
+    keys.Start(node_id(1), incarnation(2));
+    request_facts facts = Booking();
+    for (std::size_t i = 0; i < kKeys; ++i) {
+      step now(instant(), i, timers);
+      facts.key = keys.Issue(now, facts);
+      keys.OnWork(now, facts, work_id(i));
+    }
+    facts.key.reset();
+    bytes = BytesInUse() - before;
+  }
+  state.counters["bytes"] = static_cast<double>(bytes);
+}
+BENCHMARK(MemoryOf1000Keys);
+
+}  // namespace
+}  // namespace auburnfold
+
+BENCHMARK_MAIN();
