--- a/Tests/Scenarios/virtual_cluster.cc
+++ b/Tests/Scenarios/virtual_cluster.cc
@@ -24,8 +24,10 @@
 
 }  // namespace
 
-virtual_cluster::virtual_cluster(const scenario& plan, std::uint64_t seed)
-    : plan_(plan), random_(seed), record_(plan) {
+virtual_cluster::virtual_cluster(const scenario& plan,
+                                 std::uint64_t seed,
+                                 const node_options& options)
+    : plan_(plan), options_(options), random_(seed), record_(plan) {
   for (const std::string& service : plan.services) {
     for (int i = 0; i < plan.endpoints_per_service; ++i) {
       auto made = std::make_unique<machine>();
@@ -95,7 +97,7 @@
 void virtual_cluster::StartMachine(machine& which) {
   which.is_alive = true;
   ++which.run;
-  which.node.emplace();
+  which.node.emplace(options_);
   node_started self;
   self.node = node_id(which.index + 1);
   self.run = incarnation(which.run);
--- a/Tests/Scenarios/virtual_cluster.h
+++ b/Tests/Scenarios/virtual_cluster.h
@@ -14,6 +14,7 @@
 #include <utility>
 #include <vector>
 
+#include "LibDecision/node_options.h"
 #include "LibDecision/reducer.h"
 #include "fake_endpoint.h"
 #include "fake_store.h"
@@ -26,7 +27,9 @@
 /// virtual time.
 class virtual_cluster {
  public:
-  virtual_cluster(const scenario& plan, std::uint64_t seed);
+  virtual_cluster(const scenario& plan,
+                  std::uint64_t seed,
+                  const node_options& options = {});
   ~virtual_cluster();
 
   /// Runs to the end and returns the figures.
@@ -147,6 +150,7 @@
   void Do(machine& from, const stop_process& made);
 
   const scenario& plan_;
+  const node_options options_;
   std::mt19937_64 random_;
   instant now_{};
   std::uint64_t next_order_ = 0;
