Pressure: Pass levels on without smoothing at each hop

Each hop smoothed the level that it heard and held its peak, so a brief peak anywhere in a chain of 18 refused calls for seconds, and a capacity measured while idle grew without bound. Callers now take the mean of the latest level of each endpoint, the level of deeper services is looked up when an answer is described, and capacity is unknown while nothing is refused.

Conclusion: smooth once, where the level is made.

--- a/Libraries/LibDecision/Calls/outgoing_calls.cc
+++ b/Libraries/LibDecision/Calls/outgoing_calls.cc
@@ -74,21 +74,24 @@
   return arrived.has_parent ? 0 : row.retry_allowance;
 }
 
+service_class outgoing_calls::CalledBy(const call& open) {
+  return {open.facts.service, open.facts.request_class};
+}
+
 bool outgoing_calls::IsRefusedEarly(step& now, const call& open) {
   if (!options_.refuses_early) {
     return false;
   }
-  const std::uint16_t level = pressure_.LevelFor(now.now(), open.facts.service,
-                                                 open.facts.request_class);
+  if (open.parent) {
+    pressure_.OnDeepCall(now.now(), open.parent_class, CalledBy(open));
+  }
+  const std::uint16_t level = pressure_.LevelFor(now.now(), CalledBy(open));
   const rank position =
       RankOf(open.facts.priority.value_or(0), open.facts.root);
   if (Passes(position, level)) {
     return false;
   }
   now.Count(counter::kRefusedEarly);
-  if (open.parent) {
-    pressure_.OnDeepCall(now.now(), open.parent_class, level);
-  }
   return true;
 }
 
@@ -113,11 +116,7 @@
   router_.OnFinished(now, open.tried.back(), result,
                      now.now() - open.attempt_started);
   TakeBackAllowance(open, result);
-  pressure_.OnAnswer(now.now(), open.facts.service, open.facts.request_class,
-                     result);
-  if (open.parent && result.peer) {
-    pressure_.OnDeepCall(now.now(), open.parent_class, result.peer->level);
-  }
+  pressure_.OnAnswer(now.now(), CalledBy(open), open.tried.back(), result);
   if (result.is_whole()) {
     now.Emit(relay_answer{id, finished.attempt, open.allowance});
     return Close(now, id);
@@ -251,8 +250,7 @@
   }
   const bool is_refusing_as_whole =
       IsOverload(*result.error) &&
-      pressure_.RefusesAsWhole(now.now(), open.facts.service,
-                               open.facts.request_class);
+      pressure_.RefusesAsWhole(now.now(), CalledBy(open));
   if (is_refusing_as_whole) {
     now.Count(counter::kRetriesDeniedByPressure);
     return false;
@@ -274,8 +272,7 @@
     case come_back::kSoon:
       return kSoonRetryAfter;
     case come_back::kAfterPressure:
-      return pressure_.RetryAfter(now, open.facts.service,
-                                  open.facts.request_class);
+      return pressure_.RetryAfter(now, CalledBy(open));
   }
   return duration::zero();
 }
--- a/Libraries/LibDecision/Calls/outgoing_calls.h
+++ b/Libraries/LibDecision/Calls/outgoing_calls.h
@@ -74,6 +74,7 @@
   void Close(step& now, call_id id);
   std::uint16_t AllowanceFor(const call_arrived& arrived,
                              const row_settings& row);
+  static service_class CalledBy(const call& open);
   bool IsRefusedEarly(step& now, const call& open);
   void TakeBackAllowance(call& open, const outcome& result) const;
   bool MayRetry(step& now, const call& open, const outcome& result);
--- a/Libraries/LibDecision/Pressure/demand_meter.cc
+++ b/Libraries/LibDecision/Pressure/demand_meter.cc
@@ -110,7 +110,8 @@
 void demand_meter::MeasureCapacity(double seconds, double waiting_share) {
   const double finished = finished_ / seconds;
   if (waiting_share < kSaturatedShare) {
-    capacity_ = std::max(capacity_, finished) * kCapacityGrowth;
+    const bool is_bound = capacity_ > 0 && TotalRate() > capacity_;
+    capacity_ = is_bound ? std::max(capacity_, finished) * kCapacityGrowth : 0;
     return;
   }
   if (capacity_ == 0) {
@@ -120,14 +121,21 @@
   capacity_ += kSmoothing * (finished - capacity_);
 }
 
-void demand_meter::SetLevels() {
+double demand_meter::TotalRate() const {
   double total = 0;
-  for (class_demand& demand : classes_) {
-    demand.level = 0;
+  for (const class_demand& demand : classes_) {
     for (const double rate : demand.rate) {
       total += rate;
     }
   }
+  return total;
+}
+
+void demand_meter::SetLevels() {
+  for (class_demand& demand : classes_) {
+    demand.level = 0;
+  }
+  const double total = TotalRate();
   const double capacity = capacity_ * kOvercommit;
   served_share_ = 1;
   if (capacity <= 0 || total <= capacity) {
--- a/Libraries/LibDecision/Pressure/demand_meter.h
+++ b/Libraries/LibDecision/Pressure/demand_meter.h
@@ -49,6 +49,7 @@
   void RollTo(instant now);
   void CloseWindow(duration length);
   void MeasureCapacity(double seconds, double waiting_share);
+  double TotalRate() const;
   void SetLevels();
   void SetMarginalLevels(std::size_t priority, double capacity);
 
@@ -59,7 +60,7 @@
   bool is_waiting_ = false;
   instant waiting_since_{};
   duration waited_{};
-  /// Requests per second that the endpoint finishes; 0 while unknown.
+  /// Requests per second that the endpoint can finish; 0 while unknown.
   double capacity_ = 0;
   double served_share_ = 1;
 };
--- a/Libraries/LibDecision/Pressure/pressure_memory.cc
+++ b/Libraries/LibDecision/Pressure/pressure_memory.cc
@@ -9,14 +9,16 @@
 
 constexpr duration kFreshFor = std::chrono::milliseconds(200);
 constexpr duration kForgottenAfter = std::chrono::milliseconds(700);
-constexpr double kSmoothing = 0.25;
+constexpr double kRefusedSmoothing = 1.0 / 16;
 constexpr double kRefusesAsWholeShare = 0.3;
 constexpr duration kShortestRetryAfter = std::chrono::milliseconds(100);
 constexpr std::size_t kMostEntries = 4096;
+constexpr std::size_t kMostEndpoints = 32;
+constexpr std::size_t kMostDeepServices = 32;
 
 // 1 for what was just heard, falling to 0 for what is no longer known.
-double Freshness(instant now, instant refreshed) {
-  const duration age = now - refreshed;
+double Freshness(instant now, instant heard) {
+  const duration age = now - heard;
   if (age <= kFreshFor) {
     return 1;
   }
@@ -27,14 +29,6 @@
          static_cast<double>((kForgottenAfter - kFreshFor).count());
 }
 
-std::string KeyOf(const service_name& service,
-                  const class_name& request_class) {
-  std::string key;
-  key.reserve(service.value().size() + request_class.value().size() + 1);
-  key.append(service.value()).push_back('\0');
-  return key.append(request_class.value());
-}
-
 bool IsRefusal(const outcome& result) {
   return result.error == error_kind::kOverloaded ||
          result.error == error_kind::kQueueDeadline ||
@@ -44,53 +38,83 @@
 }  // namespace
 
 void pressure_memory::OnAnswer(instant now,
-                               const service_name& service,
-                               const class_name& request_class,
+                               const service_class& called,
+                               node_id node,
                                const outcome& result) {
   if (!result.peer) {
     return;
   }
-  if (heard_.size() >= kMostEntries) {
+  if (heard_.size() >= kMostEntries && !heard_.contains(called)) {
     heard_.clear();
   }
-  heard_level& heard = heard_[KeyOf(service, request_class)];
-  const double freshness = Freshness(now, heard.refreshed);
-  heard.level *= freshness;
-  heard.refused_share *= freshness;
-  heard.level += kSmoothing * (result.peer->level - heard.level);
+  service_pressure& heard = heard_[called];
   const double refused = IsRefusal(result) ? 1 : 0;
-  heard.refused_share += kSmoothing / 4 * (refused - heard.refused_share);
+  heard.refused_share *= Freshness(now, heard.refreshed);
+  heard.refused_share += kRefusedSmoothing * (refused - heard.refused_share);
   heard.retry_after = result.peer->retry_after;
   heard.refreshed = now;
+  const endpoint_level latest{node, result.peer->level, now};
+  const auto known = std::find_if(
+      heard.levels.begin(), heard.levels.end(),
+      [node](const endpoint_level& each) { return each.node == node; });
+  if (known != heard.levels.end()) {
+    *known = latest;
+    return;
+  }
+  if (heard.levels.size() >= kMostEndpoints) {
+    std::erase_if(heard.levels, [now](const endpoint_level& each) {
+      return now - each.heard >= kForgottenAfter;
+    });
+  }
+  if (heard.levels.size() < kMostEndpoints) {
+    heard.levels.push_back(latest);
+  }
 }
 
 void pressure_memory::OnDeepCall(instant now,
                                  const class_name& own_class,
-                                 std::uint16_t level) {
-  if (deep_.size() >= kMostEntries) {
+                                 const service_class& called) {
+  if (deep_.size() >= kMostEntries && !deep_.contains(own_class)) {
     deep_.clear();
   }
-  heard_level& deep = deep_[own_class];
-  const double known = deep.level * Freshness(now, deep.refreshed);
-  if (level >= known) {
-    deep.level = level;
-    deep.refreshed = now;
-    return;
+  std::vector<deep_service>& services = deep_[own_class];
+  for (deep_service& each : services) {
+    if (each.called == called) {
+      each.called_at = now;
+      return;
+    }
   }
-  // The highest of several services counts, so a lower one moves it slowly.
-  deep.level = known + kSmoothing / 4 * (level - known);
-  deep.refreshed = now;
+  if (services.size() >= kMostDeepServices) {
+    services.erase(std::min_element(
+        services.begin(), services.end(),
+        [](const deep_service& left, const deep_service& right) {
+          return left.called_at < right.called_at;
+        }));
+  }
+  services.push_back({called, now});
 }
 
 std::uint16_t pressure_memory::LevelFor(instant now,
-                                        const service_name& service,
-                                        const class_name& request_class) const {
-  const heard_level* heard = Find(service, request_class);
-  if (heard == nullptr) {
-    return 0;
+                                        const service_class& called) const {
+  const auto found = heard_.find(called);
+  return found == heard_.end() ? 0 : LevelOf(now, found->second);
+}
+
+// The mean of all endpoints, without smoothing over time: the levels are
+// smooth where they are made, and every further filter would delay the
+// recovery of a deep chain once more at each hop.
+std::uint16_t pressure_memory::LevelOf(instant now,
+                                       const service_pressure& pressure) {
+  double sum = 0;
+  double weights = 0;
+  for (const endpoint_level& each : pressure.levels) {
+    const double freshness = Freshness(now, each.heard);
+    if (freshness > 0) {
+      sum += freshness * each.level;
+      weights += 1;
+    }
   }
-  return static_cast<std::uint16_t>(heard->level *
-                                    Freshness(now, heard->refreshed));
+  return weights == 0 ? 0 : static_cast<std::uint16_t>(sum / weights);
 }
 
 std::uint16_t pressure_memory::DeepLevelFor(instant now,
@@ -99,35 +123,32 @@
   if (found == deep_.end()) {
     return 0;
   }
-  return static_cast<std::uint16_t>(found->second.level *
-                                    Freshness(now, found->second.refreshed));
+  std::uint16_t highest = 0;
+  for (const deep_service& each : found->second) {
+    if (now - each.called_at < kForgottenAfter) {
+      highest = std::max(highest, LevelFor(now, each.called));
+    }
+  }
+  return highest;
 }
 
 duration pressure_memory::RetryAfter(step& now,
-                                     const service_name& service,
-                                     const class_name& request_class) const {
-  const heard_level* heard = Find(service, request_class);
-  const duration base = heard == nullptr
-                            ? kShortestRetryAfter
-                            : std::max(heard->retry_after, kShortestRetryAfter);
+                                     const service_class& called) const {
+  const auto found = heard_.find(called);
+  const duration base =
+      found == heard_.end()
+          ? kShortestRetryAfter
+          : std::max(found->second.retry_after, kShortestRetryAfter);
   const double jitter = 0.5 + now.RandomShare();
   return std::chrono::duration_cast<duration>(base * jitter);
 }
 
 bool pressure_memory::RefusesAsWhole(instant now,
-                                     const service_name& service,
-                                     const class_name& request_class) const {
-  const heard_level* heard = Find(service, request_class);
-  return heard != nullptr &&
-         heard->refused_share * Freshness(now, heard->refreshed) >
+                                     const service_class& called) const {
+  const auto found = heard_.find(called);
+  return found != heard_.end() &&
+         found->second.refused_share * Freshness(now, found->second.refreshed) >
              kRefusesAsWholeShare;
 }
 
-const pressure_memory::heard_level* pressure_memory::Find(
-    const service_name& service,
-    const class_name& request_class) const {
-  const auto found = heard_.find(KeyOf(service, request_class));
-  return found == heard_.end() ? nullptr : &found->second;
-}
-
 }  // namespace auburnfold
