Admission: Judge a cut only by requests that started after it

A cut was judged by requests that had waited inside the endpoint before it, so it seemed not to help, and the expected time was raised until a queue of 130 requests at 17 slots counted as free. The time until the first deeper call is now the sample: it is known early, holds the wait for a slot, and requests handed over before the last change are left out. The expected time rises only after a cut that did not help.

--- a/Libraries/LibDecision/Admission/adaptive_limit.cc
+++ b/Libraries/LibDecision/Admission/adaptive_limit.cc
@@ -14,12 +14,13 @@
 constexpr duration kShortestWindow = std::chrono::milliseconds(20);
 constexpr duration kLongestWindow = std::chrono::milliseconds(250);
 constexpr std::uint32_t kFewestSamples = 16;
-constexpr std::uint32_t kSteadySamples = 96;
+constexpr std::uint32_t kSteadySamples = 64;
 /// Own time over expected time from which requests wait in the endpoint.
 constexpr double kTolerance = 1.25;
 constexpr double kSlowStartTolerance = 1.6;
 /// A cut leaves this much over the slots that it deduces.
 constexpr double kHeadroom = 1.1;
+constexpr double kSmoothing = 0.5;
 constexpr double kDeepestCut = 0.6;
 constexpr double kShallowestCut = 0.95;
 constexpr double kGrowth = 1.06;
@@ -50,7 +51,10 @@
   }
 }
 
-double adaptive_limit::OnFinished(instant now, const limit_sample& sample) {
+double adaptive_limit::OnSample(instant now, const limit_sample& sample) {
+  if (sample.started < changed_at_) {
+    return 1;
+  }
   if (seen_.samples + seen_.refusals == 0) {
     seen_.start = now;
   }
@@ -65,7 +69,7 @@
                                ? sample.own_time
                                : sample.expected_time;
   }
-  return WindowIsFull(now) ? CloseWindow() : 1;
+  return WindowIsFull(now) ? CloseWindow(now) : 1;
 }
 
 bool adaptive_limit::WindowIsFull(instant now) const {
@@ -81,7 +85,7 @@
          (elapsed >= kLongestWindow && samples >= kFewestSamples);
 }
 
-double adaptive_limit::CloseWindow() {
+double adaptive_limit::CloseWindow(instant now) {
   double rescale = 1;
   if (seen_.refusals * 10 > seen_.samples) {
     // The endpoint said itself that its slots are full.
@@ -91,6 +95,10 @@
   } else {
     rescale = Adapt(seen_.Inflation());
   }
+  if (phase_ == phase::kVerifyCut || phase_ == phase::kVerifyTotalCut ||
+      phase_ == phase::kProbe) {
+    changed_at_ = now;
+  }
   seen_ = {};
   return rescale;
 }
@@ -124,8 +132,7 @@
     return 1;
   }
   if (!seen_.is_limited && !seen_.is_total_limited) {
-    // Slots are free: the expected time follows what is seen, either way.
-    return std::clamp(inflation, 0.9, 1.05);
+    return std::min(1.0, 1 + (inflation - 1) * kSmoothing);
   }
   if (++windows_since_probe_ >= kWindowsPerProbe) {
     windows_since_probe_ = 0;
@@ -151,7 +158,7 @@
 // for a slot. If not, those that wait for deeper calls may hold the slots.
 double adaptive_limit::VerifyCut(double inflation) {
   phase_ = phase::kSteady;
-  if (inflation <= inflation_before_ * (1 - (1 - cut_) / 2)) {
+  if (HasCutHelped(inflation)) {
     if (inflation > kTolerance) {
       Cut(inflation);
     }
@@ -166,7 +173,7 @@
 // is corrected and the cuts are taken back.
 double adaptive_limit::VerifyTotalCut(double inflation) {
   phase_ = phase::kSteady;
-  if (inflation <= inflation_before_ * (1 - (1 - cut_) / 2)) {
+  if (HasCutHelped(inflation)) {
     if (inflation > kTolerance) {
       CutTotal(inflation);
     }
@@ -176,6 +183,10 @@
   return std::max(1.0, inflation);
 }
 
+bool adaptive_limit::HasCutHelped(double inflation) const {
+  return inflation <= inflation_before_ * (1 - (1 - cut_) / 2);
+}
+
 void adaptive_limit::Cut(double inflation) {
   const double in_use =
       std::min<double>(limit_, std::max(seen_.peak.active, 1U));
--- a/Libraries/LibDecision/Admission/adaptive_limit.h
+++ b/Libraries/LibDecision/Admission/adaptive_limit.h
@@ -8,8 +8,8 @@
 namespace auburnfold {
 
 /// Finds how many requests keep the endpoint's slots full, from how much
-/// longer requests take than with free slots. Time spent waiting for deeper
-/// calls does not count, so a slow deeper service does not lower the limit.
+/// longer requests take, up to their first deeper call, than with free slots.
+/// So a slow deeper service does not lower the limit.
 /// Bounds the active requests, and all requests in case those that wait for
 /// deeper calls keep their slots.
 class adaptive_limit {
@@ -24,7 +24,7 @@
     return static_cast<std::uint32_t>(total_limit_);
   }
   bool has_queue() const { return true; }
-  double OnFinished(instant now, const limit_sample& sample);
+  double OnSample(instant now, const limit_sample& sample);
   void OnLimited(endpoint_occupancy occupancy);
 
  private:
@@ -50,11 +50,12 @@
   };
 
   bool WindowIsFull(instant now) const;
-  double CloseWindow();
+  double CloseWindow(instant now);
   double Adapt(double inflation);
   double AdaptSteadily(double inflation);
   double VerifyCut(double inflation);
   double VerifyTotalCut(double inflation);
+  bool HasCutHelped(double inflation) const;
   void Cut(double inflation);
   void CutTotal(double inflation);
   void Grow();
@@ -69,6 +70,8 @@
   double cut_ = 1;
   std::uint32_t windows_since_probe_ = 0;
   window seen_;
+  /// Requests handed over earlier say nothing about the present limits.
+  instant changed_at_{};
 };
 static_assert(limit_policy<adaptive_limit>);
 
--- a/Libraries/LibDecision/Admission/admission.cc
+++ b/Libraries/LibDecision/Admission/admission.cc
@@ -98,8 +98,7 @@
 
 std::vector<admission_decision> admission::OnFinished(step& now,
                                                       work_id work,
-                                                      const outcome& result,
-                                                      duration own_time) {
+                                                      const outcome& result) {
   const auto found = admitted_.find(work);
   if (found == admitted_.end()) {
     return {};
@@ -108,15 +107,11 @@
   const duration whole_time = now.now() - found->second.started;
   const bool is_refused =
       !result.is_whole() && result.ran == run_state::kNotRun;
-  const limit_sample sample{occupancy_, own_time,
-                            times_.ExpectedOwn(request_class), is_refused};
   if (result.is_whole()) {
-    times_.OnFinished(request_class, own_time, whole_time);
+    times_.OnWhole(request_class, whole_time);
   }
   if (result.is_whole() || is_refused) {
-    times_.Rescale(std::visit(
-        [&](auto& limit) { return limit.OnFinished(now.now(), sample); },
-        limit_));
+    Sample(now.now(), found->second, is_refused);
   }
   demand_.OnFinished(now.now());
   Forget(work);
@@ -140,6 +135,7 @@
   if (found == admitted_.end() || found->second.is_waiting) {
     return {};
   }
+  Sample(now.now(), found->second, false);
   found->second.is_waiting = true;
   --occupancy_.active;
   return FillRoom(now);
@@ -219,6 +215,20 @@
   return {work, std::nullopt};
 }
 
+void admission::Sample(instant now, admitted_work& work, bool is_refused) {
+  if (work.is_sampled) {
+    return;
+  }
+  work.is_sampled = true;
+  const limit_sample sample{occupancy_, work.started, now - work.started,
+                            times_.ExpectedOwn(work.request_class), is_refused};
+  if (!is_refused) {
+    times_.OnOwn(work.request_class, sample.own_time);
+  }
+  times_.Rescale(std::visit(
+      [&](auto& limit) { return limit.OnSample(now, sample); }, limit_));
+}
+
 void admission::Forget(work_id work) {
   const auto found = admitted_.find(work);
   if (found == admitted_.end()) {
--- a/Libraries/LibDecision/Admission/admission.h
+++ b/Libraries/LibDecision/Admission/admission.h
@@ -41,12 +41,10 @@
                                         work_id work,
                                         const request_facts& facts,
                                         const row_settings& settings);
-  /// Admitted work ended. `own_time` is the time it ran, less the time it
-  /// waited for deeper calls.
+  /// Admitted work ended.
   std::vector<admission_decision> OnFinished(step& now,
                                              work_id work,
-                                             const outcome& result,
-                                             duration own_time);
+                                             const outcome& result);
   /// Queued or admitted work is no longer wanted.
   std::vector<admission_decision> OnCancelled(step& now, work_id work);
   /// Admitted work began to wait for a deeper call.
@@ -74,6 +72,8 @@
     class_name request_class;
     instant started;
     bool is_waiting = false;
+    /// The limit has learned from it.
+    bool is_sampled = false;
   };
 
   bool HasRoom(std::uint8_t priority) const;
@@ -87,6 +87,7 @@
                                           const request_facts& facts,
                                           const row_settings& settings);
   std::vector<admission_decision> FillRoom(step& now);
+  void Sample(instant now, admitted_work& work, bool is_refused);
   void Forget(work_id work);
   void ReleaseClass(const class_name& request_class);
   void DropExpired(step& now, std::vector<admission_decision>& decisions);
--- a/Libraries/LibDecision/Admission/fixed_limit.h
+++ b/Libraries/LibDecision/Admission/fixed_limit.h
@@ -21,7 +21,7 @@
   }
   std::uint32_t limit() const { return limit_; }
   bool has_queue() const { return false; }
-  double OnFinished(instant, const limit_sample&) { return 1; }
+  double OnSample(instant, const limit_sample&) { return 1; }
   void OnLimited(endpoint_occupancy) {}
 
  private:
--- a/Libraries/LibDecision/Admission/limit_policy.h
+++ b/Libraries/LibDecision/Admission/limit_policy.h
@@ -16,14 +16,17 @@
   std::uint32_t total = 0;
 };
 
-/// What a limit learns from one request that ended at the endpoint.
+/// What a limit learns from one request, when it calls deeper for the first
+/// time or ends.
 struct limit_sample {
-  /// Just before the request ended.
+  /// Just before.
   endpoint_occupancy occupancy;
-  /// Time at the endpoint, less the wait for deeper calls.
+  /// When the request was handed to the endpoint.
+  instant started;
+  /// Time at the endpoint until then: the wait for a slot and the first work.
   duration own_time{};
-  /// Own time of the same class while the endpoint has free slots; zero while
-  /// it is not known.
+  /// The same for its class while the endpoint has free slots; zero while it
+  /// is not known.
   duration expected_time{};
   /// The endpoint refused it before any work.
   bool is_refused = false;
@@ -42,9 +45,8 @@
   { constant.limit() } -> std::same_as<std::uint32_t>;
   /// Requests wait while there is no room.
   { constant.has_queue() } -> std::same_as<bool>;
-  /// A request ended. Returns the factor by which every expected time is
-  /// to be multiplied.
-  { policy.OnFinished(now, sample) } -> std::same_as<double>;
+  /// Returns the factor by which every expected time is to be multiplied.
+  { policy.OnSample(now, sample) } -> std::same_as<double>;
   /// A request found no room.
   { policy.OnLimited(occupancy) } -> std::same_as<void>;
 };
--- a/Libraries/LibDecision/Admission/service_times.cc
+++ b/Libraries/LibDecision/Admission/service_times.cc
@@ -16,19 +16,23 @@
 // The expected own time is learned from the first samples only; later it is
 // moved by `Rescale` alone, since under load a mean would follow the queue
 // inside the endpoint.
-void service_times::OnFinished(const class_name& request_class,
-                               duration own_time,
-                               duration whole_time) {
-  if (classes_.size() >= kMostClasses && !classes_.contains(request_class)) {
-    classes_.clear();
+void service_times::OnOwn(const class_name& request_class, duration own_time) {
+  class_times& times = TimesOf(request_class);
+  if (times.own_samples >= kLearningSamples) {
+    return;
   }
-  class_times& times = classes_[request_class];
+  ++times.own_samples;
+  times.own_ns += (static_cast<double>(own_time.count()) - times.own_ns) /
+                  times.own_samples;
+}
+
+void service_times::OnWhole(const class_name& request_class,
+                            duration whole_time) {
+  class_times& times = TimesOf(request_class);
   const auto whole = static_cast<double>(whole_time.count());
-  if (times.samples < kLearningSamples) {
-    ++times.samples;
-    times.own_ns +=
-        (static_cast<double>(own_time.count()) - times.own_ns) / times.samples;
-    times.whole_ns += (whole - times.whole_ns) / times.samples;
+  if (times.whole_samples < kLearningSamples) {
+    ++times.whole_samples;
+    times.whole_ns += (whole - times.whole_ns) / times.whole_samples;
     return;
   }
   times.whole_deviation_ns += kSmoothing * (std::abs(whole - times.whole_ns) -
@@ -36,6 +40,14 @@
   times.whole_ns += kSmoothing * (whole - times.whole_ns);
 }
 
+service_times::class_times& service_times::TimesOf(
+    const class_name& request_class) {
+  if (classes_.size() >= kMostClasses && !classes_.contains(request_class)) {
+    classes_.clear();
+  }
+  return classes_[request_class];
+}
+
 void service_times::Rescale(double factor) {
   if (factor == 1) {
     return;
@@ -47,7 +59,7 @@
 
 duration service_times::ExpectedOwn(const class_name& request_class) const {
   const auto found = classes_.find(request_class);
-  if (found == classes_.end() || found->second.samples < kLearningSamples) {
+  if (found == classes_.end() || found->second.own_samples < kLearningSamples) {
     return duration::zero();
   }
   return duration(static_cast<duration::rep>(found->second.own_ns));
@@ -55,7 +67,8 @@
 
 duration service_times::ShortestWhole(const class_name& request_class) const {
   const auto found = classes_.find(request_class);
-  if (found == classes_.end() || found->second.samples < kLearningSamples) {
+  if (found == classes_.end() ||
+      found->second.whole_samples < kLearningSamples) {
     return duration::zero();
   }
   const class_times& times = found->second;
--- a/Libraries/LibDecision/Works/incoming_works.cc
+++ b/Libraries/LibDecision/Works/incoming_works.cc
@@ -93,9 +93,8 @@
     return;
   }
   work& open = found->second;
-  const duration own_time = OwnTimeOf(now.now(), open);
   const std::vector<admission_decision> decisions =
-      admission_.OnFinished(now, finished.work, finished.result, own_time);
+      admission_.OnFinished(now, finished.work, finished.result);
   if (finished.result.is_whole()) {
     if (open.facts.key) {
       keys_.OnFinished(now, *open.facts.key, finished.work, finished.result);
@@ -137,19 +136,17 @@
     return;
   }
   if (found->second.open_children++ == 0) {
-    found->second.children_since = now.now();
     Apply(now, admission_.OnWaiting(now, id));
   }
 }
 
-void incoming_works::OnChildFinished(step& now, work_id id) {
+void incoming_works::OnChildFinished(step&, work_id id) {
   const auto found = works_.find(id);
   if (found == works_.end()) {
     return;
   }
   work& open = found->second;
   if (--open.open_children == 0) {
-    open.waited_for_children += now.now() - open.children_since;
     admission_.OnResumed(id);
   }
 }
@@ -173,7 +170,6 @@
 void incoming_works::Run(step& now, work_id id) {
   work& open = works_.at(id);
   open.is_running = true;
-  open.started = now.now();
   now.Emit(run_work{id, open.deadline - now.now()});
 }
 
@@ -218,12 +214,6 @@
   return facts;
 }
 
-duration incoming_works::OwnTimeOf(instant now, const work& open) const {
-  const duration waiting =
-      open.open_children > 0 ? now - open.children_since : duration::zero();
-  return now - open.started - open.waited_for_children - waiting;
-}
-
 void incoming_works::Close(step&, work_id id) {
   allowance_.Close(id);
   works_.erase(id);
--- a/Libraries/LibDecision/Works/incoming_works.h
+++ b/Libraries/LibDecision/Works/incoming_works.h
@@ -39,7 +39,7 @@
   void OnStopRequested(step& now);
   void OnTimer(step& now, timer_subscription due);
 
-  /// A deeper call of `work` began or ended; its waiting is not own time.
+  /// A deeper call of `work` began or ended; meanwhile it needs no slot.
   void OnChildStarted(step& now, work_id work);
   void OnChildFinished(step& now, work_id work);
 
@@ -51,14 +51,11 @@
   struct work {
     request_facts facts;
     instant arrived;
-    instant started;
     instant deadline;
     bool is_running = false;
     /// Bytes may have reached the endpoint.
     bool is_sent = false;
     std::uint32_t open_children = 0;
-    instant children_since;
-    duration waited_for_children{};
   };
 
   void Apply(step& now, const std::vector<admission_decision>& decisions);
@@ -68,7 +65,6 @@
   answer_facts DescribeAnswer(const step& now,
                               const work& open,
                               std::uint16_t allowance) const;
-  duration OwnTimeOf(instant now, const work& open) const;
   void Close(step& now, work_id id);
 
   const table& rows_;
