--- a/Libraries/LibDecision/Works/incoming_works.h
+++ b/Libraries/LibDecision/Works/incoming_works.h
@@ -49,7 +49,7 @@
   /// The works that ended since the last call.
   std::vector<work_id> TakeEnded();
 
-  /// A deeper call of `work` began or ended; its waiting is not own time.
+  /// A deeper call of `work` began or ended; meanwhile it needs no slot.
   void OnChildStarted(step& now, work_id work);
   void OnChildFinished(step& now, work_id work);
 
@@ -62,7 +62,6 @@
   struct work {
     request_facts facts;
     instant arrived;
-    instant started;
     instant deadline;
     bool is_running = false;
     /// Bytes may have reached the endpoint.
@@ -72,8 +71,6 @@
     /// The key in `facts` is recorded as in progress for this work.
     bool holds_key = false;
     std::uint32_t open_children = 0;
-    instant children_since;
-    duration waited_for_children{};
   };
 
   std::optional<error_kind> RefusalFor(const work_arrived& arrived) const;
@@ -89,7 +86,6 @@
   answer_facts DescribeAnswer(const step& now,
                               const work& open,
                               std::uint16_t allowance) const;
-  duration OwnTimeOf(instant now, const work& open) const;
   void Close(step& now, work_id id);
 
   const table& rows_;
