LibRuntime: Test a node with real bytes and tell interim answers by number

They found that an interim answer which Beast has no name for (103) was relayed as the whole one; it is now told by its number.

--- a/Libraries/LibRuntime/admin_side.cc
+++ b/Libraries/LibRuntime/admin_side.cc
@@ -19,7 +19,7 @@
     : sink_(std::move(sink)), metrics_text_(std::move(metrics_text)) {}
 
 void admin_side::OnRequest(const std::shared_ptr<server_session>& session,
-                           http_request request) {
+                           const http_request& request) {
   const std::string_view target = request.target();
   if (target == "/metrics") {
     return session->Answer(
--- a/Libraries/LibRuntime/admin_side.h
+++ b/Libraries/LibRuntime/admin_side.h
@@ -21,7 +21,7 @@
 
   void SetHandler(admin_handler handler) { handler_ = std::move(handler); }
   void OnRequest(const std::shared_ptr<server_session>& session,
-                 http_request request);
+                 const http_request& request);
   /// From now on the node does not count as ready.
   void OnStopRequested() { is_stopping_ = true; }
 
--- a/Libraries/LibRuntime/client_connection.cc
+++ b/Libraries/LibRuntime/client_connection.cc
@@ -11,6 +11,7 @@
 // Shorter than the idle limit of server_session; see there.
 constexpr std::chrono::seconds kIdleLimit{45};
 constexpr std::chrono::seconds kConnectLimit{2};
+constexpr unsigned kFirstFinalStatus = 200;
 
 }  // namespace
 
@@ -155,8 +156,8 @@
   if (!parser_->is_done()) {
     return Read();
   }
-  const bool is_interim = http::to_status_class(parser_->get().result()) ==
-                          http::status_class::informational;
+  // By number: Beast has no name for some of them, as 103.
+  const bool is_interim = parser_->get().result_int() < kFirstFinalStatus;
   if (is_interim) {
     PrepareParser();
     return buffer_.size() > 0 ? Parse() : Read();
--- a/Libraries/LibRuntime/node_runtime.cc
+++ b/Libraries/LibRuntime/node_runtime.cc
@@ -26,6 +26,8 @@
 
 namespace {
 
+using session_pointer = std::shared_ptr<server_session>;
+
 constexpr std::chrono::seconds kSweepInterval{1};
 constexpr std::string_view kEndpointTarget = "/auburnfold/v1/endpoint";
 constexpr std::string_view kKeysTarget = "/auburnfold/v1/keys";
@@ -152,19 +154,21 @@
           },
           metrics),
       call_listener(io,
-                    HandlersFor([this](const auto& session, http_request read) {
+                    HandlersFor([this](const session_pointer& session,
+                                       http_request read) {
                       OnCallPort(session, std::move(read));
                     })),
       peer_listener(io,
-                    HandlersFor([this](const auto& session, http_request read) {
+                    HandlersFor([this](const session_pointer& session,
+                                       http_request read) {
                       last_request = std::chrono::steady_clock::now();
                       works.OnWork(session, std::move(read));
                     })),
-      admin_listener(
-          io,
-          HandlersFor([this](const auto& session, http_request read) {
-            admin.OnRequest(session, std::move(read));
-          })),
+      admin_listener(io,
+                     HandlersFor([this](const session_pointer& session,
+                                        const http_request& read) {
+                       admin.OnRequest(session, read);
+                     })),
       wake_timer(io, [this] { sink(time_passed{}); }),
       sweep_timer(io),
       stop_timer(io),
--- a/Services/auburnfold-node/main.cc
+++ b/Services/auburnfold-node/main.cc
@@ -10,8 +10,11 @@
 #include <csignal>
 #include <iostream>
 #include <memory>
+#include <optional>
 #include <string>
+#include <utility>
 
+#include "LibPlatform/store_client.h"
 #include "LibRuntime/node_runtime.h"
 #include "LibRuntime/node_settings.h"
 
@@ -56,6 +59,15 @@
 leaf::result<int> Serve(const node_settings& settings) {
   boost::asio::io_context io(1);
   node_runtime node(io, settings);
+  std::optional<store_client> store;
+  if (!settings.store_host.empty()) {
+    store.emplace(io.get_executor(),
+                  store_address{settings.store_host, settings.store_port});
+    node.SetStoreCaller(
+        [&store](const store_request& request, store_answer_handler done) {
+          store->Call(request, std::move(done));
+        });
+  }
   boost::asio::signal_set signals(io, SIGTERM, SIGINT);
   signals.async_wait([&node](boost::system::error_code error, int) {
     if (!error) {
--- /dev/null
+++ b/Tests/LibRuntime/headers_test.cc
@@ -0,0 +1,116 @@
+#include "LibRuntime/headers.h"
+
+#include <gtest/gtest.h>
+
+#include "LibRuntime/hexadecimal.h"
+#include "LibRuntime/parent_token.h"
+
+namespace auburnfold {
+namespace {
+
+using namespace std::chrono_literals;
+
+request_facts Facts() {
+  request_facts facts;
+  facts.root = request_id("root-1");
+  facts.service = service_name("faults");
+  facts.request_class = class_name("alert");
+  facts.tenant = tenant_name("cardiff");
+  facts.time_left = 250ms;
+  facts.allowance = 2;
+  facts.client_attempt = 3;
+  facts.depth = 17;
+  facts.priority = std::uint8_t{7};
+  facts.purpose = request_purpose::kIssueKey;
+  return facts;
+}
+
+TEST(TheHeadersOfAForwardedRequest, GiveItsFactsBack) {
+  http::fields headers;
+  WriteForwardedHeaders(headers, Facts(), node_id(0xab), incarnation(9));
+  headers.set(http::field::host, "test");
+  headers.set("Idempotency-Key", "key-1");
+  const auto read = ReadForwardedHeaders(headers);
+  ASSERT_TRUE(read);
+  const request_facts& facts = read->facts;
+  EXPECT_EQ(read->from, node_id(0xab));
+  EXPECT_EQ(read->expected_run, incarnation(9));
+  EXPECT_EQ(facts.root, Facts().root);
+  EXPECT_EQ(facts.service, Facts().service);
+  EXPECT_EQ(facts.request_class, Facts().request_class);
+  EXPECT_EQ(facts.tenant, Facts().tenant);
+  EXPECT_EQ(facts.time_left, Facts().time_left);
+  EXPECT_EQ(facts.allowance, Facts().allowance);
+  EXPECT_EQ(facts.client_attempt, Facts().client_attempt);
+  EXPECT_EQ(facts.depth, Facts().depth);
+  EXPECT_EQ(facts.priority, Facts().priority);
+  EXPECT_EQ(facts.key, idempotency_key("key-1"));
+  EXPECT_EQ(facts.purpose, request_purpose::kIssueKey);
+}
+
+TEST(TheHeadersOfAForwardedRequest, NeverPromiseMoreTimeThanThereIs) {
+  http::fields headers;
+  request_facts facts = Facts();
+  facts.time_left = 2ms - 1ns;
+  WriteForwardedHeaders(headers, facts, node_id(1), incarnation(1));
+  EXPECT_EQ(headers["Auburnfold-Timeout-Ms"], "1");
+}
+
+TEST(AnAnswerOfAPeer, GivesItsFactsBack) {
+  http_response response;
+  const answer_facts sent{.level = 5,
+                          .allowance_left = 1,
+                          .in_flight = 170,
+                          .retry_after = 1500ms,
+                          .is_cold = true};
+  WriteAnswerFacts(response, sent);
+  response.set("Auburnfold-Result", "overloaded");
+  response.set("Auburnfold-Ran", "not-run");
+  const outcome read = ReadPeerOutcome(response);
+  EXPECT_EQ(read.error, error_kind::kOverloaded);
+  EXPECT_EQ(read.ran, run_state::kNotRun);
+  ASSERT_TRUE(read.peer);
+  EXPECT_EQ(read.peer->level, sent.level);
+  EXPECT_EQ(read.peer->allowance_left, sent.allowance_left);
+  EXPECT_EQ(read.peer->in_flight, sent.in_flight);
+  EXPECT_EQ(read.peer->retry_after, sent.retry_after);
+  EXPECT_EQ(read.peer->is_cold, sent.is_cold);
+}
+
+TEST(AnAnswerOfAPeer, IsUnknownIfItsRunStateIsMissingOrStrange) {
+  http_response response;
+  response.set("Auburnfold-Result", "overloaded");
+  EXPECT_EQ(ReadPeerOutcome(response).ran, run_state::kUnknown);
+  response.set("Auburnfold-Ran", "perhaps");
+  EXPECT_EQ(ReadPeerOutcome(response).ran, run_state::kUnknown);
+  response.set("Auburnfold-Result", "no-such-kind");
+  EXPECT_EQ(ReadPeerOutcome(response).error, error_kind::kInternal);
+}
+
+TEST(AParentToken, IsReadOnlyAsItWasWritten) {
+  const parent_token token{node_id(~0ULL), incarnation(2), work_id(3)};
+  const std::string text = token.Text();
+  const auto read = parent_token::Parse(text);
+  ASSERT_TRUE(read);
+  EXPECT_EQ(read->node, token.node);
+  EXPECT_EQ(read->run, token.run);
+  EXPECT_EQ(read->work, token.work);
+  EXPECT_FALSE(parent_token::Parse(text.substr(1)));
+  EXPECT_FALSE(parent_token::Parse(text + "0"));
+  EXPECT_FALSE(parent_token::Parse(std::string(text.size(), 'x')));
+  EXPECT_FALSE(parent_token::Parse(""));
+}
+
+TEST(Numbers, AreReadOnlyWhole) {
+  EXPECT_EQ(FromDecimal("18446744073709551615"), ~0ULL);
+  for (const char* text :
+       {"", "18446744073709551616", "-1", "+1", " 1", "1 "}) {
+    EXPECT_FALSE(FromDecimal(text)) << text;
+  }
+  EXPECT_EQ(FromHexadecimal("fF"), 255U);
+  EXPECT_FALSE(FromHexadecimal("0x1"));
+  EXPECT_EQ(ToHexadecimal(0xab), "00000000000000ab");
+}
+
+}  // namespace
+}  // namespace auburnfold
--- /dev/null
+++ b/Tests/LibRuntime/running_node.cc
@@ -0,0 +1,131 @@
+#include "running_node.h"
+
+#include <gtest/gtest.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/leaf/handle_errors.hpp>
+#include <sstream>
+#include <thread>
+
+#include "LibRuntime/nng_sender.h"
+#include "LibRuntime/node_runtime.h"
+#include "LibWire/cbor_codec.h"
+#include "raw_client.h"
+
+namespace auburnfold::testing_support {
+
+node_settings LoopbackSettings() {
+  node_settings settings;
+  settings.node = node_id(1);
+  settings.host = "127.0.0.1";
+  settings.domain = domain_name("a");
+  settings.stop_linger = std::chrono::milliseconds(0);
+  return settings;
+}
+
+struct running_node::parts {
+  explicit parts(const node_settings& settings) : node(io, settings) {
+    node.SetStoppedHandler([this] { io.stop(); });
+    is_started = leaf::try_handle_all(
+        [this]() -> leaf::result<bool> {
+          BOOST_LEAF_CHECK(node.Start());
+          return true;
+        },
+        [] { return false; });
+    thread = std::thread([this] { io.run(); });
+    control = std::make_unique<nng_sender>("127.0.0.1", node.control_port());
+  }
+
+  boost::asio::io_context io{1};
+  node_runtime node;
+  std::thread thread;
+  std::unique_ptr<nng_sender> control;
+  bool is_started = false;
+};
+
+running_node::running_node(const node_settings& settings)
+    : parts_(std::make_unique<parts>(settings)) {
+  EXPECT_TRUE(parts_->is_started);
+}
+
+running_node::~running_node() {
+  parts_->io.stop();
+  if (parts_->thread.joinable()) {
+    parts_->thread.join();
+  }
+}
+
+std::uint16_t running_node::call_port() const {
+  return parts_->node.call_port();
+}
+std::uint16_t running_node::peer_port() const {
+  return parts_->node.peer_port();
+}
+std::uint16_t running_node::control_port() const {
+  return parts_->node.control_port();
+}
+std::uint16_t running_node::admin_port() const {
+  return parts_->node.admin_port();
+}
+
+void running_node::Announce(const std::string& service,
+                            std::uint16_t port,
+                            const std::string& state) {
+  const std::string body = R"({"service":")" + service +
+                           R"(","run":1,"state":")" + state + R"(","port":)" +
+                           std::to_string(port) + "}";
+  const read_answer answer = raw_client::Exchange(
+      call_port(),
+      "PUT /auburnfold/v1/endpoint HTTP/1.1\r\nHost: test\r\nContent-Length: " +
+          std::to_string(body.size()) + "\r\n\r\n" + body);
+  EXPECT_EQ(answer.status, 200U);
+}
+
+void running_node::AnnouncePeer(const std::string& service,
+                                std::uint16_t port) {
+  member_record peer;
+  peer.node = node_id(99);
+  peer.run = incarnation(1);
+  peer.version = 1;
+  peer.address = {"127.0.0.1", port, 1};
+  peer.service = service_name(service);
+  const double received = Metric("auburnfold_control_messages_received_total");
+  SendControl(cbor_codec::Encode(
+      {peer.node, peer.run, peer.address, member_update{{peer}}}));
+  WaitForMetric("auburnfold_control_messages_received_total", received + 1);
+}
+
+void running_node::SendControl(const std::vector<std::uint8_t>& bytes) {
+  EXPECT_TRUE(parts_->control->Send(bytes));
+}
+
+double running_node::Metric(const std::string& name) const {
+  std::istringstream text(
+      raw_client::Exchange(admin_port(),
+                           "GET /metrics HTTP/1.1\r\nHost: test\r\n\r\n")
+          .body);
+  for (std::string line; std::getline(text, line);) {
+    if (line.starts_with(name + " ")) {
+      return std::stod(line.substr(name.size() + 1));
+    }
+  }
+  return 0;
+}
+
+void running_node::WaitForMetric(const std::string& name, double value) const {
+  while (Metric(name) < value) {
+    std::this_thread::yield();
+  }
+}
+
+void running_node::Stop() {
+  boost::asio::post(parts_->io, [this] { parts_->node.Stop(); });
+}
+
+std::uint64_t running_node::WaitUntilStopped() {
+  parts_->thread.join();
+  return parts_->node.cut_requests();
+}
+
+}  // namespace auburnfold::testing_support
--- /dev/null
+++ b/Tests/LibRuntime/running_node.h
@@ -0,0 +1,53 @@
+#ifndef TESTS_LIBRUNTIME_RUNNING_NODE_H_
+#define TESTS_LIBRUNTIME_RUNNING_NODE_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "LibDecision/peer_message.h"
+#include "LibRuntime/node_settings.h"
+
+namespace auburnfold::testing_support {
+
+/// Settings with any free ports on loopback.
+node_settings LoopbackSettings();
+
+/// A node in this process, on a thread of its own.
+class running_node {
+ public:
+  explicit running_node(const node_settings& settings = LoopbackSettings());
+  ~running_node();
+
+  std::uint16_t call_port() const;
+  std::uint16_t peer_port() const;
+  std::uint16_t control_port() const;
+  std::uint16_t admin_port() const;
+
+  /// Announces an endpoint at `port`, as the endpoint itself would.
+  void Announce(const std::string& service,
+                std::uint16_t port,
+                const std::string& state = "ready");
+  /// Makes the node believe in another node that serves `service` at `port`,
+  /// and waits until it does.
+  void AnnouncePeer(const std::string& service, std::uint16_t port);
+  /// Sends bytes to the control port.
+  void SendControl(const std::vector<std::uint8_t>& bytes);
+
+  /// The value of a metric, labels included in `name`; 0 if it is absent.
+  double Metric(const std::string& name) const;
+  /// Asks until the metric has at least this value.
+  void WaitForMetric(const std::string& name, double value) const;
+
+  void Stop();
+  /// Waits for the end of a stop; returns the requests that it cut.
+  std::uint64_t WaitUntilStopped();
+
+ private:
+  struct parts;
+  std::unique_ptr<parts> parts_;
+};
+
+}  // namespace auburnfold::testing_support
+
+#endif  // TESTS_LIBRUNTIME_RUNNING_NODE_H_
--- a/Tests/LibWire/codec_test.cc
+++ b/Tests/LibWire/codec_test.cc
@@ -67,12 +67,12 @@
 }
 
 template <class codec>
-class ACodec : public testing::Test {};
+class a_codec : public testing::Test {};
 
 using codecs = testing::Types<cbor_codec, json_codec>;
-TYPED_TEST_SUITE(ACodec, codecs);
+TYPED_TEST_SUITE(a_codec, codecs);
 
-TYPED_TEST(ACodec, GivesEveryKindOfMessageBack) {
+TYPED_TEST(a_codec, GivesEveryKindOfMessageBack) {
   for (const peer_message& message : EveryKind()) {
     const decoded read = Decode<TypeParam>(TypeParam::Encode(message));
     ASSERT_TRUE(read.message) << "content " << message.content.index();
@@ -84,7 +84,7 @@
   }
 }
 
-TYPED_TEST(ACodec, KeepsEachFieldOfRecordsAndRows) {
+TYPED_TEST(a_codec, KeepsEachFieldOfRecordsAndRows) {
   const decoded members =
       Decode<TypeParam>(TypeParam::Encode(With(member_update{{Record()}})));
   EXPECT_EQ(std::get<member_update>(members.message->content).records,
@@ -95,7 +95,7 @@
             std::vector{Row()});
 }
 
-TYPED_TEST(ACodec, RefusesEveryTruncatedMessage) {
+TYPED_TEST(a_codec, RefusesEveryTruncatedMessage) {
   for (const peer_message& message : EveryKind()) {
     const wire_bytes bytes = TypeParam::Encode(message);
     for (std::size_t length = 0; length < bytes.size(); ++length) {
@@ -105,7 +105,7 @@
   }
 }
 
-TYPED_TEST(ACodec, ReadsOrRefusesEveryMessageWithOneChangedByte) {
+TYPED_TEST(a_codec, ReadsOrRefusesEveryMessageWithOneChangedByte) {
   for (const peer_message& message : EveryKind()) {
     wire_bytes bytes = TypeParam::Encode(message);
     for (std::uint8_t& byte : bytes) {
@@ -120,13 +120,13 @@
   }
 }
 
-TYPED_TEST(ACodec, RefusesBytesAfterTheMessage) {
+TYPED_TEST(a_codec, RefusesBytesAfterTheMessage) {
   wire_bytes bytes = TypeParam::Encode(With(heartbeat{}));
   bytes.push_back('1');
   EXPECT_EQ(Decode<TypeParam>(bytes).error, wire_error::kMalformed);
 }
 
-TYPED_TEST(ACodec, RefusesTooManyBytesUnread) {
+TYPED_TEST(a_codec, RefusesTooManyBytesUnread) {
   EXPECT_EQ(Decode<TypeParam>(wire_bytes(kMessageLimitBytes + 1)).error,
             wire_error::kTooLarge);
 }
