LibClient: Add a client that resends only what may be sent again

A synchronous client on Asio and Beast for one thread. It keeps a connection to each node, sends a call with its service, class, tenant and the time left, and obtains idempotency keys. Sends of one call are bounded in number and by the call's timeout, carry the same request id and key, and wait as long as the node says. Work that is not idempotent and has no key is never sent again once its outcome is unknown; an answer that does not say where it ends counts as truncated.

The header names move to LibWire, where both LibRuntime and LibClient see them.

--- /dev/null
+++ b/Libraries/LibClient/node_connection.h
@@ -0,0 +1,43 @@
+#ifndef LIBCLIENT_NODE_CONNECTION_H_
+#define LIBCLIENT_NODE_CONNECTION_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <chrono>
+
+#include "LibClient/client.h"
+
+namespace auburnfold {
+
+/// A connection to one node, opened when needed and kept between calls.
+class node_connection {
+ public:
+  using clock = std::chrono::steady_clock;
+  using request_type =
+      boost::beast::http::request<boost::beast::http::string_body>;
+
+  node_connection(boost::asio::io_context& io, call_address address);
+
+  /// Sends `request` and waits for its answer until `deadline`.
+  client_answer Exchange(const request_type& request,
+                         clock::time_point deadline);
+
+ private:
+  bool Connect(clock::time_point deadline);
+  bool IsUsable();
+  client_answer Send(const request_type& request, clock::time_point deadline);
+  /// Runs the one pending operation to its end.
+  void Run();
+
+  boost::asio::io_context& io_;
+  call_address address_;
+  boost::beast::tcp_stream stream_;
+  clock::time_point last_used_;
+  bool is_connected_ = false;
+};
+
+}  // namespace auburnfold
+
+#endif  // LIBCLIENT_NODE_CONNECTION_H_
--- /dev/null
+++ b/Libraries/LibClient/resend_policy.cc
@@ -0,0 +1,31 @@
+#include "LibClient/resend_policy.h"
+
+namespace auburnfold {
+
+namespace {
+
+constexpr std::chrono::milliseconds kAfterUnknown{50};
+
+}  // namespace
+
+std::optional<std::chrono::milliseconds> WaitBeforeResend(
+    const client_call& call,
+    const client_answer& answer) {
+  if (answer.is_whole()) {
+    return std::nullopt;
+  }
+  switch (answer.ran) {
+    case run_state::kNotRun:
+      return answer.retry_after;
+    case run_state::kUnknown:
+      if (call.is_idempotent || call.key) {
+        return answer.retry_after.value_or(kAfterUnknown);
+      }
+      return std::nullopt;
+    case run_state::kRan:
+      return std::nullopt;
+  }
+  return std::nullopt;
+}
+
+}  // namespace auburnfold
--- /dev/null
+++ b/Libraries/LibClient/resend_policy.h
@@ -0,0 +1,20 @@
+#ifndef LIBCLIENT_RESEND_POLICY_H_
+#define LIBCLIENT_RESEND_POLICY_H_
+
+#include <chrono>
+#include <optional>
+
+#include "LibClient/client_answer.h"
+#include "LibClient/client_call.h"
+
+namespace auburnfold {
+
+/// The wait before `call` may be sent again after a send ended as `answer`, or
+/// nothing if it must not be.
+std::optional<std::chrono::milliseconds> WaitBeforeResend(
+    const client_call& call,
+    const client_answer& answer);
+
+}  // namespace auburnfold
+
+#endif  // LIBCLIENT_RESEND_POLICY_H_
--- a/Libraries/LibRuntime/answers.cc
+++ b/Libraries/LibRuntime/answers.cc
@@ -3,7 +3,7 @@
 #include <chrono>
 #include <utility>
 
-#include "LibRuntime/header_names.h"
+#include "LibWire/header_names.h"
 
 namespace auburnfold {
 
--- a/Libraries/LibRuntime/call_side.cc
+++ b/Libraries/LibRuntime/call_side.cc
@@ -7,11 +7,11 @@
 #include <vector>
 
 #include "LibRuntime/answers.h"
-#include "LibRuntime/header_names.h"
 #include "LibRuntime/headers.h"
 #include "LibRuntime/hexadecimal.h"
 #include "LibRuntime/parent_token.h"
 #include "LibRuntime/work_side.h"
+#include "LibWire/header_names.h"
 
 namespace auburnfold {
 
--- a/Libraries/LibRuntime/headers.cc
+++ b/Libraries/LibRuntime/headers.cc
@@ -8,8 +8,8 @@
 #include <limits>
 #include <vector>
 
-#include "LibRuntime/header_names.h"
 #include "LibRuntime/hexadecimal.h"
+#include "LibWire/header_names.h"
 
 namespace auburnfold {
 
--- a/Libraries/LibRuntime/work_side.cc
+++ b/Libraries/LibRuntime/work_side.cc
@@ -5,9 +5,9 @@
 #include <utility>
 
 #include "LibRuntime/answers.h"
-#include "LibRuntime/header_names.h"
 #include "LibRuntime/headers.h"
 #include "LibRuntime/parent_token.h"
+#include "LibWire/header_names.h"
 
 namespace auburnfold {
 
--- a/Libraries/LibRuntime/header_names.h
+++ b/Libraries/LibWire/header_names.h
@@ -1,5 +1,5 @@
-#ifndef LIBRUNTIME_HEADER_NAMES_H_
-#define LIBRUNTIME_HEADER_NAMES_H_
+#ifndef LIBWIRE_HEADER_NAMES_H_
+#define LIBWIRE_HEADER_NAMES_H_
 
 #include <string_view>
 
@@ -38,4 +38,4 @@
 
 }  // namespace auburnfold
 
-#endif  // LIBRUNTIME_HEADER_NAMES_H_
+#endif  // LIBWIRE_HEADER_NAMES_H_
