--- a/Libraries/LibRuntime/node_runtime.cc
+++ b/Libraries/LibRuntime/node_runtime.cc
@@ -403,6 +403,10 @@
   return parts_->MetricsText();
 }
 
+incarnation node_runtime::run() const {
+  return parts_->self.run;
+}
+
 std::uint16_t node_runtime::call_port() const {
   return parts_->call_listener.port();
 }
--- a/Libraries/LibRuntime/node_runtime.h
+++ b/Libraries/LibRuntime/node_runtime.h
@@ -49,6 +49,9 @@
   /// All figures in the Prometheus text format.
   std::string MetricsText() const;
 
+  /// Which run of the node this is.
+  incarnation run() const;
+
   /// Ports that were taken where the settings say 0.
   std::uint16_t call_port() const;
   std::uint16_t peer_port() const;
--- a/Tests/LibClient/client_test.cc
+++ b/Tests/LibClient/client_test.cc
@@ -26,7 +26,7 @@
     404,
     "Auburnfold-Result: unknown-service\r\nAuburnfold-Ran: not-run\r\n");
 
-class AClient : public testing::Test {
+class a_client : public testing::Test {
  protected:
   void Use(const std::vector<const fake_node*>& nodes) {
     client_options options;
@@ -60,9 +60,9 @@
   std::vector<std::chrono::milliseconds> waits_;
 };
 
-class AWholeAnswer : public AClient {};
+class a_whole_answer : public a_client {};
 
-TEST_F(AWholeAnswer, IsGivenWithItsHeadersAfterOneSend) {
+TEST_F(a_whole_answer, IsGivenWithItsHeadersAfterOneSend) {
   const fake_node node({kWhole});
   Use({&node});
   const client_answer answer = CallOnce();
@@ -79,7 +79,7 @@
   EXPECT_EQ(request.find("Auburnfold-Attempt"), std::string::npos);
 }
 
-TEST_F(AWholeAnswer, LeavesItsConnectionForTheNextCall) {
+TEST_F(a_whole_answer, LeavesItsConnectionForTheNextCall) {
   const fake_node node({kWhole, kWhole});
   Use({&node});
   CallOnce();
@@ -87,9 +87,9 @@
   EXPECT_EQ(node.connections(), 1);
 }
 
-class ARefusal : public AClient {};
+class a_refusal : public a_client {};
 
-TEST_F(ARefusal, IsFollowedByAResendThroughAnotherNodeAfterTheNamedTime) {
+TEST_F(a_refusal, IsFollowedByAResendThroughAnotherNodeAfterTheNamedTime) {
   const fake_node first({kOverloaded});
   const fake_node second({kWhole});
   Use({&first, &second});
@@ -100,7 +100,7 @@
   EXPECT_TRUE(Has(second.requests().at(0), "Auburnfold-Attempt: 2"));
 }
 
-TEST_F(ARefusal, IsFollowedByNoMoreSendsThanTheOptionsAllow) {
+TEST_F(a_refusal, IsFollowedByNoMoreSendsThanTheOptionsAllow) {
   const fake_node node({kOverloaded, kOverloaded, kOverloaded, kWhole});
   Use({&node});
   const client_answer answer = CallOnce();
@@ -111,7 +111,7 @@
   EXPECT_EQ(node.requests().size(), 3U);
 }
 
-TEST_F(ARefusal, IsFinalIfNoTimeToComeBackIsNamed) {
+TEST_F(a_refusal, IsFinalIfNoTimeToComeBackIsNamed) {
   const fake_node node({kUnknownService, kWhole});
   Use({&node});
   const client_answer answer = CallOnce(true);
@@ -120,7 +120,7 @@
   EXPECT_TRUE(waits_.empty());
 }
 
-TEST_F(ARefusal, IsFinalIfTheNamedTimeIsAfterTheDeadline) {
+TEST_F(a_refusal, IsFinalIfTheNamedTimeIsAfterTheDeadline) {
   const fake_node node({NodeAnswer(503,
                                    "Auburnfold-Result: overloaded\r\n"
                                    "Auburnfold-Ran: not-run\r\n"
@@ -131,9 +131,9 @@
   EXPECT_TRUE(waits_.empty());
 }
 
-class AnUnknownOutcome : public AClient {};
+class an_unknown_outcome : public a_client {};
 
-TEST_F(AnUnknownOutcome, IsFinalForWorkThatIsNotIdempotentAndHasNoKey) {
+TEST_F(an_unknown_outcome, IsFinalForWorkThatIsNotIdempotentAndHasNoKey) {
   for (const std::string& lost : {kUnknown, std::string()}) {
     const fake_node node({lost, kWhole});
     Use({&node});
@@ -144,13 +144,13 @@
   }
 }
 
-TEST_F(AnUnknownOutcome, IsFollowedByAResendIfTheWorkIsIdempotent) {
+TEST_F(an_unknown_outcome, IsFollowedByAResendIfTheWorkIsIdempotent) {
   const fake_node node({"", kWhole});
   Use({&node});
   EXPECT_TRUE(CallOnce(true).is_whole());
 }
 
-TEST_F(AnUnknownOutcome, IsFollowedByAResendWithTheSameKeyAndRequestId) {
+TEST_F(an_unknown_outcome, IsFollowedByAResendWithTheSameKeyAndRequestId) {
   const fake_node node({kUnknown, kWhole});
   Use({&node});
   key_ = idempotency_key("key-1");
@@ -163,7 +163,7 @@
   EXPECT_TRUE(Has(second, first.substr(id, first.find("\r\n", id) - id)));
 }
 
-TEST_F(AnUnknownOutcome, StaysUnknownWhenALaterSendDidNotRun) {
+TEST_F(an_unknown_outcome, StaysUnknownWhenALaterSendDidNotRun) {
   const fake_node node({kUnknown, kUnknownService});
   Use({&node});
   key_ = idempotency_key("key-1");
@@ -172,7 +172,7 @@
   EXPECT_EQ(answer.ran, run_state::kUnknown);
 }
 
-TEST_F(AnUnknownOutcome, IsWhatATruncatedAnswerMeans) {
+TEST_F(an_unknown_outcome, IsWhatATruncatedAnswerMeans) {
   const std::string headers =
       "HTTP/1.1 200 OK\r\nAuburnfold-Result: complete\r\n"
       "Auburnfold-Ran: ran\r\nConnection: close\r\n";
@@ -185,9 +185,9 @@
   }
 }
 
-class ANodeThatCannotBeReached : public AClient {};
+class a_node_that_cannot_be_reached : public a_client {};
 
-TEST_F(ANodeThatCannotBeReached, IsPassedOverAtOnceAndNothingRan) {
+TEST_F(a_node_that_cannot_be_reached, IsPassedOverAtOnceAndNothingRan) {
   auto gone = std::make_unique<fake_node>(std::vector<std::string>());
   const fake_node node({kWhole});
   Use({gone.get(), &node});
@@ -196,7 +196,7 @@
   EXPECT_TRUE(waits_.empty());
 }
 
-class AKey : public AClient {
+class a_key : public a_client {
  protected:
   std::string Obtain() {
     return boost::leaf::try_handle_all(
@@ -212,7 +212,7 @@
   }
 };
 
-TEST_F(AKey, IsObtainedFromTheHomeOfTheWork) {
+TEST_F(a_key, IsObtainedFromTheHomeOfTheWork) {
   const fake_node node({NodeAnswer(201,
                                    "Auburnfold-Result: complete\r\n"
                                    "Auburnfold-Ran: ran\r\n",
@@ -223,7 +223,7 @@
       "POST /auburnfold/v1/keys HTTP/1.1\r\n"));
 }
 
-TEST_F(AKey, IsNotObtainedIfItIsRefused) {
+TEST_F(a_key, IsNotObtainedIfItIsRefused) {
   const fake_node node({kUnknownService});
   Use({&node});
   EXPECT_EQ(Obtain(), "error 404");
--- a/Tests/LibRuntime/endpoint_truth_test.cc
+++ b/Tests/LibRuntime/endpoint_truth_test.cc
@@ -14,7 +14,7 @@
 namespace {
 
 // A node whose endpoint follows `script`, and one call through it.
-class ACallWhoseEndpoint : public testing::Test {
+class a_call_whose_endpoint : public testing::Test {
  protected:
   read_answer CallAgainst(scripted_server::script script) {
     endpoint_ = std::make_unique<scripted_server>(std::move(script));
@@ -35,9 +35,9 @@
   std::unique_ptr<scripted_server> endpoint_;
 };
 
-class AnswersWhole : public ACallWhoseEndpoint {};
+class answers_whole : public a_call_whose_endpoint {};
 
-TEST_F(AnswersWhole, GetsTheAnswerWithItsOwnHeaders) {
+TEST_F(answers_whole, GetsTheAnswerWithItsOwnHeaders) {
   const read_answer answer = CallAgainst([](scripted_connection& connection) {
     connection.ReadRequest();
     connection.Write(AnswerText("lots",
@@ -50,7 +50,7 @@
   EXPECT_FALSE(answer.Header("Auburnfold-Request-Id").empty());
 }
 
-TEST_F(AnswersWhole, MayGetItInChunksAfterAnInterimAnswer) {
+TEST_F(answers_whole, MayGetItInChunksAfterAnInterimAnswer) {
   const read_answer answer = CallAgainst([](scripted_connection& connection) {
     connection.ReadRequest();
     connection.Write("HTTP/1.1 103 Early Hints\r\n\r\n");
@@ -61,7 +61,7 @@
   EXPECT_EQ(answer.body, "abcde");
 }
 
-TEST_F(AnswersWhole, IsSeenByItWithoutHeadersOfTheConnection) {
+TEST_F(answers_whole, IsSeenByItWithoutHeadersOfTheConnection) {
   std::string seen;
   endpoint_ = std::make_unique<scripted_server>(
       [&seen](scripted_connection& connection) {
@@ -84,7 +84,7 @@
   EXPECT_TRUE(seen.ends_with("\r\n\r\nbody"));
 }
 
-TEST_F(AnswersWhole, GetsNoBodyIfItAskedForHeadersOnly) {
+TEST_F(answers_whole, GetsNoBodyIfItAskedForHeadersOnly) {
   endpoint_ =
       std::make_unique<scripted_server>([](scripted_connection& connection) {
         while (connection.ReadRequest()) {
@@ -102,17 +102,17 @@
   }
 }
 
-class ClosesBeforeItAnswers : public ACallWhoseEndpoint {};
+class closes_before_it_answers : public a_call_whose_endpoint {};
 
-TEST_F(ClosesBeforeItAnswers, IsToldThatTheOutcomeIsUnknown) {
+TEST_F(closes_before_it_answers, IsToldThatTheOutcomeIsUnknown) {
   const read_answer answer = CallAgainst(
       [](scripted_connection& connection) { connection.ReadRequest(); });
   Expect(answer, 502, "answer-lost", "unknown");
 }
 
-class TruncatesItsAnswer : public ACallWhoseEndpoint {};
+class truncates_its_answer : public a_call_whose_endpoint {};
 
-TEST_F(TruncatesItsAnswer, IsToldThatTheOutcomeIsUnknown) {
+TEST_F(truncates_its_answer, IsToldThatTheOutcomeIsUnknown) {
   for (const char* part :
        {"HTTP/1.1 200 O", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwho",
         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nwho\r\n"}) {
@@ -125,7 +125,7 @@
   }
 }
 
-TEST_F(TruncatesItsAnswer, IsNotToldOfSuccessIfNothingSaysWhereItEnds) {
+TEST_F(truncates_its_answer, IsNotToldOfSuccessIfNothingSaysWhereItEnds) {
   const read_answer answer = CallAgainst([](scripted_connection& connection) {
     connection.ReadRequest();
     connection.Write("HTTP/1.1 200 OK\r\n\r\nperhaps all of it");
@@ -133,7 +133,7 @@
   Expect(answer, 502, "answer-truncated", "unknown");
 }
 
-TEST_F(TruncatesItsAnswer, GetsTheSameForBytesThatAreNoHttp) {
+TEST_F(truncates_its_answer, GetsTheSameForBytesThatAreNoHttp) {
   const read_answer answer = CallAgainst([](scripted_connection& connection) {
     connection.ReadRequest();
     connection.Write("nonsense\r\n\r\n");
@@ -141,9 +141,9 @@
   Expect(answer, 502, "answer-truncated", "unknown");
 }
 
-class AnswersTooMuch : public ACallWhoseEndpoint {};
+class answers_too_much : public a_call_whose_endpoint {};
 
-TEST_F(AnswersTooMuch, IsToldThatItRan) {
+TEST_F(answers_too_much, IsToldThatItRan) {
   const read_answer answer = CallAgainst([](scripted_connection& connection) {
     connection.ReadRequest();
     connection.Write("HTTP/1.1 200 OK\r\nContent-Length: 1048577\r\n\r\n");
@@ -151,7 +151,7 @@
   Expect(answer, 502, "answer-too-large", "ran");
 }
 
-TEST_F(AnswersTooMuch, IsSaidToTheForwardingNodeAsRan) {
+TEST_F(answers_too_much, IsSaidToTheForwardingNodeAsRan) {
   endpoint_ =
       std::make_unique<scripted_server>([](scripted_connection& connection) {
         connection.ReadRequest();
@@ -159,15 +159,13 @@
       });
   node_.Announce("listings", endpoint_->port());
   const read_answer answer = raw_client::Exchange(
-      node_.peer_port(),
-      CallText("listings",
-               "Auburnfold-From: 63\r\nAuburnfold-Expected-Run: 1\r\n"));
+      node_.peer_port(), CallText("listings", node_.ForwardedHeaders()));
   Expect(answer, 502, "answer-too-large", "ran");
 }
 
-class RefusesBeforeAnyWork : public ACallWhoseEndpoint {};
+class refuses_before_any_work : public a_call_whose_endpoint {};
 
-TEST_F(RefusesBeforeAnyWork, IsToldThatItDidNotRunAndWhenToComeBack) {
+TEST_F(refuses_before_any_work, IsToldThatItDidNotRunAndWhenToComeBack) {
   const read_answer answer = CallAgainst([](scripted_connection& connection) {
     while (connection.ReadRequest()) {
       connection.Write(
@@ -179,7 +177,7 @@
   EXPECT_FALSE(answer.Header("Retry-After").empty());
 }
 
-TEST_F(RefusesBeforeAnyWork, IsNotAssumedOfAnyOtherAnswer503) {
+TEST_F(refuses_before_any_work, IsNotAssumedOfAnyOtherAnswer503) {
   const read_answer answer = CallAgainst([](scripted_connection& connection) {
     connection.ReadRequest();
     connection.Write(
@@ -188,9 +186,9 @@
   Expect(answer, 503, "complete", "ran");
 }
 
-class IsNotThere : public ACallWhoseEndpoint {};
+class is_not_there : public a_call_whose_endpoint {};
 
-TEST_F(IsNotThere, IsToldThatItDidNotRun) {
+TEST_F(is_not_there, IsToldThatItDidNotRun) {
   std::uint16_t port = 0;
   {
     scripted_server gone(AnswersWith(""));
@@ -203,9 +201,9 @@
 }
 
 // Answers nothing on its first connection, and at once on later ones.
-class IsSilentAtFirst : public ACallWhoseEndpoint {
+class is_silent_at_first : public a_call_whose_endpoint {
  protected:
-  IsSilentAtFirst() {
+  is_silent_at_first() {
     endpoint_ = std::make_unique<scripted_server>(
         [this](scripted_connection& connection) {
           while (connection.ReadRequest()) {
@@ -225,13 +223,13 @@
   std::promise<void> first_closed_;
 };
 
-TEST_F(IsSilentAtFirst, IsToldAtItsDeadlineThatTheOutcomeIsUnknown) {
+TEST_F(is_silent_at_first, IsToldAtItsDeadlineThatTheOutcomeIsUnknown) {
   const read_answer answer = raw_client::Exchange(
       node_.call_port(), CallText("listings", "Auburnfold-Timeout-Ms: 50\r\n"));
   Expect(answer, 504, "answer-timeout", "unknown");
 }
 
-TEST_F(IsSilentAtFirst, LeavesAConnectionThatIsNotUsedAgain) {
+TEST_F(is_silent_at_first, LeavesAConnectionThatIsNotUsedAgain) {
   raw_client::Exchange(node_.call_port(),
                        CallText("listings", "Auburnfold-Timeout-Ms: 50\r\n"));
   first_closed_.get_future().wait();
@@ -241,7 +239,7 @@
   EXPECT_EQ(answer.body, "second");
 }
 
-TEST_F(IsSilentAtFirst, HasItsWorkCancelledWhenItsCallerGoes) {
+TEST_F(is_silent_at_first, HasItsWorkCancelledWhenItsCallerGoes) {
   raw_client caller(node_.call_port());
   caller.Write(CallText("listings"));
   first_asked_.get_future().wait();
@@ -251,9 +249,9 @@
   EXPECT_EQ(node_.Metric("auburnfold_calls_in_flight"), 0);
 }
 
-class AnswersManyOnOneConnection : public ACallWhoseEndpoint {};
+class answers_many_on_one_connection : public a_call_whose_endpoint {};
 
-TEST_F(AnswersManyOnOneConnection, GetsEachItsOwnAnswerInOrder) {
+TEST_F(answers_many_on_one_connection, GetsEachItsOwnAnswerInOrder) {
   std::atomic<std::uint64_t> last_connection = 0;
   endpoint_ = std::make_unique<scripted_server>(
       [&last_connection](scripted_connection& connection) {
--- a/Tests/LibRuntime/http_errors_test.cc
+++ b/Tests/LibRuntime/http_errors_test.cc
@@ -13,9 +13,9 @@
   return "auburnfold_errors_total{kind=\"" + kind + "\"}";
 }
 
-class ANodeWithAnEndpoint : public testing::Test {
+class a_node_with_an_endpoint : public testing::Test {
  protected:
-  ANodeWithAnEndpoint() { node_.Announce("listings", endpoint_.port()); }
+  a_node_with_an_endpoint() { node_.Announce("listings", endpoint_.port()); }
 
   // Refused, counted, and nothing reached the endpoint.
   void ExpectRefused(const std::string& bytes,
@@ -36,9 +36,9 @@
   running_node node_;
 };
 
-class ARequestThatIsNoHttp : public ANodeWithAnEndpoint {};
+class a_request_that_is_no_http : public a_node_with_an_endpoint {};
 
-TEST_F(ARequestThatIsNoHttp, IsMalformed) {
+TEST_F(a_request_that_is_no_http, IsMalformed) {
   ExpectRefused("what is this?\r\n\r\n", 400, "malformed-request");
   ExpectRefused("POST / HTTP/1.1\r\nno colon\r\n\r\n", 400,
                 "malformed-request");
@@ -46,38 +46,39 @@
                 "malformed-request");
 }
 
-TEST_F(ARequestThatIsNoHttp, HasItsConnectionClosedAfterTheAnswer) {
+TEST_F(a_request_that_is_no_http, HasItsConnectionClosedAfterTheAnswer) {
   raw_client client(node_.call_port());
   client.Write("what is this?\r\n\r\n");
   EXPECT_EQ(client.Read()->Header("Connection"), "close");
   EXPECT_TRUE(client.ReadsEnd());
 }
 
-class ARequestThatIsTooLarge : public ANodeWithAnEndpoint {};
+class a_request_that_is_too_large : public a_node_with_an_endpoint {};
 
-TEST_F(ARequestThatIsTooLarge, IsRefusedByItsLengthBeforeItsBodyCame) {
+TEST_F(a_request_that_is_too_large, IsRefusedByItsLengthBeforeItsBodyCame) {
   ExpectRefused(
       "POST / HTTP/1.1\r\nHost: test\r\nContent-Length: 1048577\r\n\r\n", 413,
       "request-too-large");
 }
 
-TEST_F(ARequestThatIsTooLarge, IsRefusedForItsHeaders) {
+TEST_F(a_request_that_is_too_large, IsRefusedForItsHeaders) {
   ExpectRefused(
-      CallText("listings", "X-Long: " + std::string(16 * 1024, 'x') + "\r\n"),
+      CallText("listings",
+               "X-Long: " + std::string(std::size_t{16} * 1024, 'x') + "\r\n"),
       413, "request-too-large");
 }
 
-TEST_F(ARequestThatIsTooLarge, IsRefusedWhenItsChunksAddUp) {
-  const std::string half(512 * 1024, 'x');
+TEST_F(a_request_that_is_too_large, IsRefusedWhenItsChunksAddUp) {
+  const std::string half(std::size_t{512} * 1024, 'x');
   const std::string chunk = "80000\r\n" + half + "\r\n";
   ExpectRefused("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" +
                     chunk + chunk + "1\r\nx\r\n0\r\n\r\n",
                 413, "request-too-large");
 }
 
-class ACallWithWrongHeaders : public ANodeWithAnEndpoint {};
+class a_call_with_wrong_headers : public a_node_with_an_endpoint {};
 
-TEST_F(ACallWithWrongHeaders, IsRefusedWithoutServiceOrClass) {
+TEST_F(a_call_with_wrong_headers, IsRefusedWithoutServiceOrClass) {
   ExpectRefused(
       "GET / HTTP/1.1\r\nAuburnfold-Class: a\r\n"
       "Auburnfold-Timeout-Ms: 1\r\n\r\n",
@@ -89,14 +90,14 @@
   ExpectRefused(CallText("no/name"), 400, "malformed-request");
 }
 
-TEST_F(ACallWithWrongHeaders, IsRefusedWithoutADeadline) {
+TEST_F(a_call_with_wrong_headers, IsRefusedWithoutADeadline) {
   ExpectRefused(
       "GET / HTTP/1.1\r\nAuburnfold-Service: a\r\n"
       "Auburnfold-Class: a\r\n\r\n",
       400, "deadline-missing");
 }
 
-TEST_F(ACallWithWrongHeaders, IsRefusedForADeadlineOutOfRange) {
+TEST_F(a_call_with_wrong_headers, IsRefusedForADeadlineOutOfRange) {
   ExpectRefused(CallText("listings", "Auburnfold-Timeout-Ms: 0\r\n"), 504,
                 "deadline-expired");
   ExpectRefused(CallText("listings", "Auburnfold-Timeout-Ms: 600001\r\n"), 400,
@@ -105,25 +106,25 @@
                 "malformed-request");
 }
 
-TEST_F(ACallWithWrongHeaders, IsRefusedForAnAttemptThatIsNoCount) {
+TEST_F(a_call_with_wrong_headers, IsRefusedForAnAttemptThatIsNoCount) {
   ExpectRefused(CallText("listings", "Auburnfold-Attempt: 0\r\n"), 400,
                 "malformed-request");
 }
 
-TEST_F(ACallWithWrongHeaders, IsRefusedForAnUnknownService) {
+TEST_F(a_call_with_wrong_headers, IsRefusedForAnUnknownService) {
   ExpectRefused(CallText("nobody"), 404, "unknown-service");
 }
 
-class AForwardedRequest : public ANodeWithAnEndpoint {};
+class a_forwarded_request : public a_node_with_an_endpoint {};
 
-TEST_F(AForwardedRequest, WithoutItsSenderIsMalformed) {
+TEST_F(a_forwarded_request, WithoutItsSenderIsMalformed) {
   const read_answer answer =
       raw_client::Exchange(node_.peer_port(), CallText("listings"));
   EXPECT_EQ(answer.status, 400U);
   EXPECT_EQ(answer.Header("Auburnfold-Result"), "malformed-request");
 }
 
-class AnEndpointsReport : public ANodeWithAnEndpoint {
+class an_endpoints_report : public a_node_with_an_endpoint {
  protected:
   unsigned StatusOf(const std::string& report) {
     return raw_client::Exchange(
@@ -134,7 +135,7 @@
   }
 };
 
-TEST_F(AnEndpointsReport, IsRefusedIfAKeyIsMissingOrOutOfRange) {
+TEST_F(an_endpoints_report, IsRefusedIfAKeyIsMissingOrOutOfRange) {
   for (const char* report :
        {"", "[]", R"({"port":1,"run":1,"state":"ready"})",
         R"({"service":"a","port":0,"run":1,"state":"ready"})",
@@ -147,7 +148,7 @@
   }
 }
 
-TEST_F(AnEndpointsReport, IsTakenWithAllItsKeys) {
+TEST_F(an_endpoints_report, IsTakenWithAllItsKeys) {
   EXPECT_EQ(StatusOf(R"({"service":"a","port":1,"run":1,"state":"leaving",)"
                      R"("load":0.5,"healthy":false,"connection_limit":9})"),
             200U);
--- a/Tests/LibRuntime/peer_truth_test.cc
+++ b/Tests/LibRuntime/peer_truth_test.cc
@@ -15,7 +15,7 @@
          std::string(headers) + "Content-Length: 0\r\n\r\n";
 }
 
-class ACallThroughAPeer : public testing::Test {
+class a_call_through_a_peer : public testing::Test {
  protected:
   read_answer CallAgainst(scripted_server::script script) {
     peer_ = std::make_unique<scripted_server>(std::move(script));
@@ -46,7 +46,7 @@
   std::atomic<int> requests_ = 0;
 };
 
-TEST_F(ACallThroughAPeer, CarriesWhatThePeerNeeds) {
+TEST_F(a_call_through_a_peer, CarriesWhatThePeerNeeds) {
   std::string seen;
   CallAgainst([&seen](scripted_connection& connection) {
     seen = connection.ReadRequest().value_or("");
@@ -61,7 +61,7 @@
   }
 }
 
-TEST_F(ACallThroughAPeer, BelievesThePeerThatItDidNotRun) {
+TEST_F(a_call_through_a_peer, BelievesThePeerThatItDidNotRun) {
   const read_answer answer = CallAnswered(PeerAnswer(
       503,
       "Auburnfold-Result: queue-deadline\r\nAuburnfold-Ran: not-run\r\n"
@@ -72,7 +72,7 @@
   EXPECT_EQ(std::stoi(answer.Header("Retry-After")), (delay_ms + 999) / 1000);
 }
 
-TEST_F(ACallThroughAPeer, BelievesThePeerThatTheOutcomeIsUnknown) {
+TEST_F(a_call_through_a_peer, BelievesThePeerThatTheOutcomeIsUnknown) {
   const read_answer answer =
       CallAnswered(PeerAnswer(502,
                               "Auburnfold-Result: answer-lost\r\n"
@@ -81,13 +81,13 @@
   EXPECT_EQ(requests_, 1);
 }
 
-TEST_F(ACallThroughAPeer, IsUnknownIfWhoAnswersIsNoNode) {
+TEST_F(a_call_through_a_peer, IsUnknownIfWhoAnswersIsNoNode) {
   const read_answer answer = CallAnswered(AnswerText("hello"));
   Expect(answer, 500, "internal", "unknown");
   EXPECT_EQ(requests_, 1);
 }
 
-TEST_F(ACallThroughAPeer, IsUnknownIfThePeerClosesBeforeItAnswers) {
+TEST_F(a_call_through_a_peer, IsUnknownIfThePeerClosesBeforeItAnswers) {
   const read_answer answer = CallAgainst([this](scripted_connection& one) {
     if (one.ReadRequest()) {
       ++requests_;
@@ -97,7 +97,7 @@
   EXPECT_EQ(requests_, 1);
 }
 
-TEST_F(ACallThroughAPeer, IsUnknownIfThePeerTruncatesItsAnswer) {
+TEST_F(a_call_through_a_peer, IsUnknownIfThePeerTruncatesItsAnswer) {
   const read_answer answer = CallAgainst([](scripted_connection& connection) {
     connection.ReadRequest();
     connection.Write(
@@ -107,7 +107,7 @@
   Expect(answer, 502, "answer-truncated", "unknown");
 }
 
-TEST_F(ACallThroughAPeer, DidNotRunIfThePeerCannotBeReached) {
+TEST_F(a_call_through_a_peer, DidNotRunIfThePeerCannotBeReached) {
   std::uint16_t port = 0;
   {
     scripted_server gone(AnswersWith(""));
@@ -119,12 +119,12 @@
   Expect(answer, 502, "endpoint-unreachable", "not-run");
 }
 
-class AControlMessage : public testing::Test {
+class a_control_message : public testing::Test {
  protected:
   running_node node_;
 };
 
-TEST_F(AControlMessage, ThatCannotBeUnderstoodIsCountedAndNothingElse) {
+TEST_F(a_control_message, ThatCannotBeUnderstoodIsCountedAndNothingElse) {
   node_.SendControl({0x81, 0x81, 0x81});
   node_.SendControl({});
   node_.SendControl({0xff, 0x00, 0x9b});
--- a/Tests/LibRuntime/running_node.cc
+++ b/Tests/LibRuntime/running_node.cc
@@ -69,6 +69,11 @@
   return parts_->node.admin_port();
 }
 
+std::string running_node::ForwardedHeaders() const {
+  return "Auburnfold-From: 63\r\nAuburnfold-Expected-Run: " +
+         std::to_string(parts_->node.run().value()) + "\r\n";
+}
+
 void running_node::Announce(const std::string& service,
                             std::uint16_t port,
                             const std::string& state) {
--- a/Tests/LibRuntime/running_node.h
+++ b/Tests/LibRuntime/running_node.h
@@ -24,6 +24,9 @@
   std::uint16_t control_port() const;
   std::uint16_t admin_port() const;
 
+  /// Header lines of a request that another node forwards to this run.
+  std::string ForwardedHeaders() const;
+
   /// Announces an endpoint at `port`, as the endpoint itself would.
   void Announce(const std::string& service,
                 std::uint16_t port,
--- a/Tests/LibRuntime/settings_test.cc
+++ b/Tests/LibRuntime/settings_test.cc
@@ -36,7 +36,7 @@
   return "{" + std::string(kRequired) + "," + std::string(more) + "}";
 }
 
-class SettingsOfANode : public testing::Test {
+class settings_of_a_node : public testing::Test {
  protected:
   static void ExpectRefused(const std::string& text,
                             const std::string& key,
@@ -49,9 +49,9 @@
   }
 };
 
-class WhatIsRead : public SettingsOfANode {};
+class what_is_read : public settings_of_a_node {};
 
-TEST_F(WhatIsRead, MayHaveCommentsAndLeavesTheRestAtItsDefaults) {
+TEST_F(what_is_read, MayHaveCommentsAndLeavesTheRestAtItsDefaults) {
   const loaded read =
       Parse("// a node\n{" + std::string(kRequired) + " /* end */,}");
   ASSERT_TRUE(read.settings) << read.error->reason;
@@ -61,7 +61,7 @@
   EXPECT_EQ(read.settings->stop_limit, std::chrono::seconds(30));
 }
 
-TEST_F(WhatIsRead, TakesEachOptionalKey) {
+TEST_F(what_is_read, TakesEachOptionalKey) {
   const loaded read = Parse(
       With(R"("node":"ff","endpoint_host":"10.0.0.2","store_host":"10.0.0.3",)"
            R"("store_port":5,"stop_limit_ms":7,"stop_linger_ms":8,)"
@@ -81,16 +81,16 @@
   EXPECT_EQ(settings.seeds, (std::vector{node_address{"::1", 10, 11}}));
 }
 
-TEST_F(WhatIsRead, GivesTheSameNodeIdAtEachStartAtOneAddress) {
+TEST_F(what_is_read, GivesTheSameNodeIdAtEachStartAtOneAddress) {
   const loaded first = Parse(With(R"("log_level":"off")"));
   const loaded second = Parse(With(R"("stop_limit_ms":1)"));
   EXPECT_EQ(first.settings->node, second.settings->node);
   EXPECT_NE(first.settings->node, node_id(0));
 }
 
-class WhatIsRefused : public SettingsOfANode {};
+class what_is_refused : public settings_of_a_node {};
 
-TEST_F(WhatIsRefused, IsAFileThatIsNotThere) {
+TEST_F(what_is_refused, IsAFileThatIsNotThere) {
   const loaded read =
       Outcome([] { return LoadNodeSettings("no-such-file.json"); });
   ASSERT_TRUE(read.error);
@@ -98,26 +98,26 @@
   EXPECT_EQ(read.error->reason, "cannot be read");
 }
 
-TEST_F(WhatIsRefused, IsTextThatIsNotJsonOrNotAnObject) {
+TEST_F(what_is_refused, IsTextThatIsNotJsonOrNotAnObject) {
   ExpectRefused("[]", "", "must be one JSON object");
   EXPECT_TRUE(Parse("{").error->reason.starts_with("is not JSON: "));
 }
 
-TEST_F(WhatIsRefused, IsAnUnknownKeyAlsoWithinAnAddress) {
+TEST_F(what_is_refused, IsAnUnknownKeyAlsoWithinAnAddress) {
   ExpectRefused(With(R"("hots":"10.0.0.1")"), "hots", "is not a known key");
   ExpectRefused(
       With(R"("seeds":[{"host":"::1","peer_port":1,"control_port":2,"x":3}])"),
       "seeds[0].x", "is not a known key");
 }
 
-TEST_F(WhatIsRefused, IsAMissingKey) {
+TEST_F(what_is_refused, IsAMissingKey) {
   ExpectRefused(R"({"host":"10.0.0.1"})", "domain", "is missing");
   ExpectRefused(With(R"("store_host":"10.0.0.1")"), "store_port", "is missing");
   ExpectRefused(With(R"("seeds":[{"host":"::1","peer_port":1}])"),
                 "seeds[0].control_port", "is missing");
 }
 
-TEST_F(WhatIsRefused, IsAValueOutOfItsRange) {
+TEST_F(what_is_refused, IsAValueOutOfItsRange) {
   ExpectRefused(With(R"("stop_limit_ms":600001)"), "stop_limit_ms",
                 "must be a whole number from 0 to 600000");
   ExpectRefused(With(R"("stop_limit_ms":-1)"), "stop_limit_ms",
@@ -128,7 +128,7 @@
                 "store_port", "must be a whole number from 0 to 65535");
 }
 
-TEST_F(WhatIsRefused, IsAValueOfAnotherKind) {
+TEST_F(what_is_refused, IsAValueOfAnotherKind) {
   ExpectRefused(With(R"("endpoint_host":"localhost")"), "endpoint_host",
                 "must be an IP number");
   ExpectRefused(With(R"("node":"xyz")"), "node",
--- a/Tests/LibRuntime/stop_test.cc
+++ b/Tests/LibRuntime/stop_test.cc
@@ -11,15 +11,15 @@
 namespace {
 
 // A node with one request running at an endpoint that waits for a sign.
-class ANodeThatStops : public testing::Test {
+class a_node_that_stops : public testing::Test {
  protected:
-  explicit ANodeThatStops(const node_settings& settings = LoopbackSettings())
+  explicit a_node_that_stops(const node_settings& settings = LoopbackSettings())
       : node_(settings), caller_(node_.call_port()) {
     node_.Announce("listings", endpoint_.port());
     caller_.Write(CallText("listings"));
     asked_.get_future().wait();
   }
-  ~ANodeThatStops() override { AnswerNow(); }
+  ~a_node_that_stops() override { AnswerNow(); }
 
   void AnswerNow() {
     if (!is_signed_) {
@@ -49,7 +49,7 @@
   raw_client caller_;
 };
 
-TEST_F(ANodeThatStops, FinishesWhatRunsAndClosesItsConnection) {
+TEST_F(a_node_that_stops, FinishesWhatRunsAndClosesItsConnection) {
   BeginStop();
   AnswerNow();
   const auto answer = caller_.Read();
@@ -60,7 +60,7 @@
   EXPECT_EQ(node_.WaitUntilStopped(), 0U);
 }
 
-TEST_F(ANodeThatStops, IsAliveButNotReadyMeanwhile) {
+TEST_F(a_node_that_stops, IsAliveButNotReadyMeanwhile) {
   BeginStop();
   EXPECT_EQ(
       raw_client::Exchange(node_.admin_port(), "GET /healthz HTTP/1.1\r\n\r\n")
@@ -68,12 +68,10 @@
       200U);
 }
 
-TEST_F(ANodeThatStops, RefusesForwardedRequestsAsNotRun) {
+TEST_F(a_node_that_stops, RefusesForwardedRequestsAsNotRun) {
   BeginStop();
   const read_answer answer = raw_client::Exchange(
-      node_.peer_port(),
-      CallText("listings",
-               "Auburnfold-From: 63\r\nAuburnfold-Expected-Run: 1\r\n"));
+      node_.peer_port(), CallText("listings", node_.ForwardedHeaders()));
   EXPECT_EQ(answer.Header("Auburnfold-Result"), "node-stopping");
   EXPECT_EQ(answer.Header("Auburnfold-Ran"), "not-run");
   EXPECT_EQ(answer.Header("Connection"), "close");
@@ -85,12 +83,12 @@
   return settings;
 }
 
-class ANodeThatStopsWithoutPatience : public ANodeThatStops {
+class a_node_that_stops_without_patience : public a_node_that_stops {
  protected:
-  ANodeThatStopsWithoutPatience() : ANodeThatStops(WithoutPatience()) {}
+  a_node_that_stops_without_patience() : a_node_that_stops(WithoutPatience()) {}
 };
 
-TEST_F(ANodeThatStopsWithoutPatience, SaysWhatItCut) {
+TEST_F(a_node_that_stops_without_patience, SaysWhatItCut) {
   node_.Stop();
   // The call and its work at the endpoint.
   EXPECT_EQ(node_.WaitUntilStopped(), 2U);
