--- a/Meta/measure/planned-stop.sh
+++ b/Meta/measure/planned-stop.sh
@@ -34,7 +34,10 @@
 kill -TERM "${pid_of[front-3-node]}"
 wait "$load_pid"
 
-jq --argjson violations "$(SumRecorded new_work_while_leaving deep-2)" \
-  '.total | {planned_stop_broken: (.unknown + .failed + .foreign + .partial),
+# A failure that is no refusal for overload was caused by a stop.
+jq --argjson below "$(SumRecorded broken_below front-1 front-2 front-3)" \
+  --argjson violations "$(SumRecorded new_work_while_leaving deep-2)" \
+  '.total | {planned_stop_broken: (.unknown + .foreign + .partial + $below),
+    planned_stop_failed_for_overload: (.failed - $below),
     planned_stop_calls: .sent, planned_stop_refused: .refused,
     drain_new_work_violations: $violations}' "$work/load.json" >"$out"
--- /dev/null
+++ b/Tests/Processes/leaving_endpoint.sh
@@ -0,0 +1,13 @@
+#!/usr/bin/env bash
+# An endpoint announces that it leaves and goes on: no new work reaches it
+# more than three seconds later, and what it began is answered.
+. "$(dirname "$0")/common.inc"
+StartChain
+StartLoad 10
+WaitForRuns 50 booking-1
+Fetch -X PUT "http://$host:${endpoint_port_of[booking-1]}/test/drain" >/dev/null
+WaitForLoad
+ExpectTruth
+ExpectEqual "new work after the grace" "$(SumRecorded new_work_while_leaving booking-1)" 0
+ExpectEqual "runs without an answer" \
+  "$(($(SumRecorded started booking-1) - $(SumRecorded answered booking-1)))" 0
--- /dev/null
+++ b/Tests/Processes/lost_answers.sh
@@ -0,0 +1,15 @@
+#!/usr/bin/env bash
+# Endpoints do the work, and their answers are cut off or lost.
+. "$(dirname "$0")/common.inc"
+StartChain
+StartLoad 6
+WaitForRuns 20 "${booking[@]}"
+for name in "${booking[@]}" "${gate[@]}"; do
+  SetFaults "$name" '{"truncate_next": 5}'
+done
+WaitForRuns 60 "${booking[@]}"
+for name in "${booking[@]}" "${gate[@]}"; do
+  SetFaults "$name" '{"lose_next": 5}'
+done
+WaitForLoad
+ExpectTruth
--- a/Tests/StandIns/deeper_calls.cc
+++ b/Tests/StandIns/deeper_calls.cc
@@ -1,8 +1,11 @@
 #include "StandIns/deeper_calls.h"
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
+#include "LibDecision/error_kind.h"
+
 namespace auburnfold {
 
 namespace http = boost::beast::http;
@@ -12,6 +15,19 @@
 // A little longer than the deadline, so that the node's own answer arrives.
 constexpr std::chrono::milliseconds kAnswerGrace{50};
 
+// Refusals under overload and answers after the deadline are expected; any
+// other failure means that something cut a call in flight.
+constexpr std::array kExpectedFailures = {
+    error_kind::kOverloaded, error_kind::kQueueDeadline,
+    error_kind::kTenantOverShare, error_kind::kDeadlineExpired,
+    error_kind::kAnswerTimeout};
+
+bool IsBroken(const std::string& reason) {
+  const std::optional<error_kind> kind = ErrorKindNamed(reason);
+  return !kind || std::find(kExpectedFailures.begin(), kExpectedFailures.end(),
+                            *kind) == kExpectedFailures.end();
+}
+
 constexpr std::array<const char*, 3> kCopiedHeaders = {
     "Auburnfold-Parent", "Auburnfold-Tenant", "Auburnfold-Request-Id"};
 
@@ -73,7 +89,7 @@
   if (left.count() < 1) {
     deeper_end late;
     late.is_complete = false;
-    late.reason = "deadline-expired";
+    late.reason = AnswerFor(error_kind::kDeadlineExpired).name;
     return End(late);
   }
   http_request request = RequestFor(calls_[index], left);
@@ -101,6 +117,7 @@
   if (!is_ok || end.verdict != body_verdict::kWhole) {
     end.is_complete = false;
     end.reason = std::string(result.response["Auburnfold-Result"]);
+    end.is_broken = IsBroken(end.reason);
     end.retry_after = std::string(result.response[http::field::retry_after]);
     return End(end);
   }
--- a/Tests/StandIns/deeper_calls.h
+++ b/Tests/StandIns/deeper_calls.h
@@ -32,6 +32,8 @@
   /// The first failure's reason and `Retry-After`, if it gave one.
   std::string reason;
   std::string retry_after;
+  /// The failure was not a refusal for overload.
+  bool is_broken = false;
   body_verdict verdict = body_verdict::kWhole;
 };
 
--- a/Tests/StandIns/endpoint_process.cc
+++ b/Tests/StandIns/endpoint_process.cc
@@ -111,6 +111,7 @@
     boost::json::object summary = model_.record().Summary();
     summary["foreign_below"] = foreign_below_;
     summary["partial_below"] = partial_below_;
+    summary["broken_below"] = broken_below_;
     summary["connections"] = server_.connection_count();
     summary["open"] = runs_.size();
     return session->Answer(JsonAnswer(http::status::ok, summary));
@@ -186,6 +187,7 @@
 void endpoint_process::OnDeeperEnd(run_number run, const deeper_end& end) {
   foreign_below_ += end.verdict == body_verdict::kForeign ? 1 : 0;
   partial_below_ += end.verdict == body_verdict::kPartial ? 1 : 0;
+  broken_below_ += end.is_broken ? 1 : 0;
   if (!end.is_complete) {
     http_response failure = Refusal(http::status::bad_gateway, "ran",
                                     ("deeper call: " + end.reason).c_str());
--- a/Tests/StandIns/endpoint_process.h
+++ b/Tests/StandIns/endpoint_process.h
@@ -69,6 +69,7 @@
   run_number next_run_ = 1;
   std::uint64_t foreign_below_ = 0;
   std::uint64_t partial_below_ = 0;
+  std::uint64_t broken_below_ = 0;
   bool is_stopping_ = false;
   std::size_t cut_count_ = 0;
   http_server server_;
