--- a/Tests/StandIns/endpoint_process.cc
+++ b/Tests/StandIns/endpoint_process.cc
@@ -111,6 +111,7 @@
     boost::json::object summary = model_.record().Summary();
     summary["foreign_below"] = foreign_below_;
     summary["partial_below"] = partial_below_;
+    summary["broken_below"] = broken_below_;
     summary["connections"] = server_.connection_count();
     summary["open"] = runs_.size();
     return session->Answer(JsonAnswer(http::status::ok, summary));
@@ -121,18 +122,20 @@
     return session->Answer(JsonAnswer(http::status::ok, {}));
   }
   if (is_put && request.target() == "/test/faults") {
-    return session->Answer(ChangeFaults(request));
+    return session->Answer(ChangeFaults(*session, request));
   }
   session->Answer(ErrorAnswer(http::status::not_found, "no such test request"));
 }
 
-http_response endpoint_process::ChangeFaults(const http_request& request) {
+http_response endpoint_process::ChangeFaults(const http_session& asking,
+                                             const http_request& request) {
   try {
     model_.ChangeFaults(Now(), boost::json::parse(request.body()).as_object());
   } catch (const std::exception& error) {
     return ErrorAnswer(http::status::bad_request, error.what());
   }
-  server_.SilenceShare(std::exchange(model_.faults().silence_share, 0.0));
+  server_.SilenceShare(std::exchange(model_.faults().silence_share, 0.0),
+                       asking);
   if (announcer_) {
     announcer_->Announce();
   }
@@ -186,6 +189,7 @@
 void endpoint_process::OnDeeperEnd(run_number run, const deeper_end& end) {
   foreign_below_ += end.verdict == body_verdict::kForeign ? 1 : 0;
   partial_below_ += end.verdict == body_verdict::kPartial ? 1 : 0;
+  broken_below_ += end.is_broken ? 1 : 0;
   if (!end.is_complete) {
     http_response failure = Refusal(http::status::bad_gateway, "ran",
                                     ("deeper call: " + end.reason).c_str());
--- a/Tests/StandIns/endpoint_process.h
+++ b/Tests/StandIns/endpoint_process.h
@@ -43,7 +43,8 @@
   void OnRequest(const http_session::pointer& session, http_request request);
   void OnTest(const http_session::pointer& session,
               const http_request& request);
-  http_response ChangeFaults(const http_request& request);
+  http_response ChangeFaults(const http_session& asking,
+                             const http_request& request);
   void OnClosed(http_session& session);
   void StartDue();
   void OnWorked(run_number run);
@@ -69,6 +70,7 @@
   run_number next_run_ = 1;
   std::uint64_t foreign_below_ = 0;
   std::uint64_t partial_below_ = 0;
+  std::uint64_t broken_below_ = 0;
   bool is_stopping_ = false;
   std::size_t cut_count_ = 0;
   http_server server_;
