Pressure: Count only a standing queue as saturation

A queue that waits half of a window of 50 ms is usual at 95 % use, so some hop of a long chain always refused early. Capacity is now measured only in windows of 100 ms in which the queue hardly empties.

--- a/Libraries/LibDecision/Pressure/demand_meter.cc
+++ b/Libraries/LibDecision/Pressure/demand_meter.cc
@@ -7,12 +7,12 @@
 
 namespace {
 
-constexpr duration kWindow = std::chrono::milliseconds(50);
+constexpr duration kWindow = std::chrono::milliseconds(100);
 constexpr duration kForgetAfter = std::chrono::seconds(1);
 constexpr double kSmoothing = 0.4;
 /// Share of a window with requests waiting from which what was finished is
 /// all that the endpoint can do.
-constexpr double kSaturatedShare = 0.5;
+constexpr double kSaturatedShare = 0.95;
 /// Without saturation the capacity is assumed to be this much larger.
 constexpr double kCapacityGrowth = 1.1;
 /// Slightly more is let through than was finished, so that slots stay full.
