Admission: Lengthen the queue to two service times

Deep endpoints refused bursts by the length of the queue while nothing was dropped for waiting too long, and wasted the work done above.

--- a/Libraries/LibDecision/Admission/admission.cc
+++ b/Libraries/LibDecision/Admission/admission.cc
@@ -8,7 +8,7 @@
 namespace {
 
 constexpr std::uint32_t kFixedLimit = 64;
-constexpr std::size_t kShortestQueue = 16;
+constexpr std::size_t kShortestQueue = 32;
 constexpr std::size_t kLongestQueue = 1024;
 /// Expired requests are looked for at most this often.
 constexpr duration kExpiryGrain = std::chrono::milliseconds(1);
@@ -302,9 +302,10 @@
   now.timers().Subscribe({timer_owner::kAdmission}, *next_expiry_);
 }
 
-// About as many as the endpoint finishes in one service time.
+// About as many as the endpoint finishes in two service times.
 std::size_t admission::QueueLimit() const {
-  return std::clamp<std::size_t>(limit(), kShortestQueue, kLongestQueue);
+  return std::clamp<std::size_t>(std::size_t{2} * limit(), kShortestQueue,
+                                 kLongestQueue);
 }
 
 }  // namespace auburnfold
