--- a/Libraries/LibDecision/Calls/outgoing_calls.cc
+++ b/Libraries/LibDecision/Calls/outgoing_calls.cc
@@ -12,10 +12,6 @@
 
 constexpr duration kSoonRetryAfter = std::chrono::milliseconds(100);
 
-// A call below other work is refused only this far below the level, since a
-// refusal there wastes that work.
-constexpr std::uint16_t kInvestedRanks = kRanksPerPriority / 4;
-
 // Of the three-tries baseline.
 constexpr std::size_t kMostTries = 3;
 
@@ -92,8 +88,7 @@
   const std::uint16_t level = pressure_.LevelFor(now.now(), CalledBy(open));
   const rank position =
       RankOf(open.facts.priority.value_or(0), open.facts.root);
-  const std::uint16_t margin = open.parent ? kInvestedRanks : 0;
-  if (Passes(position, level - std::min(level, margin))) {
+  if (Passes(position, level)) {
     return false;
   }
   now.Count(counter::kRefusedEarly);
