--- a/Libraries/LibDecision/Routing/router.cc
+++ b/Libraries/LibDecision/Routing/router.cc
@@ -13,7 +13,7 @@
 constexpr duration kRefreshAfter = std::chrono::milliseconds(100);
 /// An endpoint of another failure domain must be this much better.
 constexpr double kOtherDomainCost = 1.25;
-constexpr int kDraws = 2;
+constexpr int kDraws = 4;
 
 }  // namespace
 
