Table: Write rows by compare-and-swap, and hear of them from few watchers

Cause: edits were refused, and no node read the key-value service. An edit is accepted once its compare-and-swap is; after a lost answer the row is read back and the change id decides.

--- /dev/null
+++ b/Libraries/LibDecision/Table/row_set.h
@@ -0,0 +1,49 @@
+#ifndef LIBDECISION_TABLE_ROW_SET_H_
+#define LIBDECISION_TABLE_ROW_SET_H_
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <utility>
+#include <vector>
+
+#include "LibDecision/ids.h"
+#include "LibDecision/table_row.h"
+
+namespace auburnfold {
+
+/// The newest known version of each row, with digests to compare two copies.
+class row_set {
+ public:
+  static constexpr std::size_t kBucketCount = 64;
+
+  /// Takes `row` if it is newer than the copy held. Returns whether it was.
+  /// Of two rows with the same version, which only a store that lost writes
+  /// can give out, every node takes the same one.
+  bool Take(const table_row& row);
+
+  const table_row* Find(const service_name& service,
+                        const class_name& request_class) const;
+  bool has_service(const service_name& service) const;
+
+  /// Never 0, also for an empty set.
+  std::uint64_t digest() const { return digest_; }
+  std::vector<std::uint64_t> bucket_digests() const;
+  std::vector<table_row> InBucket(std::size_t bucket) const;
+  std::vector<table_row> All() const;
+
+ private:
+  using row_name = std::pair<service_name, class_name>;
+
+  static std::size_t BucketOf(const row_name& name);
+  void AddToDigests(const table_row& row);
+
+  std::map<row_name, table_row> rows_;
+  std::array<std::uint64_t, kBucketCount> buckets_{};
+  std::uint64_t digest_ = 1;
+};
+
+}  // namespace auburnfold
+
+#endif  // LIBDECISION_TABLE_ROW_SET_H_
--- /dev/null
+++ b/Libraries/LibDecision/Table/row_watch.cc
@@ -0,0 +1,172 @@
+#include "LibDecision/Table/row_watch.h"
+
+#include <algorithm>
+#include <chrono>
+#include <unordered_map>
+
+namespace auburnfold {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// A watch does not show that the service lost writes; a list does.
+constexpr duration kListInterval = seconds(30);
+constexpr duration kFirstRetryDelay = milliseconds(500);
+constexpr duration kLongestRetryDelay = seconds(15);
+constexpr std::uint32_t kMostDoublings = 5;
+constexpr std::size_t kMostRestoredAtOnce = 64;
+
+duration RetryDelay(step& now, std::uint32_t failures) {
+  const std::uint32_t doublings = std::min(failures, kMostDoublings);
+  const duration longest =
+      std::min(kFirstRetryDelay * (1U << doublings), kLongestRetryDelay);
+  return std::chrono::duration_cast<duration>(longest *
+                                              (0.5 + now.RandomShare() / 2));
+}
+
+}  // namespace
+
+void row_watch::Start(step& now) {
+  List(now);
+}
+
+void row_watch::set_watcher(step& now, bool is_watcher) {
+  if (is_watcher_ == is_watcher) {
+    return;
+  }
+  is_watcher_ = is_watcher;
+  if (is_watcher) {
+    List(now);
+  }
+}
+
+std::vector<table_row> row_watch::OnStoreAnswered(step& now,
+                                                  const store_answered& answer,
+                                                  const row_set& own) {
+  const bool is_list = answer.call == list_call_;
+  const bool is_watch = answer.call == watch_call_;
+  if (!is_list && !is_watch) {
+    return {};
+  }
+  std::vector<table_row> rows;
+  for (const store_entry& entry : answer.result.entries) {
+    if (const auto versions = DecodeRow(entry.key, entry.value)) {
+      rows.push_back(versions->front().row);
+    }
+  }
+  if (is_watch) {
+    OnWatched(now, answer.result);
+    return rows;
+  }
+  if (answer.result.status == store_status::kDone && is_watcher_) {
+    RestoreLostRows(now, answer.result, own);
+  }
+  OnListed(now, answer.result);
+  return rows;
+}
+
+void row_watch::OnTimer(step& now, std::uint64_t key) {
+  if (key == kWatchTimer) {
+    return Watch(now);
+  }
+  List(now);
+}
+
+void row_watch::List(step& now) {
+  if (list_call_) {
+    return;
+  }
+  list_call_ = numbers_.Next();
+  now.Count(counter::kStoreCalls);
+  now.Emit(call_store{*list_call_, store_list{std::string(kTablePrefix)}});
+}
+
+void row_watch::OnListed(step& now, const store_result& result) {
+  list_call_.reset();
+  if (result.status != store_status::kDone) {
+    now.Count(counter::kStoreFailures);
+    ++failures_;
+    if (is_watcher_ || !is_listed_) {
+      ListLater(now, RetryDelay(now, failures_));
+    }
+    return;
+  }
+  failures_ = 0;
+  is_listed_ = true;
+  revision_ = result.revision;
+  if (is_watcher_) {
+    ListLater(now, kListInterval);
+    Watch(now);
+  }
+}
+
+void row_watch::Watch(step& now) {
+  if (watch_call_ || !is_watcher_ || !revision_) {
+    return;
+  }
+  watch_call_ = numbers_.Next();
+  now.Count(counter::kStoreCalls);
+  now.Emit(call_store{*watch_call_,
+                      store_watch{std::string(kTablePrefix), *revision_}});
+}
+
+void row_watch::OnWatched(step& now, const store_result& result) {
+  watch_call_.reset();
+  if (result.status != store_status::kDone) {
+    now.Count(counter::kStoreFailures);
+    ++failures_;
+    now.timers().Subscribe({timer_owner::kTable, kWatchTimer},
+                           now.now() + RetryDelay(now, failures_));
+    return;
+  }
+  failures_ = 0;
+  // A watch that saw nothing says nothing of the service's revision, which is
+  // lower than before if the service was restored.
+  if (!result.entries.empty()) {
+    revision_ = result.revision;
+  }
+  Watch(now);
+}
+
+// Rows come only from the service, so a row that is newer here was accepted
+// there and lost.
+void row_watch::RestoreLostRows(step& now,
+                                const store_result& listed,
+                                const row_set& own) {
+  std::unordered_map<std::string, const store_entry*> stored;
+  for (const store_entry& entry : listed.entries) {
+    stored.emplace(entry.key, &entry);
+  }
+  std::size_t restored = 0;
+  for (const table_row& row : own.All()) {
+    const std::string key = RowKey(row.service, row.request_class);
+    const auto found = stored.find(key);
+    row_versions versions;
+    store_revision revision;
+    if (found != stored.end()) {
+      revision = found->second->revision;
+      versions = DecodeRow(key, found->second->value).value_or(row_versions{});
+    }
+    const bool is_lost =
+        versions.empty() || versions.front().row.version < row.version;
+    if (!is_lost || restored == kMostRestoredAtOnce) {
+      continue;
+    }
+    ++restored;
+    versions.insert(versions.begin(), {row, "restored"});
+    versions.resize(std::min(versions.size(), kKeptRowVersions));
+    now.Count(counter::kStoreCalls);
+    now.Count(counter::kRowsRestored);
+    now.Emit(
+        call_store{numbers_.Next(),
+                   store_compare_and_swap{key, EncodeRow(versions), revision}});
+  }
+}
+
+void row_watch::ListLater(step& now, duration delay) {
+  now.timers().Subscribe({timer_owner::kTable, kListTimer}, now.now() + delay);
+}
+
+}  // namespace auburnfold
--- a/Libraries/LibDecision/Table/table.cc
+++ b/Libraries/LibDecision/Table/table.cc
@@ -1,28 +1,56 @@
 #include "LibDecision/Table/table.h"
 
+#include <variant>
+
 namespace auburnfold {
 
-void table::Start(step&) {}
+void table::Start(step& now) {
+  watch_.Start(now);
+}
 
-void table::OnStoreAnswered(step&, const store_answered&) {}
+void table::OnStoreAnswered(step& now, const store_answered& answer) {
+  for (const table_row& row : watch_.OnStoreAnswered(now, answer, rows_)) {
+    Take(now, row);
+  }
+  if (const auto row = edits_.OnStoreAnswered(now, answer)) {
+    Take(now, *row);
+  }
+  is_synced_ = is_synced_ || watch_.is_listed();
+}
 
-// FIXME: Edits are not yet written to the key-value service.
 void table::OnAdminRequested(step& now, const admin_requested& request) {
-  now.Emit(answer_admin{request.call,
-                        {.status = admin_status::kStoreUnavailable,
-                         .reason = "the table cannot be edited yet"}});
+  if (const auto* edit = std::get_if<edit_row>(&request.request)) {
+    return edits_.Begin(now, request.call, *edit);
+  }
+  if (const auto* wanted = std::get_if<read_history>(&request.request)) {
+    edits_.Begin(now, request.call, *wanted);
+  }
 }
 
-void table::OnTimer(step&, std::uint64_t) {}
+void table::OnTimer(step& now, std::uint64_t key) {
+  if (key == row_watch::kListTimer || key == row_watch::kWatchTimer) {
+    return watch_.OnTimer(now, key);
+  }
+  edits_.OnTimer(now, key);
+}
+
+void table::OnPeerDigest(std::uint64_t digest) {
+  is_synced_ = is_synced_ || digest == rows_.digest();
+}
+
+void table::set_watcher(step& now, bool is_watcher) {
+  watch_.set_watcher(now, is_watcher);
+}
 
 bool table::Take(step& now, const table_row& row) {
-  const row_key key{row.service, row.request_class};
-  const auto found = rows_.find(key);
-  if (found != rows_.end() && found->second.version >= row.version) {
-    now.Count(counter::kOldRowsIgnored);
+  if (!rows_.Take(row)) {
+    const table_row* own = rows_.Find(row.service, row.request_class);
+    if (own->version > row.version) {
+      now.Count(counter::kOldRowsIgnored);
+    }
     return false;
   }
-  rows_.insert_or_assign(key, row);
+  changed_.push_back(row);
   now.Count(counter::kRowsTaken);
   return true;
 }
@@ -30,16 +58,15 @@
 const row_settings& table::SettingsFor(const service_name& service,
                                        const class_name& request_class) const {
   static const row_settings kDefaults;
-  const auto found = rows_.find({service, request_class});
-  if (found == rows_.end() || found->second.is_deleted) {
+  const table_row* row = rows_.Find(service, request_class);
+  if (row == nullptr || row->is_deleted) {
     return kDefaults;
   }
-  return found->second.settings;
+  return row->settings;
 }
 
 bool table::has_service(const service_name& service) const {
-  const auto first = rows_.lower_bound({service, class_name()});
-  return first != rows_.end() && first->first.first == service;
+  return rows_.has_service(service);
 }
 
 }  // namespace auburnfold
--- a/Libraries/LibDecision/counter.cc
+++ b/Libraries/LibDecision/counter.cc
@@ -44,6 +44,8 @@
       return "old_rows_ignored";
     case counter::kRowsTaken:
       return "rows_taken";
+    case counter::kRowsRestored:
+      return "rows_restored";
     case counter::kStoreCalls:
       return "store_calls";
     case counter::kStoreFailures:
--- a/Libraries/LibDecision/counter.h
+++ b/Libraries/LibDecision/counter.h
@@ -28,6 +28,7 @@
   kOldRecordsIgnored,
   kOldRowsIgnored,
   kRowsTaken,
+  kRowsRestored,
   kStoreCalls,
   kStoreFailures,
   kMessagesSent,
--- /dev/null
+++ b/Libraries/LibDecision/store_call_numbers.h
@@ -0,0 +1,32 @@
+#ifndef LIBDECISION_STORE_CALL_NUMBERS_H_
+#define LIBDECISION_STORE_CALL_NUMBERS_H_
+
+#include <cstdint>
+
+#include "LibDecision/ids.h"
+
+namespace auburnfold {
+
+/// The parts of the reducer that call the key-value service.
+enum class store_caller : std::uint8_t { kRendezvous, kRowEdits, kRowWatch };
+
+/// Makes ids of store calls that no other part makes.
+class store_call_numbers {
+ public:
+  explicit store_call_numbers(store_caller caller) : caller_(caller) {}
+
+  store_call_id Next() {
+    constexpr std::uint64_t kCallerCount = 3;
+    ++made_;
+    return store_call_id(made_ * kCallerCount +
+                         static_cast<std::uint64_t>(caller_));
+  }
+
+ private:
+  store_caller caller_;
+  std::uint64_t made_ = 0;
+};
+
+}  // namespace auburnfold
+
+#endif  // LIBDECISION_STORE_CALL_NUMBERS_H_
