Membership: Spread records over an overlay within a byte budget

Cause: every node told its seeds all it knew each second, which grows with the number of nodes; nothing found dead nodes. Change: a ring by node id with two successors and four hashed fingers carries heartbeats with digests and every change once; differing digests are repaired bucket by bucket. One node per failure domain keeps a few addresses in the key-value service. A node publishes itself once it knows the newest table.

--- /dev/null
+++ b/Libraries/LibDecision/Membership/gossip.cc
@@ -0,0 +1,259 @@
+#include "LibDecision/Membership/gossip.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "LibDecision/Membership/overlay.h"
+
+namespace auburnfold {
+
+namespace {
+
+// What the codec needs for one message, record, row and digest, about.
+constexpr std::uint64_t kMessageBytes = 90;
+constexpr std::uint64_t kRecordBytes = 110;
+constexpr std::uint64_t kRowBytes = 160;
+constexpr std::uint64_t kDigestBytes = 9;
+constexpr std::size_t kRecordsPerMessage = 64;
+constexpr std::size_t kRowsPerMessage = 64;
+// One differing heartbeat may only mean that a change is on its way.
+constexpr int kMismatchesBeforeRepair = 2;
+constexpr std::size_t kMostMismatches = 64;
+constexpr std::size_t kEnoughNeighbours = 3;
+
+std::vector<std::uint16_t> DifferingBuckets(
+    const std::vector<std::uint64_t>& ours,
+    const std::vector<std::uint64_t>& theirs) {
+  std::vector<std::uint16_t> differing;
+  if (ours.size() != theirs.size()) {
+    return differing;
+  }
+  for (std::size_t bucket = 0; bucket < ours.size(); ++bucket) {
+    if (ours[bucket] != theirs[bucket]) {
+      differing.push_back(static_cast<std::uint16_t>(bucket));
+    }
+  }
+  return differing;
+}
+
+// Answers that the budget cuts short start at another bucket each time.
+std::vector<std::uint16_t> Rotated(step& now,
+                                   std::vector<std::uint16_t> buckets) {
+  if (!buckets.empty()) {
+    const auto start =
+        static_cast<std::ptrdiff_t>(now.RandomBelow(buckets.size()));
+    std::rotate(buckets.begin(), buckets.begin() + start, buckets.end());
+  }
+  return buckets;
+}
+
+}  // namespace
+
+void gossip::UpdateNeighbours(step& now,
+                              const std::vector<node_address>& seeds) {
+  neighbours_ = NeighboursOf(list_, self_.node);
+  std::vector<node_address> addresses;
+  for (const node_id& node : neighbours_) {
+    addresses.push_back(list_.Find(node)->address);
+  }
+  if (addresses.size() < kEnoughNeighbours) {
+    for (const node_address& seed : seeds) {
+      const bool is_new = seed != self_.address &&
+                          std::find(addresses.begin(), addresses.end(), seed) ==
+                              addresses.end();
+      if (is_new) {
+        addresses.push_back(seed);
+      }
+    }
+  }
+  if (mismatches_.size() > kMostMismatches) {
+    mismatches_.clear();
+  }
+  if (addresses != addresses_) {
+    addresses_ = std::move(addresses);
+    now.Emit(keep_neighbours{addresses_});
+  }
+}
+
+void gossip::Spread(const member_record& record, node_id from) {
+  waiting_.insert_or_assign(record.node, waiting_record{record, from});
+}
+
+// Rows are few and must be in force at once, so no budget holds them back.
+void gossip::SpreadRows(step& now, const std::vector<table_row>& rows) {
+  for (std::size_t first = 0; first < rows.size(); first += kRowsPerMessage) {
+    const std::size_t end = std::min(rows.size(), first + kRowsPerMessage);
+    const row_update update{{rows.begin() + static_cast<std::ptrdiff_t>(first),
+                             rows.begin() + static_cast<std::ptrdiff_t>(end)}};
+    for (const node_address& address : addresses_) {
+      Send(now, address, update);
+    }
+  }
+}
+
+void gossip::Flush(step& now) {
+  while (!waiting_.empty() && spread_budget_.is_open(now.now())) {
+    SendBatch(now);
+  }
+}
+
+void gossip::FlushAll(step& now) {
+  while (!waiting_.empty()) {
+    SendBatch(now);
+  }
+}
+
+// Callers must hear first of those that take no more work.
+void gossip::SendBatch(step& now) {
+  std::vector<waiting_record> batch;
+  const auto take = [&](bool is_urgent) {
+    for (auto each = waiting_.begin();
+         each != waiting_.end() && batch.size() < kRecordsPerMessage;) {
+      const bool is_ready = each->second.record.state == member_state::kReady;
+      if (is_ready == is_urgent) {
+        ++each;
+        continue;
+      }
+      batch.push_back(each->second);
+      each = waiting_.erase(each);
+    }
+  };
+  take(true);
+  take(false);
+  for (const node_address& address : addresses_) {
+    member_update update;
+    for (const waiting_record& each : batch) {
+      const member_record* from = list_.Find(each.from);
+      const bool is_echo = from != nullptr && each.from != self_.node &&
+                           from->address == address;
+      if (!is_echo) {
+        update.records.push_back(each.record);
+      }
+    }
+    if (!update.records.empty()) {
+      spread_budget_.Spend(kMessageBytes +
+                           kRecordBytes * update.records.size());
+      Send(now, address, std::move(update));
+    }
+  }
+}
+
+void gossip::SendHeartbeats(step& now) {
+  const heartbeat beat = Heartbeat();
+  for (const node_address& address : addresses_) {
+    Send(now, address, beat);
+  }
+}
+
+void gossip::Send(step& now, const node_address& to, message_content content) {
+  now.Count(counter::kMessagesSent);
+  now.Emit(send_message{
+      to, {self_.node, self_.run, self_.address, std::move(content)}});
+}
+
+// A node that has not yet learned the newest rows says so with a digest of 0.
+heartbeat gossip::Heartbeat() const {
+  return {.member_digest = list_.digest(),
+          .table_digest = rows_.is_synced() ? rows_.rows().digest() : 0};
+}
+
+void gossip::OnHeartbeat(step& now,
+                         const peer_message& message,
+                         const heartbeat& theirs) {
+  const bool is_same = theirs.member_digest == list_.digest() &&
+                       theirs.table_digest == rows_.rows().digest();
+  if (is_same) {
+    mismatches_.erase(message.from);
+    return;
+  }
+  const bool is_stranger = list_.Find(message.from) == nullptr;
+  const int needed =
+      is_stranger || !rows_.is_synced() ? 1 : kMismatchesBeforeRepair;
+  int& seen = mismatches_[message.from];
+  ++seen;
+  if (seen < needed || !repair_budget_.is_open(now.now())) {
+    return;
+  }
+  seen = 0;
+  bucket_digests digests{list_.bucket_digests(), rows_.rows().bucket_digests()};
+  const std::size_t count = digests.members.size() + digests.rows.size();
+  SendInBudget(now, message.from_address, std::move(digests),
+               kDigestBytes * count);
+}
+
+// Both sides give what they have in the differing buckets: neither can tell
+// which of them lacks something.
+void gossip::OnDigests(step& now,
+                       const peer_message& message,
+                       const bucket_digests& theirs) {
+  const auto members =
+      Rotated(now, DifferingBuckets(list_.bucket_digests(), theirs.members));
+  const auto rows = Rotated(
+      now, DifferingBuckets(rows_.rows().bucket_digests(), theirs.rows));
+  if (members.empty() && rows.empty()) {
+    return;
+  }
+  SendRows(now, message.from_address, rows);
+  SendRecords(now, message.from_address, members);
+  const std::size_t count = members.size() + rows.size();
+  SendInBudget(now, message.from_address, bucket_request{members, rows},
+               kDigestBytes * count);
+}
+
+void gossip::OnRequest(step& now,
+                       const peer_message& message,
+                       const bucket_request& wanted) {
+  SendRows(now, message.from_address, wanted.rows);
+  SendRecords(now, message.from_address, wanted.members);
+}
+
+void gossip::SendRecords(step& now,
+                         const node_address& to,
+                         const std::vector<std::uint16_t>& buckets) {
+  member_update update;
+  const auto send = [&] {
+    const std::uint64_t bytes = kRecordBytes * update.records.size();
+    SendInBudget(now, to, std::exchange(update, {}), bytes);
+  };
+  for (const std::uint16_t bucket : buckets) {
+    if (bucket >= member_list::kBucketCount ||
+        !repair_budget_.is_open(now.now())) {
+      break;
+    }
+    const auto records = list_.InBucket(bucket);
+    update.records.insert(update.records.end(), records.begin(), records.end());
+    if (update.records.size() >= kRecordsPerMessage) {
+      send();
+    }
+  }
+  if (!update.records.empty()) {
+    send();
+  }
+}
+
+void gossip::SendRows(step& now,
+                      const node_address& to,
+                      const std::vector<std::uint16_t>& buckets) {
+  row_update update;
+  for (const std::uint16_t bucket : buckets) {
+    if (bucket >= row_set::kBucketCount) {
+      break;
+    }
+    const auto rows = rows_.rows().InBucket(bucket);
+    update.rows.insert(update.rows.end(), rows.begin(), rows.end());
+  }
+  if (!update.rows.empty()) {
+    const std::uint64_t bytes = kRowBytes * update.rows.size();
+    SendInBudget(now, to, std::move(update), bytes);
+  }
+}
+
+void gossip::SendInBudget(step& now,
+                          const node_address& to,
+                          message_content content,
+                          std::uint64_t bytes) {
+  repair_budget_.Spend(kMessageBytes + bytes);
+  Send(now, to, std::move(content));
+}
+
+}  // namespace auburnfold
--- a/Libraries/LibDecision/Membership/membership.cc
+++ b/Libraries/LibDecision/Membership/membership.cc
@@ -2,17 +2,28 @@
 
 #include <algorithm>
 #include <chrono>
-#include <tuple>
+#include <variant>
+
+#include "LibDecision/Membership/overlay.h"
 
 namespace auburnfold {
 
 namespace {
 
-constexpr duration kAnnounceInterval = std::chrono::seconds(1);
+using std::chrono::hours;
+using std::chrono::seconds;
 
-auto AgeOf(const member_record& record) {
-  return std::tuple(record.run, record.version, record.state);
-}
+constexpr duration kSeedsInterval = seconds(10);
+constexpr duration kGoneInterval = seconds(5);
+constexpr duration kGoneMemory = hours(2);
+// A node that finds neither the key-value service nor a peer that knows the
+// table goes to work without it.
+constexpr duration kSyncPatience = seconds(5);
+constexpr duration kFreshness = seconds(10);
+constexpr std::size_t kRecordsPassedOnWhenFresh = 8;
+constexpr std::size_t kSeedsAskedAtOnce = 3;
+constexpr std::size_t kWatchersPerDomain = 2;
+constexpr std::size_t kAddressesPerDomain = 3;
 
 }  // namespace
 
@@ -22,91 +33,319 @@
   self_.address = self.address;
   self_.domain = self.domain;
   seeds_ = self.seeds;
-  members_[self_.node] = self_;
-  now.Emit(keep_neighbours{seeds_});
+  started_ = now.now();
+  list_.Take(self_);
+  gossip_.set_self(self_);
+  gossip_.UpdateNeighbours(now, seeds_);
+  rendezvous_.Start(now, LookAround(now));
+  AskSeeds(now);
   now.timers().Subscribe({timer_owner::kMembership},
-                         now.now() + kAnnounceInterval);
+                         now.now() + failure_detector::kHeartbeatInterval);
 }
 
-void membership::OnEndpointReported(step& now,
-                                    const endpoint_reported& report) {
-  const member_state state = report.state == endpoint_state::kReady
-                                 ? member_state::kReady
-                                 : member_state::kLeaving;
-  if (self_.service == report.service && self_.state == state) {
-    return;
-  }
+void membership::OnEndpointReported(step&, const endpoint_reported& report) {
   self_.service = report.service;
-  self_.state = state;
-  Announce(now);
+  endpoint_ = report.state;
+  Announce();
 }
 
-void membership::OnStopRequested(step& now) {
-  self_.state = member_state::kLeaving;
-  Announce(now);
+void membership::SetDraining(step&, bool is_draining) {
+  is_draining_ = is_draining;
+  Announce();
+}
+
+void membership::OnStopRequested(step&) {
+  is_stopping_ = true;
+  Announce();
+}
+
+void membership::OnStopped(step& now) {
+  self_.state = member_state::kGone;
+  ++self_.version;
+  gossip_.set_self(self_);
+  if (is_published_) {
+    gossip_.Spread(self_, self_.node);
+  }
+  gossip_.FlushAll(now);
 }
 
 void membership::OnMessage(step& now, const peer_message& message) {
+  if (message.from == self_.node) {
+    return;
+  }
+  detector_.OnHeard(now.now(), message.from);
+  if (const auto* beat = std::get_if<heartbeat>(&message.content)) {
+    return OnHeartbeat(now, message, *beat);
+  }
   if (const auto* update = std::get_if<member_update>(&message.content)) {
-    for (const member_record& record : update->records) {
-      Take(now, record);
+    return OnUpdate(now, message.from, *update);
+  }
+  if (const auto* theirs = std::get_if<bucket_digests>(&message.content)) {
+    return gossip_.OnDigests(now, message, *theirs);
+  }
+  if (const auto* wanted = std::get_if<bucket_request>(&message.content)) {
+    // A request for nothing asks whether this node lives.
+    const bool is_probe = wanted->members.empty() && wanted->rows.empty();
+    if (is_probe) {
+      return gossip_.Send(now, message.from_address, gossip_.Heartbeat());
     }
+    gossip_.OnRequest(now, message, *wanted);
   }
 }
 
-void membership::OnStoreAnswered(step&, const store_answered&) {}
+void membership::OnHeartbeat(step& now,
+                             const peer_message& message,
+                             const heartbeat& theirs) {
+  if (theirs.table_digest != 0) {
+    rows_.OnPeerDigest(theirs.table_digest);
+  }
+  const member_record* held = list_.Find(message.from);
+  const bool is_thought_gone = held != nullptr &&
+                               held->state == member_state::kGone &&
+                               held->run >= message.from_run;
+  if (is_thought_gone) {
+    gossip_.Send(now, message.from_address, member_update{{*held}});
+  }
+  gossip_.OnHeartbeat(now, message, theirs);
+}
+
+void membership::OnStoreAnswered(step& now, const store_answered& answer) {
+  const bool had_addresses = !rendezvous_.addresses().empty();
+  rendezvous_.OnStoreAnswered(now, answer);
+  const bool has_news = !had_addresses && !rendezvous_.addresses().empty();
+  if (has_news && list_.members().size() == 1) {
+    AskSeeds(now);
+  }
+}
 
-// FIXME: Every node tells its seeds all it knows each second; the cost grows
-// with the number of nodes.
 void membership::OnTimer(step& now, std::uint64_t) {
-  member_update update;
-  for (const auto& [node, record] : members_) {
-    update.records.push_back(record);
+  now.timers().Subscribe({timer_owner::kMembership},
+                         now.now() + failure_detector::kHeartbeatInterval);
+  JudgeSilence(now);
+  const rendezvous_view view = LookAround(now);
+  gossip_.UpdateNeighbours(now, KnownSeeds());
+  gossip_.SendHeartbeats(now);
+  rendezvous_.OnTick(now, view);
+  const bool is_joining = view.is_alone || !is_published_;
+  if (is_joining || now.now() - seeds_asked_ >= kSeedsInterval) {
+    AskSeeds(now);
   }
-  for (const node_address& seed : seeds_) {
-    now.Count(counter::kMessagesSent);
-    now.Emit(
-        send_message{seed, {self_.node, self_.run, self_.address, update}});
+  if (now.now() - gone_asked_ >= kGoneInterval) {
+    AskOneOfTheGone(now);
+    ForgetLongGone(now);
   }
-  now.timers().Subscribe({timer_owner::kMembership},
-                         now.now() + kAnnounceInterval);
+}
+
+void membership::SpreadChanges(step& now) {
+  PublishIfSynced(now);
+  gossip_.SpreadRows(now, rows_.TakeChanged());
+  gossip_.Flush(now);
 }
 
 bool membership::Take(step& now, const member_record& record) {
-  const auto found = members_.find(record.node);
-  if (found != members_.end() && AgeOf(found->second) >= AgeOf(record)) {
+  const member_record* held = list_.Find(record.node);
+  const bool was_gone = held != nullptr && held->state == member_state::kGone;
+  const bool was_ready = held != nullptr && held->state == member_state::kReady;
+  const bool is_same_run = held != nullptr && held->run == record.run;
+  if (!list_.Take(record)) {
     now.Count(counter::kOldRecordsIgnored);
     return false;
   }
-  members_.insert_or_assign(record.node, record);
+  if (record.state == member_state::kGone) {
+    gone_since_[record.node] = now.now();
+    if (was_ready) {
+      losses_.Note(now.now(), list_.members().size());
+    }
+    return true;
+  }
+  gone_since_.erase(record.node);
+  if (was_gone && is_same_run) {
+    detector_.OnRefuted(record.node);
+  }
   return true;
 }
 
 std::vector<const member_record*> membership::ReadyEndpoints(
     const service_name& service) const {
-  std::vector<const member_record*> ready;
-  for (const auto& [node, record] : members_) {
-    if (record.service == service && record.state == member_state::kReady) {
-      ready.push_back(&record);
-    }
-  }
-  std::sort(ready.begin(), ready.end(),
-            [](const member_record* left, const member_record* right) {
-              return left->node < right->node;
-            });
-  return ready;
+  return list_.Ready(service);
 }
 
 bool membership::has_service(const service_name& service) const {
-  return std::any_of(members_.begin(), members_.end(),
-                     [&service](const auto& entry) {
-                       return entry.second.service == service;
-                     });
+  return list_.has_service(service);
 }
 
-void membership::Announce(step&) {
+// The own list changes at once, so that this node's own calls see it; the
+// others are told when this node knows the table.
+void membership::Announce() {
+  const bool is_leaving =
+      is_draining_ || is_stopping_ || endpoint_ == endpoint_state::kLeaving;
+  const member_state state =
+      is_leaving ? member_state::kLeaving : member_state::kReady;
+  const member_record* held = list_.Find(self_.node);
+  if (held->service == self_.service && held->state == state) {
+    return;
+  }
+  self_.state = state;
   ++self_.version;
-  members_.insert_or_assign(self_.node, self_);
+  list_.Take(self_);
+  gossip_.set_self(self_);
+  if (is_published_) {
+    gossip_.Spread(self_, self_.node);
+  }
+}
+
+void membership::PublishIfSynced(step& now) {
+  if (is_published_) {
+    return;
+  }
+  const bool has_waited = now.now() - started_ >= kSyncPatience;
+  const bool is_ready =
+      rows_.is_synced() || (has_waited && rows_.is_store_missing());
+  if (!is_ready) {
+    return;
+  }
+  is_published_ = true;
+  gossip_.UpdateNeighbours(now, KnownSeeds());
+  gossip_.Spread(self_, self_.node);
+}
+
+// What a fresh node learns in bulk, the others know already.
+void membership::OnUpdate(step& now,
+                          node_id from,
+                          const member_update& update) {
+  const bool is_fresh = now.now() - started_ < kFreshness;
+  const bool is_passed_on =
+      !is_fresh || update.records.size() <= kRecordsPassedOnWhenFresh;
+  for (const member_record& record : update.records) {
+    if (TakeFrom(now, record, from) && is_passed_on) {
+      gossip_.Spread(record, from);
+    }
+  }
+}
+
+// Returns whether the record was news of another node.
+bool membership::TakeFrom(step& now,
+                          const member_record& record,
+                          node_id from) {
+  if (record.node == self_.node) {
+    if (IsNewer(record, self_)) {
+      Refute(record);
+    }
+    return false;
+  }
+  if (Take(now, record)) {
+    return true;
+  }
+  const member_record* held = list_.Find(record.node);
+  const bool is_behind = record.node == from && IsNewer(*held, record);
+  if (is_behind) {
+    gossip_.Send(now, record.address, member_update{{*held}});
+  }
+  return false;
+}
+
+// Others hold something newer about this node: that it is gone, or the record
+// of an earlier process whose clock was ahead. What this node says goes on
+// top of it.
+void membership::Refute(const member_record& rumour) {
+  if (self_.state == member_state::kGone) {
+    return;
+  }
+  if (rumour.run > self_.run) {
+    self_.run = incarnation(rumour.run.value() + 1);
+  }
+  self_.version = std::max(self_.version, rumour.version) + 1;
+  list_.Take(self_);
+  gossip_.set_self(self_);
+  gossip_.Spread(self_, self_.node);
+}
+
+void membership::JudgeSilence(step& now) {
+  const silence_report report =
+      detector_.Check(now, WatchedBy(list_, self_.node));
+  for (const node_id& node : report.to_probe) {
+    gossip_.Send(now, list_.Find(node)->address, bucket_request{});
+  }
+  for (const node_id& node : report.dead) {
+    if (losses_.is_open(now.now(), list_.members().size())) {
+      DeclareGone(now, node);
+    }
+  }
+}
+
+void membership::DeclareGone(step& now, node_id node) {
+  member_record record = *list_.Find(node);
+  record.state = member_state::kGone;
+  Take(now, record);
+  now.Count(counter::kMembersFoundDead);
+  gossip_.Spread(record, self_.node);
+}
+
+void membership::AskSeeds(step& now) {
+  seeds_asked_ = now.now();
+  std::vector<node_address> unknown = KnownSeeds();
+  const bool is_joining = list_.members().size() == 1 || !is_published_;
+  std::erase_if(unknown, [&](const node_address& address) {
+    const auto& members = list_.members();
+    const bool is_member = std::any_of(
+        members.begin(), members.end(),
+        [&](const auto& entry) { return entry.second.address == address; });
+    return address == self_.address || (is_member && !is_joining);
+  });
+  for (std::size_t asked = 0; asked < kSeedsAskedAtOnce && !unknown.empty();
+       ++asked) {
+    const auto chosen = unknown.begin() + static_cast<std::ptrdiff_t>(
+                                              now.RandomBelow(unknown.size()));
+    gossip_.Send(now, *chosen, bucket_request{});
+    unknown.erase(chosen);
+  }
+}
+
+// After a cut has healed, somebody must ask first.
+void membership::AskOneOfTheGone(step& now) {
+  gone_asked_ = now.now();
+  const auto& gone = list_.gone();
+  if (gone.empty()) {
+    return;
+  }
+  const auto chosen = std::next(
+      gone.begin(), static_cast<std::ptrdiff_t>(now.RandomBelow(gone.size())));
+  gossip_.Send(now, chosen->second.address, gossip_.Heartbeat());
+}
+
+void membership::ForgetLongGone(step& now) {
+  for (auto each = gone_since_.begin(); each != gone_since_.end();) {
+    if (now.now() - each->second < kGoneMemory) {
+      ++each;
+      continue;
+    }
+    list_.Forget(each->first);
+    each = gone_since_.erase(each);
+  }
+}
+
+rendezvous_view membership::LookAround(step& now) {
+  rendezvous_view view{.domain = self_.domain,
+                       .is_alone = list_.members().size() == 1};
+  std::size_t before_self = 0;
+  for (const auto& [node, record] : list_.members()) {
+    if (record.domain != self_.domain) {
+      continue;
+    }
+    if (view.wanted.size() < kAddressesPerDomain) {
+      view.wanted.push_back(record.address);
+    }
+    before_self += node < self_.node ? 1 : 0;
+  }
+  view.is_keeper = before_self == 0;
+  rows_.set_watcher(now, before_self < kWatchersPerDomain);
+  return view;
+}
+
+std::vector<node_address> membership::KnownSeeds() const {
+  std::vector<node_address> known = rendezvous_.addresses();
+  known.insert(known.end(), seeds_.begin(), seeds_.end());
+  return known;
 }
 
 }  // namespace auburnfold
--- a/Libraries/LibDecision/Membership/membership.h
+++ b/Libraries/LibDecision/Membership/membership.h
@@ -4,6 +4,12 @@
 #include <unordered_map>
 #include <vector>
 
+#include "LibDecision/Membership/failure_detector.h"
+#include "LibDecision/Membership/gossip.h"
+#include "LibDecision/Membership/loss_budget.h"
+#include "LibDecision/Membership/member_list.h"
+#include "LibDecision/Membership/rendezvous.h"
+#include "LibDecision/Table/table.h"
 #include "LibDecision/event.h"
 #include "LibDecision/member_record.h"
 #include "LibDecision/step.h"
@@ -13,28 +19,67 @@
 /// What this node knows about all others, and tells them about its endpoint.
 class membership {
  public:
+  explicit membership(table& rows) : rows_(rows) {}
+  membership(const membership&) = delete;
+  membership& operator=(const membership&) = delete;
+
   void Start(step& now, const node_started& self);
   void OnEndpointReported(step& now, const endpoint_reported& report);
+  /// Takes the own endpoint out of service, or back in.
+  void SetDraining(step& now, bool is_draining);
   void OnStopRequested(step& now);
+  /// The process ends: says so to the neighbours.
+  void OnStopped(step& now);
   void OnMessage(step& now, const peer_message& message);
   void OnStoreAnswered(step& now, const store_answered& answer);
   void OnTimer(step& now, std::uint64_t key);
+  /// Sends what the event changed. Called last in every step.
+  void SpreadChanges(step& now);
 
   /// Takes `record` if it is newer than the copy held. Returns whether it was.
   bool Take(step& now, const member_record& record);
 
-  /// Every node whose endpoint offers `service` and is ready.
+  /// Every node whose endpoint offers `service` and is ready, by id. Pointers
+  /// last until the next event.
   std::vector<const member_record*> ReadyEndpoints(
       const service_name& service) const;
   bool has_service(const service_name& service) const;
   const member_record& self() const { return self_; }
+  const member_list& list() const { return list_; }
 
  private:
-  void Announce(step& now);
+  void Announce();
+  void PublishIfSynced(step& now);
+  void OnUpdate(step& now, node_id from, const member_update& update);
+  bool TakeFrom(step& now, const member_record& record, node_id from);
+  void Refute(const member_record& rumour);
+  void OnHeartbeat(step& now,
+                   const peer_message& message,
+                   const heartbeat& theirs);
+  void JudgeSilence(step& now);
+  void DeclareGone(step& now, node_id node);
+  void AskSeeds(step& now);
+  void AskOneOfTheGone(step& now);
+  void ForgetLongGone(step& now);
+  rendezvous_view LookAround(step& now);
+  std::vector<node_address> KnownSeeds() const;
 
+  table& rows_;
   member_record self_;
-  std::unordered_map<node_id, member_record> members_;
+  member_list list_;
+  gossip gossip_{list_, rows_};
+  failure_detector detector_;
+  loss_budget losses_;
+  rendezvous rendezvous_;
   std::vector<node_address> seeds_;
+  std::unordered_map<node_id, instant> gone_since_;
+  instant started_{};
+  instant seeds_asked_{};
+  instant gone_asked_{};
+  bool is_published_ = false;
+  bool is_draining_ = false;
+  bool is_stopping_ = false;
+  endpoint_state endpoint_ = endpoint_state::kReady;
 };
 
 }  // namespace auburnfold
--- a/Libraries/LibDecision/reducer.cc
+++ b/Libraries/LibDecision/reducer.cc
@@ -20,7 +20,7 @@
   node_options options;
   timer_service timers;
   table rows;
-  membership members;
+  membership members{rows};
   retry_allowance allowance;
   pressure_memory pressure;
   outgoing_calls calls{rows, members, allowance, pressure, options};
@@ -91,7 +91,11 @@
   void On(step&, const connection_closed&) {}
 
   void On(step& now, const message_received& received) {
+    const incarnation run = members.self().run;
     members.OnMessage(now, received.message);
+    if (members.self().run != run) {
+      works.Start({.node = members.self().node, .run = members.self().run});
+    }
     if (const auto* update =
             std::get_if<row_update>(&received.message.content)) {
       for (const table_row& row : update->rows) {
@@ -106,6 +110,11 @@
   }
 
   void On(step& now, const admin_requested& request) {
+    if (const auto* wanted = std::get_if<set_draining>(&request.request)) {
+      members.SetDraining(now, wanted->is_draining);
+      now.Emit(answer_admin{request.call, {}});
+      return;
+    }
     rows.OnAdminRequested(now, request);
   }
 
@@ -137,6 +146,7 @@
     const bool is_idle = calls.open_count() == 0 && works.open_count() == 0;
     if (is_stopping && !is_stopped && is_idle) {
       is_stopped = true;
+      members.OnStopped(now);
       now.Emit(stop_process{});
     }
   }
@@ -165,6 +175,7 @@
   std::visit([&](const auto& content) { parts.On(now, content); },
              happened.content);
   parts.ResumeParents(now);
+  parts.members.SpreadChanges(now);
   parts.StopIfIdle(now);
   parts.AskForWake(now);
   return now.TakeEffects();
