--- a/Libraries/LibDecision/Membership/gossip.cc
+++ b/Libraries/LibDecision/Membership/gossip.cc
@@ -1,6 +1,7 @@
 #include "LibDecision/Membership/gossip.h"
 
 #include <algorithm>
+#include <chrono>
 #include <utility>
 
 #include "LibDecision/Membership/overlay.h"
@@ -18,6 +19,7 @@
 constexpr std::size_t kRowsPerMessage = 64;
 // One differing heartbeat may only mean that a change is on its way.
 constexpr int kMismatchesBeforeRepair = 2;
+constexpr duration kHeardMemory = std::chrono::milliseconds(3500);
 constexpr std::size_t kMostMismatches = 64;
 constexpr std::size_t kEnoughNeighbours = 3;
 
@@ -69,6 +71,9 @@
   if (mismatches_.size() > kMostMismatches) {
     mismatches_.clear();
   }
+  std::erase_if(heard_, [&now](const auto& entry) {
+    return now.now() - entry.second.when > kHeardMemory;
+  });
   if (addresses != addresses_) {
     addresses_ = std::move(addresses);
     now.Emit(keep_neighbours{addresses_});
@@ -157,9 +162,19 @@
           .table_digest = rows_.is_synced() ? rows_.rows().digest() : 0};
 }
 
+void gossip::CountPeers(instant now, admin_result& result) const {
+  for (const auto& [node, heard] : heard_) {
+    if (now - heard.when <= kHeardMemory) {
+      ++result.peers_heard;
+      result.peers_in_sync += heard.rows == rows_.rows().digest() ? 1 : 0;
+    }
+  }
+}
+
 void gossip::OnHeartbeat(step& now,
                          const peer_message& message,
                          const heartbeat& theirs) {
+  heard_[message.from] = {theirs.table_digest, now.now()};
   const bool is_same = theirs.member_digest == list_.digest() &&
                        theirs.table_digest == rows_.rows().digest();
   if (is_same) {
--- a/Libraries/LibDecision/Membership/gossip.h
+++ b/Libraries/LibDecision/Membership/gossip.h
@@ -9,6 +9,7 @@
 #include "LibDecision/Membership/byte_budget.h"
 #include "LibDecision/Membership/member_list.h"
 #include "LibDecision/Table/table.h"
+#include "LibDecision/admin_call.h"
 #include "LibDecision/peer_message.h"
 #include "LibDecision/step.h"
 
@@ -37,6 +38,9 @@
   /// Sends what waits whatever it costs; for the last message before a stop.
   void FlushAll(step& now);
 
+  /// Fills in how many of the peers heard lately hold the same rows.
+  void CountPeers(instant now, admin_result& result) const;
+
   void SendHeartbeats(step& now);
   void Send(step& now, const node_address& to, message_content content);
   /// The heartbeat that describes this node now.
@@ -64,6 +68,11 @@
     node_id from;
   };
 
+  struct heard_digest {
+    std::uint64_t rows = 0;
+    instant when{};
+  };
+
   void SendBatch(step& now);
   void SendRecords(step& now,
                    const node_address& to,
@@ -84,6 +93,7 @@
   std::map<node_id, waiting_record> waiting_;
   /// Heartbeats in a row of each neighbour that showed other digests.
   std::unordered_map<node_id, int> mismatches_;
+  std::unordered_map<node_id, heard_digest> heard_;
   byte_budget spread_budget_{kSpreadBytesPerSecond, kSpreadBurstBytes};
   byte_budget repair_budget_{kRepairBytesPerSecond, kRepairBurstBytes};
 };
--- a/Libraries/LibDecision/Membership/membership.cc
+++ b/Libraries/LibDecision/Membership/membership.cc
@@ -54,6 +54,16 @@
   Announce();
 }
 
+void membership::Describe(step& now, admin_result& result) const {
+  for (const auto& [node, record] : list_.members()) {
+    result.members.push_back(record);
+  }
+  for (const auto& [node, record] : list_.gone()) {
+    result.members.push_back(record);
+  }
+  gossip_.CountPeers(now.now(), result);
+}
+
 void membership::OnStopRequested(step&) {
   is_stopping_ = true;
   Announce();
@@ -170,6 +180,10 @@
   return list_.Ready(service);
 }
 
+const member_record* membership::Find(node_id node) const {
+  return list_.Find(node);
+}
+
 bool membership::has_service(const service_name& service) const {
   return list_.has_service(service);
 }
--- a/Libraries/LibDecision/Membership/membership.h
+++ b/Libraries/LibDecision/Membership/membership.h
@@ -27,6 +27,8 @@
   void OnEndpointReported(step& now, const endpoint_reported& report);
   /// Takes the own endpoint out of service, or back in.
   void SetDraining(step& now, bool is_draining);
+  /// Answers questions for the members and for the peers' rows.
+  void Describe(step& now, admin_result& result) const;
   void OnStopRequested(step& now);
   /// The process ends: says so to the neighbours.
   void OnStopped(step& now);
@@ -43,6 +45,8 @@
   /// last until the next event.
   std::vector<const member_record*> ReadyEndpoints(
       const service_name& service) const;
+  /// The record of `node`; nothing if it is not known.
+  const member_record* Find(node_id node) const;
   bool has_service(const service_name& service) const;
   const member_record& self() const { return self_; }
   const member_list& list() const { return list_; }
--- a/Libraries/LibDecision/reducer.cc
+++ b/Libraries/LibDecision/reducer.cc
@@ -14,6 +14,13 @@
 
 namespace auburnfold {
 
+namespace {
+
+/// Longest time that a planned stop waits for what runs.
+constexpr duration kStopLimit = std::chrono::seconds(30);
+
+}  // namespace
+
 struct node_state::parts {
   explicit parts(const node_options& chosen) : options(chosen) {}
 
@@ -38,7 +45,9 @@
   void On(step& now, const stop_requested&) {
     is_stopping = true;
     members.OnStopRequested(now);
+    calls.OnStopRequested();
     works.OnStopRequested(now);
+    now.timers().Subscribe({timer_owner::kStop}, now.now() + kStopLimit);
   }
 
   void On(step&, const time_passed&) {}
@@ -61,7 +70,7 @@
     calls.OnCancelled(now, cancelled.call);
   }
 
-  void On(step&, const attempt_sent&) {}
+  void On(step& now, const attempt_sent& sent) { calls.OnSent(now, sent); }
 
   void On(step& now, const attempt_finished& finished) {
     calls.OnAttemptFinished(now, finished);
@@ -73,19 +82,18 @@
 
   void On(step& now, const work_cancelled& cancelled) {
     works.OnCancelled(now, cancelled.work);
-    calls.CancelChildrenOf(now, cancelled.work);
   }
 
   void On(step& now, const work_sent& sent) { works.OnSent(now, sent.work); }
 
   void On(step& now, const work_finished& finished) {
     works.OnFinished(now, finished);
-    calls.CancelChildrenOf(now, finished.work);
   }
 
   void On(step& now, const endpoint_reported& report) {
-    members.OnEndpointReported(now, report);
-    works.OnEndpointReported(now, report);
+    if (works.OnEndpointReported(now, report) != report_effect::kIgnored) {
+      members.OnEndpointReported(now, report);
+    }
   }
 
   void On(step&, const connection_closed&) {}
@@ -115,6 +123,15 @@
       now.Emit(answer_admin{request.call, {}});
       return;
     }
+    const bool is_question =
+        std::holds_alternative<read_table>(request.request) ||
+        std::holds_alternative<read_members>(request.request);
+    if (is_question) {
+      admin_result result{.rows = rows.rows().All()};
+      members.Describe(now, result);
+      now.Emit(answer_admin{request.call, std::move(result)});
+      return;
+    }
     rows.OnAdminRequested(now, request);
   }
 
@@ -130,8 +147,12 @@
         return members.OnTimer(now, due.key);
       case timer_owner::kTable:
         return rows.OnTimer(now, due.key);
-      case timer_owner::kRouting:
+      case timer_owner::kEndpoint:
+        return OnEndpointTimer(now);
       case timer_owner::kStop:
+        return Cut(now);
+      case timer_owner::kRouting:
+      case timer_owner::kConnections:
         return;
     }
   }
@@ -142,12 +163,39 @@
     }
   }
 
-  void StopIfIdle(step& now) {
-    const bool is_idle = calls.open_count() == 0 && works.open_count() == 0;
-    if (is_stopping && !is_stopped && is_idle) {
+  // A silent endpoint is announced as leaving: it may still answer what runs.
+  void OnEndpointTimer(step& now) {
+    if (works.OnEndpointTimer(now)) {
+      endpoint_reported silent = *works.endpoint().report();
+      silent.state = endpoint_state::kLeaving;
+      members.OnEndpointReported(now, silent);
+    }
+  }
+
+  void Cut(step& now) {
+    const std::size_t cut = calls.open_count() + works.open_count();
+    calls.CutAll(now);
+    works.CutAll(now);
+    Stop(now, cut);
+  }
+
+  void CancelChildrenOfEndedWorks(step& now) {
+    for (const work_id ended : works.TakeEnded()) {
+      calls.CancelChildrenOf(now, ended);
+    }
+  }
+
+  void Stop(step& now, std::size_t cut_requests) {
+    if (!is_stopped) {
       is_stopped = true;
       members.OnStopped(now);
-      now.Emit(stop_process{});
+      now.Emit(stop_process{cut_requests});
+    }
+  }
+
+  void StopIfIdle(step& now) {
+    if (is_stopping && calls.open_count() == 0 && works.open_count() == 0) {
+      Stop(now, 0);
     }
   }
 
@@ -174,6 +222,7 @@
   }
   std::visit([&](const auto& content) { parts.On(now, content); },
              happened.content);
+  parts.CancelChildrenOfEndedWorks(now);
   parts.ResumeParents(now);
   parts.members.SpreadChanges(now);
   parts.StopIfIdle(now);
