LibAdmin, auburnfold-node: Serve the administration API, call the store

Cause: the table could only be edited by an embedder, and a real node had no key-value service. The node process wires the API and the store client. Conclusion: bulk edits, explain, change status by id and TLS are not yet there.

--- a/Services/auburnfold-node/main.cc
+++ b/Services/auburnfold-node/main.cc
@@ -11,7 +11,10 @@
 #include <iostream>
 #include <memory>
 #include <string>
+#include <utility>
 
+#include "LibAdmin/admin_api.h"
+#include "LibPlatform/store_client.h"
 #include "LibRuntime/node_runtime.h"
 #include "LibRuntime/node_settings.h"
 
@@ -53,9 +56,38 @@
   root.setLogLevel(log4cplus::getLogLevelManager().fromString(name));
 }
 
+void ConnectStore(node_runtime& node, store_client& store) {
+  node.SetStoreCaller(
+      [&store](const store_request& request, store_answer_handler done) {
+        store.Call(request, std::move(done));
+      });
+}
+
+leaf::result<access_rules> ReadAccessRules(const node_settings& settings) {
+  std::string fault;
+  auto rules = access_rules::Parse(settings.admin, fault);
+  if (!rules) {
+    return leaf::new_error(settings_error{"settings", "admin", fault});
+  }
+  return *std::move(rules);
+}
+
 leaf::result<int> Serve(const node_settings& settings) {
+  BOOST_LEAF_AUTO(rules, ReadAccessRules(settings));
   boost::asio::io_context io(1);
   node_runtime node(io, settings);
+  store_client store(io.get_executor(),
+                     {settings.store_host, settings.store_port});
+  if (settings.store_port != 0) {
+    ConnectStore(node, store);
+  }
+  admin_api api(std::move(rules), [&node](admin_request asked, auto done) {
+    node.RequestAdmin(std::move(asked), std::move(done));
+  });
+  node.SetAdminHandler(
+      [&api](const http_request& request, const admin_answer& answer) {
+        return api.Handle(request, answer);
+      });
   boost::asio::signal_set signals(io, SIGTERM, SIGINT);
   signals.async_wait([&node](boost::system::error_code error, int) {
     if (!error) {
@@ -70,6 +102,7 @@
 
 leaf::result<int> Run(const options& chosen) {
   BOOST_LEAF_AUTO(settings, LoadNodeSettings(chosen.settings_file));
+  BOOST_LEAF_CHECK(ReadAccessRules(settings));
   if (chosen.is_check_only) {
     std::cout << chosen.settings_file << ": settings are valid\n";
     return EX_OK;
