--- a/Libraries/LibDecision/admin_call.h
+++ b/Libraries/LibDecision/admin_call.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "LibDecision/ids.h"
+#include "LibDecision/member_record.h"
 #include "LibDecision/table_row.h"
 
 namespace auburnfold {
@@ -35,7 +36,14 @@
   bool is_draining = true;
 };
 
-using admin_request = std::variant<edit_row, read_history, set_draining>;
+/// Asks for this node's copy of the table, and how far its peers have it.
+struct read_table {};
+
+/// Asks for every node that this one knows.
+struct read_members {};
+
+using admin_request = std::
+    variant<edit_row, read_history, set_draining, read_table, read_members>;
 
 enum class admin_status : std::uint8_t {
   kAccepted,          ///< Written to the key-value service.
@@ -57,6 +65,12 @@
   std::string reason;
   std::optional<table_row> row;
   std::vector<row_history_entry> history;
+  std::vector<table_row> rows;
+  std::vector<member_record> members;
+  /// Peers whose heartbeats arrive here, and those of them that hold the same
+  /// rows as this node.
+  std::uint32_t peers_heard = 0;
+  std::uint32_t peers_in_sync = 0;
 };
 
 }  // namespace auburnfold
