--- a/Libraries/LibRuntime/http_listener.cc
+++ b/Libraries/LibRuntime/http_listener.cc
@@ -1,12 +1,19 @@
 #include "LibRuntime/http_listener.h"
 
 #include <boost/asio/ip/address.hpp>
+#include <chrono>
 #include <utility>
 
 namespace auburnfold {
 
+namespace {
+
+constexpr std::chrono::milliseconds kAcceptRetryInterval{100};
+
+}  // namespace
+
 http_listener::http_listener(asio::io_context& io, session_handlers handlers)
-    : handlers_(std::move(handlers)), acceptor_(io) {}
+    : handlers_(std::move(handlers)), acceptor_(io), retry_timer_(io) {}
 
 error_code http_listener::Listen(const std::string& host, std::uint16_t port) {
   error_code error;
@@ -46,6 +53,7 @@
 void http_listener::Close() {
   error_code ignored;
   acceptor_.close(ignored);
+  retry_timer_.cancel();
   for (const std::weak_ptr<server_session>& weak : sessions_) {
     if (const std::shared_ptr<server_session> session = weak.lock()) {
       session->Close();
@@ -70,8 +78,21 @@
       sessions_.push_back(session);
       session->Start();
     }
+    if (error) {
+      // Most likely out of descriptors; at once it would only fail again.
+      return AcceptLater();
+    }
     Accept();
   });
 }
 
+void http_listener::AcceptLater() {
+  retry_timer_.expires_after(kAcceptRetryInterval);
+  retry_timer_.async_wait([this](error_code error) {
+    if (!error) {
+      Accept();
+    }
+  });
+}
+
 }  // namespace auburnfold
--- a/Libraries/LibRuntime/http_listener.h
+++ b/Libraries/LibRuntime/http_listener.h
@@ -1,6 +1,7 @@
 #ifndef LIBRUNTIME_HTTP_LISTENER_H_
 #define LIBRUNTIME_HTTP_LISTENER_H_
 
+#include <boost/asio/steady_timer.hpp>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -31,9 +32,11 @@
 
  private:
   void Accept();
+  void AcceptLater();
 
   session_handlers handlers_;
   tcp::acceptor acceptor_;
+  asio::steady_timer retry_timer_;
   std::vector<std::weak_ptr<server_session>> sessions_;
 };
 
--- a/Tests/LibRuntime/peer_truth_test.cc
+++ b/Tests/LibRuntime/peer_truth_test.cc
@@ -119,6 +119,31 @@
   Expect(answer, 502, "endpoint-unreachable", "not-run");
 }
 
+TEST_F(a_call_through_a_peer, OfAnEndpointBelongsToTheRequestItIsMadeFor) {
+  std::string seen;
+  peer_ = std::make_unique<scripted_server>([&seen](scripted_connection& one) {
+    seen = one.ReadRequest().value_or("");
+    one.Write(PeerAnswer(200, "Auburnfold-Result: complete\r\n"));
+  });
+  node_.AnnouncePeer("faults", peer_->port());
+  scripted_server endpoint([this](scripted_connection& connection) {
+    const std::string request = connection.ReadRequest().value_or("");
+    const std::size_t parent = request.find("Auburnfold-Parent: ");
+    const std::size_t end = request.find("\r\n", parent) + 2;
+    raw_client::Exchange(
+        node_.call_port(),
+        CallText("faults", request.substr(parent, end - parent)));
+    connection.Write(AnswerText("deep"));
+  });
+  node_.Announce("listings", endpoint.port());
+  const read_answer answer = raw_client::Exchange(
+      node_.call_port(),
+      CallText("listings", "Auburnfold-Request-Id: root-1\r\n"));
+  EXPECT_EQ(answer.body, "deep");
+  EXPECT_NE(seen.find("Auburnfold-Request-Id: root-1\r\n"), std::string::npos);
+  EXPECT_NE(seen.find("Auburnfold-Depth: 1\r\n"), std::string::npos);
+}
+
 class a_control_message : public testing::Test {
  protected:
   running_node node_;
