--- a/Libraries/LibDecision/Works/incoming_works.cc
+++ b/Libraries/LibDecision/Works/incoming_works.cc
@@ -116,9 +116,8 @@
     return;
   }
   work& open = found->second;
-  const duration own_time = OwnTimeOf(now.now(), open);
   const std::vector<admission_decision> decisions =
-      admission_.OnFinished(now, finished.work, finished.result, own_time);
+      admission_.OnFinished(now, finished.work, finished.result);
   if (finished.result.is_whole()) {
     endpoint_.OnAnswered(now);
     if (open.holds_key) {
@@ -207,19 +206,17 @@
     return;
   }
   if (found->second.open_children++ == 0) {
-    found->second.children_since = now.now();
     Apply(now, admission_.OnWaiting(now, id));
   }
 }
 
-void incoming_works::OnChildFinished(step& now, work_id id) {
+void incoming_works::OnChildFinished(step&, work_id id) {
   const auto found = works_.find(id);
   if (found == works_.end()) {
     return;
   }
   work& open = found->second;
   if (--open.open_children == 0) {
-    open.waited_for_children += now.now() - open.children_since;
     admission_.OnResumed(id);
   }
 }
@@ -246,7 +243,6 @@
 void incoming_works::Run(step& now, work_id id) {
   work& open = works_.at(id);
   open.is_running = true;
-  open.started = now.now();
   now.Emit(run_work{id, open.deadline - now.now()});
 }
 
@@ -267,14 +263,12 @@
 // The embedder may be about to write the first byte, so even work that was
 // not yet sent ends unknown.
 void incoming_works::GiveUp(step& now, work_id id, error_kind kind) {
-  const work& open = works_.at(id);
   const outcome lost{kind, run_state::kUnknown};
-  const duration own_time = OwnTimeOf(now.now(), open);
   now.Emit(cancel_work{id});
   const std::vector<admission_decision> decisions =
       kind == error_kind::kCallerGone
           ? admission_.OnCancelled(now, id)
-          : admission_.OnFinished(now, id, lost, own_time);
+          : admission_.OnFinished(now, id, lost);
   Refuse(now, id, kind, run_state::kUnknown);
   Apply(now, decisions);
 }
@@ -320,12 +314,6 @@
   return facts;
 }
 
-duration incoming_works::OwnTimeOf(instant now, const work& open) const {
-  const duration waiting =
-      open.open_children > 0 ? now - open.children_since : duration::zero();
-  return now - open.started - open.waited_for_children - waiting;
-}
-
 void incoming_works::Close(step& now, work_id id) {
   allowance_.Close(id);
   now.timers().Cancel({timer_owner::kWorks, id.value()});
