Calls: Tell the caller that its work ran when a peer says so

Cause: an answer above the limit was known to have run, but the caller read unknown, since a call kept only that it may have run. Change: a call also keeps that an attempt certainly ran. Conclusion: the caller hears all that is certain.

--- a/Libraries/LibDecision/Calls/outgoing_calls.cc
+++ b/Libraries/LibDecision/Calls/outgoing_calls.cc
@@ -149,9 +149,8 @@
     now.Emit(relay_answer{id, finished.attempt, open.allowance});
     return Close(now, id);
   }
-  if (result.ran != run_state::kNotRun) {
-    open.may_have_run = true;
-  }
+  open.has_run = open.has_run || result.ran == run_state::kRan;
+  open.may_have_run = open.may_have_run || result.ran != run_state::kNotRun;
   if (MayRetry(now, open, result) && HasRetryLeft(now, open, result)) {
     now.Count(counter::kRetries);
     return Send(now, id, open);
@@ -299,12 +298,19 @@
                             error_kind kind,
                             duration retry_after) {
   const call& open = calls_.at(id);
-  const run_state ran = open.may_have_run || open.attempt ? run_state::kUnknown
-                                                          : run_state::kNotRun;
+  const run_state ran = KnowledgeOf(open);
   now.Emit(refuse_call{id, kind, ran, retry_after, open.allowance});
   Close(now, id);
 }
 
+run_state outgoing_calls::KnowledgeOf(const call& open) {
+  if (open.has_run) {
+    return run_state::kRan;
+  }
+  const bool may_have_run = open.may_have_run || open.attempt;
+  return may_have_run ? run_state::kUnknown : run_state::kNotRun;
+}
+
 void outgoing_calls::Close(step& now, call_id id) {
   const auto found = calls_.find(id);
   const call& open = found->second;
--- a/Libraries/LibDecision/Calls/outgoing_calls.h
+++ b/Libraries/LibDecision/Calls/outgoing_calls.h
@@ -79,6 +79,8 @@
     bool is_attempt_sent = false;
     /// An earlier attempt may have run.
     bool may_have_run = false;
+    /// An earlier attempt certainly ran.
+    bool has_run = false;
     bool is_idempotent = false;
   };
   using call_map = std::unordered_map<call_id, call>;
@@ -91,6 +93,8 @@
   void OnAttemptLost(step& now, attempt_id attempt);
   void Refuse(step& now, call_id id, error_kind kind, duration retry_after);
   void Close(step& now, call_id id);
+  /// What is certain about all attempts of a call together.
+  static run_state KnowledgeOf(const call& open);
   std::uint16_t AllowanceFor(const call_arrived& arrived,
                              const row_settings& row);
   static service_class CalledBy(const call& open);
--- a/Tests/LibDecision/truth_explorer.cc
+++ b/Tests/LibDecision/truth_explorer.cc
@@ -315,16 +315,16 @@
   Happen(index, attempt_finished{attempt, result});
 }
 
-void truth_explorer::Do(std::size_t at, const relay_work_answer& made) {
+void truth_explorer::Do(std::size_t, const relay_work_answer& made) {
   AnswerWork(made.work, {.peer = made.facts}, works_.at(made.work).body);
 }
 
-void truth_explorer::Do(std::size_t at, const refuse_work& made) {
+void truth_explorer::Do(std::size_t, const refuse_work& made) {
   AnswerWork(made.work,
              {.error = made.kind, .ran = made.ran, .peer = made.facts}, "");
 }
 
-void truth_explorer::Do(std::size_t at, const answer_with_key& made) {
+void truth_explorer::Do(std::size_t, const answer_with_key& made) {
   AnswerWork(made.work, {.peer = made.facts}, made.key.value());
 }
 
