--- a/Libraries/LibDecision/Calls/outgoing_calls.cc
+++ b/Libraries/LibDecision/Calls/outgoing_calls.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "LibDecision/Once/key_register.h"
 #include "LibDecision/Pressure/rank.h"
 
 namespace auburnfold {
@@ -32,7 +31,9 @@
   call& open = calls_[arrived.call];
   open.facts = facts;
   open.parent = arrived.parent;
-  open.is_idempotent = row.is_idempotent;
+  // A second key does no harm.
+  open.is_idempotent =
+      row.is_idempotent || facts.purpose == request_purpose::kIssueKey;
   open.deadline = now.now() + std::min(facts.time_left, row.longest_deadline);
   if (parent != nullptr) {
     open.facts.priority = parent->priority;
@@ -42,6 +43,10 @@
     open.facts.priority = row.priority;
   }
   open.allowance = AllowanceFor(arrived, row);
+  if (is_stopping_ && !arrived.parent) {
+    return Refuse(now, arrived.call, error_kind::kNodeStopping,
+                  kSoonRetryAfter);
+  }
   if (!rows_.has_service(facts.service) &&
       !members_.has_service(facts.service)) {
     return Refuse(now, arrived.call, error_kind::kUnknownService,
@@ -101,6 +106,16 @@
   }
 }
 
+void outgoing_calls::OnSent(step& now, const attempt_sent& sent) {
+  const auto found = attempts_.find(sent.attempt);
+  if (found == attempts_.end()) {
+    // Its call ended in this very event, by a timer.
+    now.Emit(cancel_attempt{sent.attempt});
+    return;
+  }
+  calls_.at(found->second).is_attempt_sent = true;
+}
+
 void outgoing_calls::OnAttemptFinished(step& now,
                                        const attempt_finished& finished) {
   const auto sent = attempts_.find(finished.attempt);
@@ -112,7 +127,12 @@
   attempts_.erase(sent);
   call& open = calls_.at(id);
   open.attempt.reset();
-  const outcome& result = finished.result;
+  outcome result = finished.result;
+  if (open.is_attempt_sent && !result.peer &&
+      result.ran == run_state::kNotRun) {
+    // Bytes left this node and nobody says what became of them.
+    result.ran = run_state::kUnknown;
+  }
   router_.OnFinished(now, open.tried.back(), result,
                      now.now() - open.attempt_started);
   TakeBackAllowance(open, result);
@@ -150,12 +170,21 @@
     return;
   }
   if (found->second.attempt) {
-    found->second.may_have_run = true;
     router_.OnUnanswered(now, found->second.tried.back());
   }
   Refuse(now, id, error_kind::kAnswerTimeout, duration::zero());
 }
 
+void outgoing_calls::CutAll(step& now) {
+  std::vector<call_id> open_calls;
+  for (const auto& [id, open] : calls_) {
+    open_calls.push_back(id);
+  }
+  for (const call_id id : open_calls) {
+    Refuse(now, id, error_kind::kNodeStopping, kSoonRetryAfter);
+  }
+}
+
 void outgoing_calls::CancelChildrenOf(step& now, work_id parent) {
   std::vector<call_id> children;
   const auto [first, last] = children_.equal_range(parent);
@@ -169,14 +198,14 @@
 }
 
 void outgoing_calls::Send(step& now, call_id id, call& open) {
-  const member_record* chosen =
-      router_.Choose(now, open.facts.service, open.tried);
+  const member_record* chosen = ChooseMember(now, id, open);
   if (chosen == nullptr) {
-    return Refuse(now, id, error_kind::kNoEndpoint, kSoonRetryAfter);
+    return;
   }
   const attempt_id attempt(next_attempt_++);
   open.attempt = attempt;
   open.attempt_started = now.now();
+  open.is_attempt_sent = false;
   open.tried.push_back(chosen->node);
   attempts_[attempt] = id;
   router_.OnSent(now, chosen->node);
@@ -190,13 +219,54 @@
                         std::move(facts)});
 }
 
+const member_record* outgoing_calls::ChooseMember(step& now,
+                                                  call_id id,
+                                                  const call& open) {
+  const bool has_key =
+      open.facts.key && open.facts.purpose == request_purpose::kRun;
+  if (has_key) {
+    const auto home = key_register::HomeOf(*open.facts.key);
+    if (home) {
+      return ChooseHome(now, id, *home);
+    }
+    if (!open.is_idempotent) {
+      Refuse(now, id, error_kind::kKeyNotIssued, duration::zero());
+      return nullptr;
+    }
+  }
+  const member_record* chosen =
+      router_.Choose(now, open.facts.service, open.tried);
+  if (chosen == nullptr) {
+    Refuse(now, id, error_kind::kNoEndpoint, kSoonRetryAfter);
+  }
+  return chosen;
+}
+
+// A home that this node has not heard of may be new, so the caller comes back;
+// one that was replaced or has left keeps its secret for good.
+const member_record* outgoing_calls::ChooseHome(step& now,
+                                                call_id id,
+                                                const key_home& home) {
+  const member_record* record = members_.Find(home.node);
+  if (record == nullptr || record->run < home.run) {
+    Refuse(now, id, error_kind::kNoEndpoint, kSoonRetryAfter);
+    return nullptr;
+  }
+  if (record->run > home.run || record->state == member_state::kGone) {
+    calls_.at(id).may_have_run = true;
+    Refuse(now, id, error_kind::kKeyHomeGone, duration::zero());
+    return nullptr;
+  }
+  return record;
+}
+
 void outgoing_calls::Refuse(step& now,
                             call_id id,
                             error_kind kind,
                             duration retry_after) {
   const call& open = calls_.at(id);
-  const run_state ran =
-      open.may_have_run ? run_state::kUnknown : run_state::kNotRun;
+  const run_state ran = open.may_have_run || open.attempt ? run_state::kUnknown
+                                                          : run_state::kNotRun;
   now.Emit(refuse_call{id, kind, ran, retry_after, open.allowance});
   Close(now, id);
 }
@@ -227,12 +297,19 @@
 bool outgoing_calls::MayRetry(step& now,
                               const call& open,
                               const outcome& result) {
-  const bool is_safe = result.ran == run_state::kNotRun || open.is_idempotent;
-  if (!is_safe || open.deadline <= now.now()) {
+  if (open.deadline <= now.now()) {
     return false;
   }
-  return AnswerFor(*result.error).is_retryable ||
-         result.ran != run_state::kNotRun;
+  const bool is_bound_to_home =
+      open.facts.key && key_register::HomeOf(*open.facts.key);
+  if (is_bound_to_home) {
+    // The home runs the work once, however often it is sent; if the home
+    // itself answered, it has nothing better to say.
+    return !result.peer;
+  }
+  const bool is_not_run = result.ran == run_state::kNotRun;
+  const bool is_safe = is_not_run || open.is_idempotent;
+  return is_safe && (AnswerFor(*result.error).is_retryable || !is_not_run);
 }
 
 bool outgoing_calls::HasRetryLeft(step& now,
