--- a/Tests/LibDecision/router_test.cc
+++ b/Tests/LibDecision/router_test.cc
@@ -59,7 +59,8 @@
 
   instant now_{};
   timer_service timers_;
-  membership members_;
+  table rows_;
+  membership members_{rows_};
   router router_{members_};
   std::uint64_t entropy_ = 0;
 };
