--- a/Libraries/LibDecision/Works/incoming_works.cc
+++ b/Libraries/LibDecision/Works/incoming_works.cc
@@ -266,9 +266,8 @@
   const outcome lost{kind, run_state::kUnknown};
   now.Emit(cancel_work{id});
   const std::vector<admission_decision> decisions =
-      kind == error_kind::kCallerGone
-          ? admission_.OnCancelled(now, id)
-          : admission_.OnFinished(now, id, lost);
+      kind == error_kind::kCallerGone ? admission_.OnCancelled(now, id)
+                                      : admission_.OnFinished(now, id, lost);
   Refuse(now, id, kind, run_state::kUnknown);
   Apply(now, decisions);
 }
