--- a/Libraries/LibDecision/Routing/endpoint_view.cc
+++ b/Libraries/LibDecision/Routing/endpoint_view.cc
@@ -16,7 +16,7 @@
 /// An endpoint that refused is less attractive for this long.
 constexpr duration kRefusalMemory = std::chrono::milliseconds(20);
 constexpr double kRefusalCost = 3;
-constexpr duration kColdRamp = std::chrono::seconds(1);
+constexpr duration kColdRamp = std::chrono::seconds(5);
 constexpr double kColdShare = 0.2;
 
 bool IsEndpointFailure(error_kind kind) {
