Routing: Forget the failures of an earlier run, and eject for a second at most

Cause: a returned failure domain got 20 to 70 of 840 requests per 200 ms: its endpoints had been ejected four times while they were gone, each time for longer, and the new runs served the sentence of the old ones. Ruled out: the cold start ramp (1.5 s in place of 5 s changed nothing), a demand of 0.9 itself (without the fault every class succeeds). Change: a record with another incarnation clears failures and ejection, and an ejection doubles once at most.

--- a/Libraries/LibDecision/Routing/endpoint_view.cc
+++ b/Libraries/LibDecision/Routing/endpoint_view.cc
@@ -10,7 +10,7 @@
 constexpr std::uint32_t kFailuresToEject = 3;
 constexpr std::uint32_t kUnansweredToEject = 8;
 constexpr duration kFirstEjection = std::chrono::milliseconds(500);
-constexpr std::uint32_t kMostDoublings = 6;
+constexpr std::uint32_t kMostDoublings = 1;
 constexpr double kSmoothing = 0.1;
 constexpr double kShortestLatencyNs = 1e5;
 /// An endpoint that refused is less attractive for this long.
@@ -27,6 +27,19 @@
 
 }  // namespace
 
+// Requests in flight at the earlier run still end here, so their count stays.
+void endpoint_view::OnRun(incarnation run) {
+  if (run == run_) {
+    return;
+  }
+  run_ = run;
+  failures_ = 0;
+  unanswered_ = 0;
+  ejections_ = 0;
+  ejected_until_ = instant();
+  refused_at_ = instant::min();
+}
+
 void endpoint_view::OnFinished(instant now,
                                const outcome& result,
                                duration elapsed) {
--- a/Libraries/LibDecision/Routing/endpoint_view.h
+++ b/Libraries/LibDecision/Routing/endpoint_view.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 
+#include "LibDecision/ids.h"
 #include "LibDecision/instant.h"
 #include "LibDecision/outcome.h"
 
@@ -12,6 +13,8 @@
 /// endpoint reports are not part of it.
 class endpoint_view {
  public:
+  /// The node's record names `run`: what an earlier run did counts no more.
+  void OnRun(incarnation run);
   void OnSent() { ++in_flight_; }
   void OnCancelled() { --in_flight_; }
   void OnFinished(instant now, const outcome& result, duration elapsed);
@@ -29,6 +32,7 @@
  private:
   double ColdShare(instant now) const;
 
+  incarnation run_;
   std::uint32_t in_flight_ = 0;
   std::uint32_t failures_ = 0;
   std::uint32_t unanswered_ = 0;
--- a/Libraries/LibDecision/Routing/router.cc
+++ b/Libraries/LibDecision/Routing/router.cc
@@ -92,6 +92,9 @@
     view.subset =
         SubsetFor(self.node, self.domain, members_.ReadyEndpoints(service));
     view.refreshed = now;
+    for (const member_record& record : view.subset) {
+      endpoints_[record.node].OnRun(record.run);
+    }
   }
   return view.subset;
 }
--- a/Tests/LibDecision/router_test.cc
+++ b/Tests/LibDecision/router_test.cc
@@ -22,10 +22,10 @@
                          .domain = domain_name("d1")});
   }
 
-  void Add(std::uint64_t node, const std::string& domain) {
+  void Add(std::uint64_t node, const std::string& domain, int run = 1) {
     step now(now_, 1, timers_);
     members_.Take(now, {.node = node_id(node),
-                        .run = incarnation(1),
+                        .run = incarnation(run),
                         .domain = domain_name(domain),
                         .service = service_name("lots")});
   }
@@ -92,6 +92,19 @@
   EXPECT_GT(Shares(100)[1], 0);
 }
 
+TEST_F(ARouter, DoesNotHoldTheFailuresOfAnEarlierRunAgainstAnEndpoint) {
+  Add(1, "d1");
+  Add(2, "d1");
+  Choose();
+  for (int i = 0; i < 3; ++i) {
+    Finish(1, 1ms, error_kind::kAnswerLost);
+  }
+  EXPECT_EQ(Shares(50).count(1), 0U);
+  Add(1, "d1", 2);
+  now_ += 100ms;
+  EXPECT_GT(Shares(50)[1], 0);
+}
+
 TEST_F(ARouter, NeverEjectsMoreThanHalf) {
   for (std::uint64_t node = 1; node <= 4; ++node) {
     Add(node, "d2");
