--- a/Services/auburnfold-node/main.cc
+++ b/Services/auburnfold-node/main.cc
@@ -81,9 +81,10 @@
   if (settings.store_port != 0) {
     ConnectStore(node, store);
   }
-  admin_api api(std::move(rules), [&node](admin_request asked, auto done) {
-    node.RequestAdmin(std::move(asked), std::move(done));
-  });
+  admin_api api(std::move(rules),
+                [&node](admin_request asked, admin_result_handler done) {
+                  node.RequestAdmin(std::move(asked), std::move(done));
+                });
   node.SetAdminHandler(
       [&api](const http_request& request, const admin_answer& answer) {
         return api.Handle(request, answer);
