--- a/Libraries/LibDecision/Calls/outgoing_calls.cc
+++ b/Libraries/LibDecision/Calls/outgoing_calls.cc
@@ -79,21 +79,24 @@
   return arrived.has_parent ? 0 : row.retry_allowance;
 }
 
+service_class outgoing_calls::CalledBy(const call& open) {
+  return {open.facts.service, open.facts.request_class};
+}
+
 bool outgoing_calls::IsRefusedEarly(step& now, const call& open) {
   if (!options_.refuses_early) {
     return false;
   }
-  const std::uint16_t level = pressure_.LevelFor(now.now(), open.facts.service,
-                                                 open.facts.request_class);
+  if (open.parent) {
+    pressure_.OnDeepCall(now.now(), open.parent_class, CalledBy(open));
+  }
+  const std::uint16_t level = pressure_.LevelFor(now.now(), CalledBy(open));
   const rank position =
       RankOf(open.facts.priority.value_or(0), open.facts.root);
   if (Passes(position, level)) {
     return false;
   }
   now.Count(counter::kRefusedEarly);
-  if (open.parent) {
-    pressure_.OnDeepCall(now.now(), open.parent_class, level);
-  }
   return true;
 }
 
@@ -110,7 +113,10 @@
     now.Emit(cancel_attempt{sent.attempt});
     return;
   }
-  calls_.at(found->second).is_attempt_sent = true;
+  call& open = calls_.at(found->second);
+  open.is_attempt_sent = true;
+  connections_.OnSent(now, sent.attempt, sent.connection, open.tried.back(),
+                      open.facts.request_class);
 }
 
 void outgoing_calls::OnAttemptFinished(step& now,
@@ -130,14 +136,15 @@
     // Bytes left this node and nobody says what became of them.
     result.ran = run_state::kUnknown;
   }
+  if (result.peer) {
+    connections_.OnAnswered(now, finished.attempt);
+  } else {
+    connections_.OnGivenUp(finished.attempt);
+  }
   router_.OnFinished(now, open.tried.back(), result,
                      now.now() - open.attempt_started);
   TakeBackAllowance(open, result);
-  pressure_.OnAnswer(now.now(), open.facts.service, open.facts.request_class,
-                     result);
-  if (open.parent && result.peer) {
-    pressure_.OnDeepCall(now.now(), open.parent_class, result.peer->level);
-  }
+  pressure_.OnAnswer(now.now(), CalledBy(open), open.tried.back(), result);
   if (result.is_whole()) {
     now.Emit(relay_answer{id, finished.attempt, open.allowance});
     return Close(now, id);
@@ -172,10 +179,36 @@
   }
   if (found->second.attempt) {
     router_.OnUnanswered(now, found->second.tried.back());
+    connections_.OnDeadline(now, *found->second.attempt);
   }
   Refuse(now, id, error_kind::kAnswerTimeout, duration::zero());
 }
 
+void outgoing_calls::OnConnectionTimer(step& now) {
+  for (const attempt_id lost : connections_.OnTimer(now)) {
+    OnAttemptLost(now, lost);
+  }
+}
+
+// The endpoint answers others, so it is not blamed; whether the request
+// reached it is not known.
+void outgoing_calls::OnAttemptLost(step& now, attempt_id attempt) {
+  const call_id id = attempts_.at(attempt);
+  attempts_.erase(attempt);
+  call& open = calls_.at(id);
+  open.attempt.reset();
+  open.may_have_run = true;
+  open.carried = 0;
+  router_.OnCancelled(now, open.tried.back());
+  now.Emit(cancel_attempt{attempt});
+  const outcome lost{error_kind::kAnswerLost, run_state::kUnknown};
+  if (MayRetry(now, open, lost) && HasRetryLeft(now, open, lost)) {
+    now.Count(counter::kRetries);
+    return Send(now, id, open);
+  }
+  Refuse(now, id, error_kind::kAnswerLost, duration::zero());
+}
+
 void outgoing_calls::CutAll(step& now) {
   std::vector<call_id> open_calls;
   for (const auto& [id, open] : calls_) {
@@ -277,6 +310,7 @@
   const call& open = found->second;
   if (open.attempt) {
     attempts_.erase(*open.attempt);
+    connections_.OnGivenUp(*open.attempt);
     router_.OnCancelled(now, open.tried.back());
     now.Emit(cancel_attempt{*open.attempt});
   }
@@ -328,8 +362,7 @@
   }
   const bool is_refusing_as_whole =
       IsOverload(*result.error) &&
-      pressure_.RefusesAsWhole(now.now(), open.facts.service,
-                               open.facts.request_class);
+      pressure_.RefusesAsWhole(now.now(), CalledBy(open));
   if (is_refusing_as_whole) {
     now.Count(counter::kRetriesDeniedByPressure);
     return false;
@@ -351,8 +384,7 @@
     case come_back::kSoon:
       return kSoonRetryAfter;
     case come_back::kAfterPressure:
-      return pressure_.RetryAfter(now, open.facts.service,
-                                  open.facts.request_class);
+      return pressure_.RetryAfter(now, CalledBy(open));
   }
   return duration::zero();
 }
--- a/Libraries/LibDecision/reducer.cc
+++ b/Libraries/LibDecision/reducer.cc
@@ -17,7 +17,7 @@
 namespace {
 
 /// Longest time that a planned stop waits for what runs.
-constexpr duration kStopLimit = std::chrono::seconds(30);
+constexpr duration kStopLimit = std::chrono::seconds(25);
 
 }  // namespace
 
@@ -96,7 +96,9 @@
     }
   }
 
-  void On(step&, const connection_closed&) {}
+  void On(step&, const connection_closed& closed) {
+    calls.OnConnectionClosed(closed.connection);
+  }
 
   void On(step& now, const message_received& received) {
     const incarnation run = members.self().run;
@@ -151,8 +153,9 @@
         return OnEndpointTimer(now);
       case timer_owner::kStop:
         return Cut(now);
-      case timer_owner::kRouting:
       case timer_owner::kConnections:
+        return calls.OnConnectionTimer(now);
+      case timer_owner::kRouting:
         return;
     }
   }
--- a/Services/auburnfold-node/main.cc
+++ b/Services/auburnfold-node/main.cc
@@ -10,6 +10,7 @@
 #include <csignal>
 #include <iostream>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 
