Routing: Keep what was seen before the first record of an endpoint

Cause: failures seen before the router first read the members were cleared as those of an earlier run; ARouter.StopsUsingAnEndpointThatFailsAndReturnsToIt failed with the commit before. Change: only a second incarnation clears.

--- a/Libraries/LibDecision/Routing/endpoint_view.cc
+++ b/Libraries/LibDecision/Routing/endpoint_view.cc
@@ -29,10 +29,11 @@
 
 // Requests in flight at the earlier run still end here, so their count stays.
 void endpoint_view::OnRun(incarnation run) {
-  if (run == run_) {
+  const bool is_replaced = run_ != incarnation() && run_ != run;
+  run_ = run;
+  if (!is_replaced) {
     return;
   }
-  run_ = run;
   failures_ = 0;
   unanswered_ = 0;
   ejections_ = 0;
