LibRuntime: Keep the HTTP version of each connection apart

An endpoint that answers with HTTP/1.0, or a caller that asks with it, made the node speak 1.0 on its other connections too, which were then closed after each request. Every message of a node is now HTTP/1.1.

--- a/Libraries/LibRuntime/answers.cc
+++ b/Libraries/LibRuntime/answers.cc
@@ -9,8 +9,6 @@
 
 namespace {
 
-constexpr unsigned kHttp11 = 11;
-
 void SetRetryAfter(http_response& response, duration retry_after) {
   if (retry_after <= duration::zero()) {
     return;
--- a/Libraries/LibRuntime/call_side.cc
+++ b/Libraries/LibRuntime/call_side.cc
@@ -109,6 +109,7 @@
   const std::shared_ptr<const http_request>& request = found->second.request;
   client_request out;
   out.message.base() = request->base();
+  out.message.version(kHttp11);
   out.message.body() = {request->body().data(), request->body().size()};
   WriteForwardedHeaders(out.message, sent.facts, self_.node, sent.expected_run);
   out.message.prepare_payload();
--- a/Libraries/LibRuntime/http_types.h
+++ b/Libraries/LibRuntime/http_types.h
@@ -25,6 +25,8 @@
 /// A request whose body belongs to someone else.
 using http_request_view = http::request<http::span_body<const char>>;
 
+/// HTTP/1.1, as Beast counts versions.
+inline constexpr unsigned kHttp11 = 11;
 /// Largest body of a request or an answer, in bytes.
 inline constexpr std::size_t kBodyLimitBytes = std::size_t{1024} * 1024;
 /// Largest start line with headers, in bytes.
--- a/Libraries/LibRuntime/server_session.cc
+++ b/Libraries/LibRuntime/server_session.cc
@@ -42,6 +42,8 @@
   }
   on_gone_ = nullptr;
   response_ = std::move(response);
+  // The endpoint's version is no concern of this connection.
+  response_.version(kHttp11);
   FinishAnswer(response_, method_);
   response_.keep_alive(keeps_alive_);
   Write();
--- a/Libraries/LibRuntime/work_side.cc
+++ b/Libraries/LibRuntime/work_side.cc
@@ -101,6 +101,7 @@
   auto request = std::make_shared<http_request>(std::move(open.request));
   client_request out;
   out.message.base() = std::move(request->base());
+  out.message.version(kHttp11);
   out.message.body() = {request->body().data(), request->body().size()};
   WriteEndpointHeaders(out.message, open.facts, run.time_left,
                        parent_token{self_.node, self_.run, run.work}.Text());
--- a/Tests/LibRuntime/endpoint_truth_test.cc
+++ b/Tests/LibRuntime/endpoint_truth_test.cc
@@ -102,6 +102,24 @@
   }
 }
 
+TEST_F(answers_whole, KeepsTheVersionOfEachConnectionApart) {
+  std::string seen;
+  endpoint_ = std::make_unique<scripted_server>(
+      [&seen](scripted_connection& connection) {
+        seen = connection.ReadRequest().value_or("");
+        connection.Write("HTTP/1.0 200 OK\r\nContent-Length: 3\r\n\r\nold");
+      });
+  node_.Announce("listings", endpoint_->port());
+  raw_client client(node_.call_port());
+  std::string old = CallText("listings");
+  client.Write(old.replace(old.find("HTTP/1.1"), 8, "HTTP/1.0"));
+  const auto answer = client.Read();
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(answer->body, "old");
+  EXPECT_TRUE(seen.starts_with("POST /call HTTP/1.1\r\n"));
+  EXPECT_TRUE(client.ReadsEnd());
+}
+
 class closes_before_it_answers : public a_call_whose_endpoint {};
 
 TEST_F(closes_before_it_answers, IsToldThatTheOutcomeIsUnknown) {
