--- a/Tests/LibDecision/admission_test.cc
+++ b/Tests/LibDecision/admission_test.cc
@@ -106,9 +106,9 @@
   EXPECT_GE(static_cast<double>(endpoint.finished() - before), 0.95 * ideal);
 }
 
-class AFullEndpoint : public testing::Test {
+class a_full_endpoint : public testing::Test {
  protected:
-  AFullEndpoint() {
+  a_full_endpoint() {
     for (std::uint64_t i = 1; admission_.queued() == 0; ++i) {
       Offer(i, 1);
     }
@@ -143,7 +143,7 @@
   row_settings row_;
 };
 
-TEST_F(AFullEndpoint, RunsTheHighestPriorityNext) {
+TEST_F(a_full_endpoint, RunsTheHighestPriorityNext) {
   Offer(1001, 2);
   Offer(1002, 5);
   Offer(1003, 3);
@@ -153,13 +153,13 @@
   EXPECT_FALSE(decisions[0].refusal);
 }
 
-TEST_F(AFullEndpoint, LetsTheHighestPriorityGoALittleOverItsLimit) {
+TEST_F(a_full_endpoint, LetsTheHighestPriorityGoALittleOverItsLimit) {
   const auto decisions = Offer(1001, 7);
   ASSERT_EQ(decisions.size(), 1U);
   EXPECT_FALSE(decisions[0].refusal);
 }
 
-TEST_F(AFullEndpoint, RefusesNoAlertWhileALookupWaits) {
+TEST_F(a_full_endpoint, RefusesNoAlertWhileALookupWaits) {
   std::uint64_t work = 1000;
   while (admission_.queued() < 32) {
     Offer(++work, 1);
@@ -174,7 +174,7 @@
   }
 }
 
-TEST_F(AFullEndpoint, AnswersWhatWaitedTooLongAtOnce) {
+TEST_F(a_full_endpoint, AnswersWhatWaitedTooLongAtOnce) {
   row_.queue_limit = 20ms;
   Offer(1001, 2);
   EXPECT_TRUE(Pass(19ms).empty());
@@ -184,7 +184,7 @@
   EXPECT_EQ(decisions[0].refusal, error_kind::kQueueDeadline);
 }
 
-TEST_F(AFullEndpoint, DropsWorkThatCannotBeUsefulInItsTimeLeft) {
+TEST_F(a_full_endpoint, DropsWorkThatCannotBeUsefulInItsTimeLeft) {
   // Sixteen requests teach it that one takes 100 ms.
   now_ += 100ms;
   std::uint64_t running = 1;
@@ -207,7 +207,7 @@
   EXPECT_EQ(decisions[0].refusal, error_kind::kQueueDeadline);
 }
 
-class AQueue : public testing::Test {
+class a_queue : public testing::Test {
  protected:
   void Push(std::uint64_t work,
             const std::string& name,
@@ -221,7 +221,7 @@
   request_queue queue_;
 };
 
-TEST_F(AQueue, SharesTurnsByWeightAmongClassesOfOnePriority) {
+TEST_F(a_queue, SharesTurnsByWeightAmongClassesOfOnePriority) {
   for (std::uint64_t i = 0; i < 100; ++i) {
     Push(i, "heavy", 300, "a");
     Push(1000 + i, "light", 100, "a");
@@ -233,7 +233,7 @@
   EXPECT_NEAR(heavy, 30, 1);
 }
 
-TEST_F(AQueue, SharesTurnsEquallyAmongTenants) {
+TEST_F(a_queue, SharesTurnsEquallyAmongTenants) {
   for (std::uint64_t i = 0; i < 90; ++i) {
     Push(i, "lookup", 100, "loud");
   }
@@ -247,7 +247,7 @@
   EXPECT_EQ(quiet, 10);
 }
 
-TEST_F(AQueue, RefusesTheLowestRankOfTheLoudestTenantFirst) {
+TEST_F(a_queue, RefusesTheLowestRankOfTheLoudestTenantFirst) {
   for (std::uint64_t i = 0; i < 10; ++i) {
     Push(i, "lookup", 100, "loud");
   }
--- a/Tests/LibDecision/outgoing_calls_test.cc
+++ b/Tests/LibDecision/outgoing_calls_test.cc
@@ -11,9 +11,9 @@
 
 using namespace std::chrono_literals;
 
-class ANodeThatCalls : public testing::Test {
+class a_node_that_calls : public testing::Test {
  protected:
-  ANodeThatCalls() {
+  a_node_that_calls() {
     Happen(node_started{.node = node_id(1), .run = incarnation(1)});
     member_update members;
     for (std::uint64_t node = 2; node <= 3; ++node) {
@@ -68,7 +68,7 @@
   std::uint64_t calls_ = 0;
 };
 
-TEST_F(ANodeThatCalls, TriesAnotherEndpointWithinItsAllowance) {
+TEST_F(a_node_that_calls, TriesAnotherEndpointWithinItsAllowance) {
   const auto first = Find<send_attempt>(Call());
   const auto second =
       Find<send_attempt>(Refuse(first->attempt, {.allowance_left = 2}));
@@ -77,7 +77,7 @@
   EXPECT_EQ(second->facts.allowance, 1);
 }
 
-TEST_F(ANodeThatCalls, TakesNoMoreAllowanceBackThanItGave) {
+TEST_F(a_node_that_calls, TakesNoMoreAllowanceBackThanItGave) {
   const auto first = Find<send_attempt>(Call());
   const auto second =
       Find<send_attempt>(Refuse(first->attempt, {.allowance_left = 90}));
@@ -85,13 +85,13 @@
   EXPECT_EQ(second->facts.allowance, 1);
 }
 
-TEST_F(ANodeThatCalls, DoesNotRetryForAClientThatResends) {
+TEST_F(a_node_that_calls, DoesNotRetryForAClientThatResends) {
   const auto first = Find<send_attempt>(Call(2));
   EXPECT_EQ(first->facts.allowance, 0);
   EXPECT_TRUE(Find<refuse_call>(Refuse(first->attempt, {})));
 }
 
-TEST_F(ANodeThatCalls, DoesNotRetryIntoAServiceThatRefusesAsAWhole) {
+TEST_F(a_node_that_calls, DoesNotRetryIntoAServiceThatRefusesAsAWhole) {
   for (int i = 0; i < 20; ++i) {
     const auto sent = Find<send_attempt>(Call(2));
     Refuse(sent->attempt, {});
@@ -100,7 +100,7 @@
   EXPECT_TRUE(Find<refuse_call>(Refuse(sent->attempt, {.allowance_left = 2})));
 }
 
-TEST_F(ANodeThatCalls, RefusesEarlyBelowTheLevelThatItHeard) {
+TEST_F(a_node_that_calls, RefusesEarlyBelowTheLevelThatItHeard) {
   const auto sent = Find<send_attempt>(Call(2));
   Refuse(sent->attempt, {.level = 4 * kRanksPerPriority});
   int sent_on = 0;
@@ -120,7 +120,7 @@
   EXPECT_TRUE(Find<send_attempt>(Call(2, 7)));
 }
 
-TEST_F(ANodeThatCalls, SendsEverythingAgainOnceTheLevelIsOld) {
+TEST_F(a_node_that_calls, SendsEverythingAgainOnceTheLevelIsOld) {
   const auto sent = Find<send_attempt>(Call(2));
   Refuse(sent->attempt, {.level = 4 * kRanksPerPriority});
   now_ += 1s;
--- a/Tests/LibDecision/pressure_test.cc
+++ b/Tests/LibDecision/pressure_test.cc
@@ -21,7 +21,7 @@
   }
 }
 
-class ADemandMeter : public testing::Test {
+class a_demand_meter : public testing::Test {
  protected:
   // Callers refuse below the level that the meter published.
   void Run(duration length, double capacity, bool is_overloaded = true) {
@@ -59,33 +59,33 @@
   std::uint64_t next_root_ = 0;
 };
 
-TEST_F(ADemandMeter, AdmitsAllWhileTheEndpointKeepsUp) {
+TEST_F(a_demand_meter, AdmitsAllWhileTheEndpointKeepsUp) {
   Run(2s, 9, false);
   EXPECT_EQ(LevelFor("lookup"), 0);
 }
 
-TEST_F(ADemandMeter, LetsThroughWhatTheEndpointFinishes) {
+TEST_F(a_demand_meter, LetsThroughWhatTheEndpointFinishes) {
   Run(3s, 5);
   // Four of eight lookups fit beside the scans.
   EXPECT_NEAR(PassingShare(1, LevelFor("lookup")), 0.5, 0.1);
   EXPECT_DOUBLE_EQ(PassingShare(7, LevelFor("scan")), 1);
 }
 
-TEST_F(ADemandMeter, RefusesLookupsToTheLastBeforeAScan) {
+TEST_F(a_demand_meter, RefusesLookupsToTheLastBeforeAScan) {
   scans_per_ms_ = 2;
   Run(3s, 2);
   EXPECT_LE(PassingShare(1, LevelFor("lookup")), 0.05);
   EXPECT_GE(PassingShare(7, LevelFor("scan")), 0.95);
 }
 
-TEST_F(ADemandMeter, AdmitsAllAgainSoonAfterDemandFalls) {
+TEST_F(a_demand_meter, AdmitsAllAgainSoonAfterDemandFalls) {
   Run(3s, 5);
   lookups_per_ms_ = 2;
   Run(1s, 5, false);
   EXPECT_EQ(LevelFor("lookup"), 0);
 }
 
-class APressureMemory : public testing::Test {
+class a_pressure_memory : public testing::Test {
  protected:
   void Hear(std::uint64_t node, std::uint16_t level, bool is_refusal = false) {
     outcome result;
@@ -101,27 +101,27 @@
   instant now_{};
 };
 
-TEST_F(APressureMemory, TakesTheMeanOfTheLatestLevelOfEachEndpoint) {
+TEST_F(a_pressure_memory, TakesTheMeanOfTheLatestLevelOfEachEndpoint) {
   Hear(1, 9000);
   Hear(1, 1000);
   Hear(2, 3000);
   EXPECT_EQ(memory_.LevelFor(now_, called_), 2000);
 }
 
-TEST_F(APressureMemory, ForgetsALevelThatIsNotRefreshed) {
+TEST_F(a_pressure_memory, ForgetsALevelThatIsNotRefreshed) {
   Hear(1, 9000);
   now_ += 1s;
   EXPECT_EQ(memory_.LevelFor(now_, called_), 0);
 }
 
-TEST_F(APressureMemory, PassesTheLevelOfADeeperServiceUpForTheCallingClass) {
+TEST_F(a_pressure_memory, PassesTheLevelOfADeeperServiceUpForTheCallingClass) {
   Hear(1, 9000);
   memory_.OnDeepCall(now_, class_name("listing"), called_);
   EXPECT_EQ(memory_.DeepLevelFor(now_, class_name("listing")), 9000);
   EXPECT_EQ(memory_.DeepLevelFor(now_, class_name("scan")), 0);
 }
 
-TEST_F(APressureMemory, TellsARefusingServiceFromARefusingEndpoint) {
+TEST_F(a_pressure_memory, TellsARefusingServiceFromARefusingEndpoint) {
   for (int i = 0; i < 40; ++i) {
     Hear(i % 4, 0, i % 4 == 0);
   }
--- a/Tests/LibDecision/router_test.cc
+++ b/Tests/LibDecision/router_test.cc
@@ -13,9 +13,9 @@
 
 using namespace std::chrono_literals;
 
-class ARouter : public testing::Test {
+class a_router : public testing::Test {
  protected:
-  ARouter() {
+  a_router() {
     step now(now_, 1, timers_);
     members_.Start(now, {.node = node_id(100),
                          .run = incarnation(1),
@@ -65,11 +65,11 @@
   std::uint64_t entropy_ = 0;
 };
 
-TEST_F(ARouter, FindsNothingIfNoEndpointIsReady) {
+TEST_F(a_router, FindsNothingIfNoEndpointIsReady) {
   EXPECT_EQ(Choose(), 0U);
 }
 
-TEST_F(ARouter, PrefersItsFailureDomainWhileThatIsNotWorse) {
+TEST_F(a_router, PrefersItsFailureDomainWhileThatIsNotWorse) {
   Add(1, "d1");
   Add(2, "d2");
   Finish(1, 10ms);
@@ -81,7 +81,7 @@
   EXPECT_GT(Shares(100)[2], 50);
 }
 
-TEST_F(ARouter, StopsUsingAnEndpointThatFailsAndReturnsToIt) {
+TEST_F(a_router, StopsUsingAnEndpointThatFailsAndReturnsToIt) {
   Add(1, "d2");
   Add(2, "d2");
   for (int i = 0; i < 3; ++i) {
@@ -92,7 +92,7 @@
   EXPECT_GT(Shares(100)[1], 0);
 }
 
-TEST_F(ARouter, NeverEjectsMoreThanHalf) {
+TEST_F(a_router, NeverEjectsMoreThanHalf) {
   for (std::uint64_t node = 1; node <= 4; ++node) {
     Add(node, "d2");
   }
@@ -105,7 +105,7 @@
   EXPECT_EQ(Shares(200).size(), 2U);
 }
 
-TEST_F(ARouter, DoesNotEjectAnEndpointThatRefuses) {
+TEST_F(a_router, DoesNotEjectAnEndpointThatRefuses) {
   Add(1, "d2");
   Add(2, "d2");
   for (int i = 0; i < 20; ++i) {
@@ -117,10 +117,12 @@
 
 TEST(ASubset, IsStableBoundedAndEvenOverManyCallers) {
   std::vector<member_record> records;
+  records.reserve(64);
   for (std::uint64_t node = 1; node <= 64; ++node) {
     records.push_back({.node = node_id(node), .domain = domain_name("d")});
   }
   std::vector<const member_record*> ready;
+  ready.reserve(64);
   for (const member_record& record : records) {
     ready.push_back(&record);
   }
@@ -134,13 +136,15 @@
   }
   const int mean = 7800 * static_cast<int>(kSubsetSize) / 64;
   for (const auto& [node, count] : callers) {
-    EXPECT_NEAR(count, mean, mean / 10) << node;
+    EXPECT_NEAR(count, mean, 0.1 * mean) << node;
   }
 }
 
 TEST(ASubset, ChangesByAtMostOneWhenOneEndpointLeaves) {
   std::vector<member_record> records;
+  records.reserve(64);
   std::vector<const member_record*> ready;
+  ready.reserve(64);
   for (std::uint64_t node = 1; node <= 64; ++node) {
     records.push_back({.node = node_id(node), .domain = domain_name("d")});
   }
