--- a/Meta/demo.sh
+++ b/Meta/demo.sh
@@ -60,11 +60,11 @@
 }
 
 PrintRecord() {
-  local sum=("${!endpoint_port_of[@]}")
-  echo "by the endpoints' own record: $(SumRecorded started "${sum[@]}") runs started," \
-    "$(SumRecorded keys_started_again "${sum[@]}") keys run twice at one endpoint," \
-    "$(SumRecorded foreign_below "${sum[@]}") foreign and" \
-    "$(SumRecorded partial_below "${sum[@]}") partial answers to deeper calls"
+  local all=("${!endpoint_port_of[@]}")
+  echo "by the endpoints' own record: $(SumRecorded started "${all[@]}") runs started," \
+    "$(RunTwice by_key "${all[@]}") keys run twice," \
+    "$(SumRecorded foreign_below "${all[@]}") foreign and" \
+    "$(SumRecorded partial_below "${all[@]}") partial answers to deeper calls"
 }
 
 PrintResults() {
--- a/Meta/deployment.sh
+++ b/Meta/deployment.sh
@@ -136,6 +136,17 @@
   done | jq -s --arg field "$field" 'map(.[$field]) | add'
 }
 
+# How many names under field $1 (by_key, by_request) ran more than once,
+# counted over the endpoints named by the rest together.
+RunTwice() {
+  local field=$1 name
+  shift
+  for name in "$@"; do
+    Fetch "http://$host:${endpoint_port_of[$name]}/test/record"
+  done | jq -s --arg field "$field" '[.[][$field] | to_entries[]] | group_by(.key)
+    | map(select((map(.value.started) | add) > 1)) | length'
+}
+
 # Ends every process started here and waits for it.
 StopAll() {
   local pid
