--- a/Tests/StandIns/endpoint_process.cc
+++ b/Tests/StandIns/endpoint_process.cc
@@ -1,6 +1,7 @@
 #include "StandIns/endpoint_process.h"
 
 #include <boost/json/parse.hpp>
+#include <boost/json/value_from.hpp>
 #include <charconv>
 #include <csignal>
 #include <utility>
@@ -112,6 +113,7 @@
     summary["foreign_below"] = foreign_below_;
     summary["partial_below"] = partial_below_;
     summary["broken_below"] = broken_below_;
+    summary["failures_below"] = boost::json::value_from(failures_below_);
     summary["connections"] = server_.connection_count();
     summary["open"] = runs_.size();
     return session->Answer(JsonAnswer(http::status::ok, summary));
@@ -191,6 +193,7 @@
   partial_below_ += end.verdict == body_verdict::kPartial ? 1 : 0;
   broken_below_ += end.is_broken ? 1 : 0;
   if (!end.is_complete) {
+    ++failures_below_[end.reason];
     http_response failure = Refusal(http::status::bad_gateway, "ran",
                                     ("deeper call: " + end.reason).c_str());
     if (!end.retry_after.empty()) {
--- a/Tests/StandIns/endpoint_process.h
+++ b/Tests/StandIns/endpoint_process.h
@@ -5,8 +5,10 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
+#include <string>
 #include <unordered_map>
 
 #include "StandIns/deeper_calls.h"
@@ -71,6 +73,8 @@
   std::uint64_t foreign_below_ = 0;
   std::uint64_t partial_below_ = 0;
   std::uint64_t broken_below_ = 0;
+  /// Failed deeper calls by the name of their error; empty if no answer came.
+  std::map<std::string, std::uint64_t> failures_below_;
   bool is_stopping_ = false;
   std::size_t cut_count_ = 0;
   http_server server_;
