--- a/Libraries/LibDecision/reducer.cc
+++ b/Libraries/LibDecision/reducer.cc
@@ -27,7 +27,7 @@
   node_options options;
   timer_service timers;
   table rows;
-  membership members;
+  membership members{rows};
   retry_allowance allowance;
   pressure_memory pressure;
   outgoing_calls calls{rows, members, allowance, pressure, options};
@@ -99,7 +99,11 @@
   void On(step&, const connection_closed&) {}
 
   void On(step& now, const message_received& received) {
+    const incarnation run = members.self().run;
     members.OnMessage(now, received.message);
+    if (members.self().run != run) {
+      works.Start({.node = members.self().node, .run = members.self().run});
+    }
     if (const auto* update =
             std::get_if<row_update>(&received.message.content)) {
       for (const table_row& row : update->rows) {
@@ -114,6 +118,20 @@
   }
 
   void On(step& now, const admin_requested& request) {
+    if (const auto* wanted = std::get_if<set_draining>(&request.request)) {
+      members.SetDraining(now, wanted->is_draining);
+      now.Emit(answer_admin{request.call, {}});
+      return;
+    }
+    const bool is_question =
+        std::holds_alternative<read_table>(request.request) ||
+        std::holds_alternative<read_members>(request.request);
+    if (is_question) {
+      admin_result result{.rows = rows.rows().All()};
+      members.Describe(now, result);
+      now.Emit(answer_admin{request.call, std::move(result)});
+      return;
+    }
     rows.OnAdminRequested(now, request);
   }
 
@@ -170,6 +188,7 @@
   void Stop(step& now, std::size_t cut_requests) {
     if (!is_stopped) {
       is_stopped = true;
+      members.OnStopped(now);
       now.Emit(stop_process{cut_requests});
     }
   }
@@ -205,6 +224,7 @@
              happened.content);
   parts.CancelChildrenOfEndedWorks(now);
   parts.ResumeParents(now);
+  parts.members.SpreadChanges(now);
   parts.StopIfIdle(now);
   parts.AskForWake(now);
   return now.TakeEffects();
