Tests/Processes: Take a free range of ports, and count from the load's start

Two runs of the tests on one machine met on the same ports: the nodes of the second ended at once, and its load went to the first (planned_stop failed with 'Address already in use'). A taken range is now passed over, and a process that ended by itself fails the start.

--- a/Meta/deployment.sh
+++ b/Meta/deployment.sh
@@ -5,6 +5,30 @@
 host=127.0.0.1
 pids=()
 declare -A pid_of call_port_of admin_port_of endpoint_port_of
+ports_in_range=100
+# Another deployment on this machine may have the range: then a later one is
+# taken.
+range_step=2000
+highest_base_port=30000
+
+# Whether any port of the range that begins at $1 is listened at.
+IsRangeTaken() {
+  local first=$1 used
+  while read -r used; do
+    used=$((16#$used))
+    [ "$used" -ge "$first" ] && [ "$used" -lt $((first + ports_in_range)) ] && return 0
+  done < <(awk '$4 == "0A" {split($2, address, ":"); print address[2]}' /proc/net/tcp)
+  return 1
+}
+
+while IsRangeTaken "$base_port"; do
+  base_port=$((base_port + range_step))
+  if [ "$base_port" -gt "$highest_base_port" ]; then
+    echo "no free range of ports" >&2
+    exit 69
+  fi
+done
+
 ports_per_node=5 # call, peer, control, admin, and one for its endpoint
 nodes_started=0
 # FIXME: Three would do once nodes learn of others from their seeds.
@@ -110,9 +134,21 @@
   printf '%s\n' "${call_port_of[@]}" | jq -R --arg host "$host" '"\($host):\(.)"' | jq -s -c .
 }
 
+# Fails if a process started here has ended by itself.
+ExpectAllRun() {
+  local name
+  for name in "${!pid_of[@]}"; do
+    HasEnded "${pid_of[$name]}" || continue
+    echo "$name has ended:" >&2
+    tail -5 "$work/$name.log" >&2
+    return 1
+  done
+}
+
 # Waits until every node reaches service $1 with class $2.
 WaitForService() {
   local name
+  ExpectAllRun || return 1
   for name in "${!call_port_of[@]}"; do
     WaitUntil 200 CallThrough "$name" "$1" "$2" || {
       echo "node $name does not reach $1/$2:" >&2
--- a/Tests/Processes/planned_stop.sh
+++ b/Tests/Processes/planned_stop.sh
@@ -21,4 +21,7 @@
 booking=(booking-2 booking-3)
 ExpectTruth
 ExpectEqual "calls with an unknown outcome" "$(Loaded total unknown)" 0
-ExpectEqual "deeper calls broken" "$(SumRecorded broken_below "${gate[@]}")" 0
+for name in "${gate[@]}"; do
+  Fetch "http://$host:${endpoint_port_of[$name]}/test/summary" | jq -c '{failures_below}'
+done
+ExpectEqual "deeper calls broken" "$(($(SumRecorded broken_below "${gate[@]}") - broken_before))" 0
