--- a/Tests/Fuzz/fuzz_targets.cc
+++ b/Tests/Fuzz/fuzz_targets.cc
@@ -6,11 +6,11 @@
 
 #include "LibDecision/Once/issued_key.h"
 #include "LibRuntime/endpoint_report.h"
-#include "LibRuntime/header_names.h"
 #include "LibRuntime/headers.h"
 #include "LibRuntime/node_settings.h"
 #include "LibRuntime/parent_token.h"
 #include "LibWire/cbor_codec.h"
+#include "LibWire/header_names.h"
 
 namespace auburnfold::fuzz {
 
--- a/Tests/LibDecision/connections_test.cc
+++ b/Tests/LibDecision/connections_test.cc
@@ -35,7 +35,7 @@
 
   std::vector<attempt_id> Look() {
     step now(now_, 1, timers_);
-    const std::vector<attempt_id> lost = monitor_.OnTimer(now);
+    std::vector<attempt_id> lost = monitor_.OnTimer(now);
     closed_.clear();
     for (const effect& each : now.TakeEffects()) {
       if (const auto* close = std::get_if<close_connection>(&each)) {
--- a/Tests/Scenarios/virtual_cluster.cc
+++ b/Tests/Scenarios/virtual_cluster.cc
@@ -430,7 +430,7 @@
   }
   found->second = request;
   if (may_resend) {
-    ResendFromClient(std::move(request), retry_after);
+    ResendFromClient(request, retry_after);
   }
 }
 
