--- a/Libraries/LibRuntime/node_runtime.cc
+++ b/Libraries/LibRuntime/node_runtime.cc
@@ -308,7 +308,6 @@
   call_listener.Close();
   peer_listener.Close();
   admin_listener.Close();
-  control.Close();
   sweep_timer.cancel();
   stop_timer.cancel();
   linger_timer.cancel();
--- a/Services/auburnfold-node/main.cc
+++ b/Services/auburnfold-node/main.cc
@@ -8,6 +8,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/leaf/handle_errors.hpp>
 #include <csignal>
+#include <cstdlib>
 #include <iostream>
 #include <memory>
 #include <optional>
@@ -73,6 +74,14 @@
   return *std::move(rules);
 }
 
+// nng 1.5 can wait without end in nng_close for a connection that is just
+// being set up, so a node that has finished leaves its sockets to the system.
+[[noreturn]] void ExitWithoutClosing() {
+  log4cplus::Logger::shutdown();
+  std::cout.flush();
+  std::quick_exit(EX_OK);
+}
+
 leaf::result<int> Serve(const node_settings& settings) {
   BOOST_LEAF_AUTO(rules, ReadAccessRules(settings));
   boost::asio::io_context io(1);
@@ -99,7 +108,7 @@
   node.SetStoppedHandler([&io] { io.stop(); });
   BOOST_LEAF_CHECK(node.Start());
   io.run();
-  return EX_OK;
+  ExitWithoutClosing();
 }
 
 leaf::result<int> Run(const options& chosen) {
--- a/Tests/Scenarios/scenario_test.cc
+++ b/Tests/Scenarios/scenario_test.cc
@@ -21,9 +21,9 @@
   return files;
 }
 
-class AScenario : public testing::TestWithParam<std::string> {};
+class a_scenario : public testing::TestWithParam<std::string> {};
 
-TEST_P(AScenario, KeepsItsBoundsForEverySeed) {
+TEST_P(a_scenario, KeepsItsBoundsForEverySeed) {
   const scenario plan = ReadScenario(GetParam());
   for (const std::uint64_t seed : plan.seeds) {
     SCOPED_TRACE("seed " + std::to_string(seed));
@@ -44,7 +44,7 @@
 
 INSTANTIATE_TEST_SUITE_P(
     Every,
-    AScenario,
+    a_scenario,
     testing::ValuesIn(ScenarioFiles()),
     [](const testing::TestParamInfo<std::string>& file) {
       return std::filesystem::path(file.param).stem().string();
--- a/Tests/StandIns/answer_body_test.cc
+++ b/Tests/StandIns/answer_body_test.cc
@@ -5,21 +5,21 @@
 namespace auburnfold {
 namespace {
 
-class AnAnswerBody : public testing::Test {
+class an_answer_body : public testing::Test {
  protected:
   std::string body_ = MakeAnswerBody("r1", "sent", 100);
 };
 
-TEST_F(AnAnswerBody, IsWholeForItsOwnRequest) {
+TEST_F(an_answer_body, IsWholeForItsOwnRequest) {
   EXPECT_EQ(CheckAnswerBody(body_, "r1", "sent"), body_verdict::kWhole);
 }
 
-TEST_F(AnAnswerBody, IsForeignForAnotherRequestOrAnotherSentBody) {
+TEST_F(an_answer_body, IsForeignForAnotherRequestOrAnotherSentBody) {
   EXPECT_EQ(CheckAnswerBody(body_, "r2", "sent"), body_verdict::kForeign);
   EXPECT_EQ(CheckAnswerBody(body_, "r1", "other"), body_verdict::kForeign);
 }
 
-TEST_F(AnAnswerBody, IsPartialHoweverItIsCutOrDamaged) {
+TEST_F(an_answer_body, IsPartialHoweverItIsCutOrDamaged) {
   for (std::size_t size = 0; size < body_.size(); ++size) {
     EXPECT_EQ(CheckAnswerBody(body_.substr(0, size), "r1", "sent"),
               body_verdict::kPartial);
--- a/Tests/StandIns/endpoint_model_test.cc
+++ b/Tests/StandIns/endpoint_model_test.cc
@@ -7,7 +7,7 @@
 
 using namespace std::chrono_literals;
 
-class AnEndpoint : public testing::Test {
+class an_endpoint : public testing::Test {
  protected:
   static endpoint_model_settings Settings() {
     endpoint_model_settings settings;
@@ -36,16 +36,16 @@
   std::vector<run_number> expired_;
 };
 
-class AFullEndpoint : public AnEndpoint {
+class a_full_endpoint : public an_endpoint {
  protected:
-  AFullEndpoint() {
+  a_full_endpoint() {
     Arrive(1);
     Arrive(2);
     Arrive(3);
   }
 };
 
-TEST_F(AFullEndpoint, RunsAsManyAsItHasSlotsInOrderOfArrival) {
+TEST_F(a_full_endpoint, RunsAsManyAsItHasSlotsInOrderOfArrival) {
   ASSERT_EQ(StartDue().size(), 1U);
   EXPECT_TRUE(StartDue().empty());
   model_.OnFinished(1);
@@ -53,7 +53,7 @@
   EXPECT_EQ(Recorded("started"), 2);
 }
 
-TEST_F(AFullEndpoint, DropsQueuedWorkWhoseDeadlineHasPassed) {
+TEST_F(a_full_endpoint, DropsQueuedWorkWhoseDeadlineHasPassed) {
   StartDue();
   now_ += 100ms;
   model_.OnFinished(1);
@@ -62,7 +62,7 @@
   EXPECT_EQ(Recorded("started"), 1);
 }
 
-TEST_F(AFullEndpoint, NeverStartsWorkThatWasCancelledInTheQueue) {
+TEST_F(a_full_endpoint, NeverStartsWorkThatWasCancelledInTheQueue) {
   StartDue();
   model_.OnStopped(2, false);
   model_.OnFinished(1);
@@ -72,7 +72,7 @@
   EXPECT_EQ(Recorded("cancelled"), 1);
 }
 
-TEST_F(AFullEndpoint, ReportsItsQueueAsLoadUnlessItIsToldToMislead) {
+TEST_F(a_full_endpoint, ReportsItsQueueAsLoadUnlessItIsToldToMislead) {
   StartDue();
   EXPECT_DOUBLE_EQ(model_.Report().load, 3.0);
   model_.ChangeFaults(now_, {{"fixed_load", 0.1}, {"fixed_healthy", false}});
@@ -82,36 +82,36 @@
   EXPECT_DOUBLE_EQ(model_.Report().load, 3.0);
 }
 
-class AnEndpointWithFaults : public AnEndpoint {};
+class an_endpoint_with_faults : public an_endpoint {};
 
-TEST_F(AnEndpointWithFaults, ShedsBeforeAnyWork) {
+TEST_F(an_endpoint_with_faults, ShedsBeforeAnyWork) {
   model_.ChangeFaults(now_, {{"sheds", true}});
   EXPECT_FALSE(Arrive(1));
   EXPECT_TRUE(StartDue().empty());
   EXPECT_EQ(Recorded("shed"), 1);
 }
 
-TEST_F(AnEndpointWithFaults, IsSlowByTheGivenFactor) {
+TEST_F(an_endpoint_with_faults, IsSlowByTheGivenFactor) {
   model_.ChangeFaults(now_, {{"slow_factor", 4.0}});
   Arrive(1);
   EXPECT_EQ(StartDue().at(0).service_time, 40ms);
 }
 
-TEST_F(AnEndpointWithFaults, IsSlowerWhileCold) {
+TEST_F(an_endpoint_with_faults, IsSlowerWhileCold) {
   now_ = instant{1s};
   Arrive(1);
   EXPECT_EQ(StartDue().at(0).service_time, 30ms);
 }
 
-TEST_F(AnEndpointWithFaults, RefusesAnUnknownFaultAndChangesNothing) {
+TEST_F(an_endpoint_with_faults, RefusesAnUnknownFaultAndChangesNothing) {
   EXPECT_THROW(model_.ChangeFaults(now_, {{"sheds", true}, {"shed", true}}),
                std::runtime_error);
   EXPECT_TRUE(Arrive(1));
 }
 
-class ALeavingEndpoint : public AnEndpoint {};
+class a_leaving_endpoint : public an_endpoint {};
 
-TEST_F(ALeavingEndpoint, CountsNewWorkOnlyAfterTheGrace) {
+TEST_F(a_leaving_endpoint, CountsNewWorkOnlyAfterTheGrace) {
   model_.Leave(now_);
   now_ += 3s;
   Arrive(1);
@@ -121,9 +121,9 @@
   EXPECT_EQ(Recorded("new_work_while_leaving"), 1);
 }
 
-class TheRecord : public AnEndpoint {};
+class the_record : public an_endpoint {};
 
-TEST_F(TheRecord, ShowsAKeyThatRanTwice) {
+TEST_F(the_record, ShowsAKeyThatRanTwice) {
   Arrive(1, "key");
   StartDue();
   model_.OnFinished(1);
--- a/Tests/StandIns/key_value_model_test.cc
+++ b/Tests/StandIns/key_value_model_test.cc
@@ -9,7 +9,7 @@
 
 using namespace std::chrono_literals;
 
-class AStore : public testing::Test {
+class a_store : public testing::Test {
  protected:
   std::uint64_t Write(const std::string& key, std::uint64_t expected) {
     const write_result result = store_.Put(key, "v", expected, std::nullopt);
@@ -19,9 +19,9 @@
   key_value_model store_;
 };
 
-class ACompareAndSwap : public AStore {};
+class a_compare_and_swap : public a_store {};
 
-TEST_F(ACompareAndSwap, WritesOnlyOverTheExpectedRevision) {
+TEST_F(a_compare_and_swap, WritesOnlyOverTheExpectedRevision) {
   const std::uint64_t first = Write("a", 0);
   EXPECT_GT(Write("a", first), first);
   const write_result late = store_.Put("a", "w", first, std::nullopt);
@@ -31,16 +31,16 @@
   EXPECT_EQ(conflict->current->value, "v");
 }
 
-TEST_F(ACompareAndSwap, RefusesAValueAboveTheLimit) {
+TEST_F(a_compare_and_swap, RefusesAValueAboveTheLimit) {
   const std::string value(kStoreValueLimitBytes + 1, 'v');
   EXPECT_TRUE(std::holds_alternative<value_too_large>(
       store_.Put("a", value, 0, std::nullopt)));
   EXPECT_FALSE(store_.Get("a"));
 }
 
-class AWatch : public AStore {};
+class a_watch : public a_store {};
 
-TEST_F(AWatch, SeesOnlyWhatIsNewerUnderItsPrefix) {
+TEST_F(a_watch, SeesOnlyWhatIsNewerUnderItsPrefix) {
   const std::uint64_t first = Write("rows/a", 0);
   Write("rows/b", 0);
   Write("nodes/a", 0);
@@ -49,9 +49,9 @@
   EXPECT_EQ(newer[0].key, "rows/b");
 }
 
-class ALease : public AStore {};
+class a_lease : public a_store {};
 
-TEST_F(ALease, TakesItsKeysAwayWhenItLapses) {
+TEST_F(a_lease, TakesItsKeysAwayWhenItLapses) {
   const std::uint64_t lease = store_.CreateLease(instant{0s}, 10s);
   store_.Put("a", "v", 0, lease);
   Write("b", 0);
@@ -62,7 +62,7 @@
   EXPECT_TRUE(store_.Get("b"));
 }
 
-TEST_F(ALease, CannotBeRenewedOrUsedOnceItHasLapsed) {
+TEST_F(a_lease, CannotBeRenewedOrUsedOnceItHasLapsed) {
   const std::uint64_t lease = store_.CreateLease(instant{0s}, 10s);
   EXPECT_FALSE(store_.RenewLease(instant{10s}, lease));
   store_.LapseLeases(instant{10s});
@@ -70,9 +70,9 @@
       std::holds_alternative<lease_lapsed>(store_.Put("a", "v", 0, lease)));
 }
 
-class ASnapshot : public AStore {};
+class a_snapshot : public a_store {};
 
-TEST_F(ASnapshot, BringsOldValuesAndRevisionsBack) {
+TEST_F(a_snapshot, BringsOldValuesAndRevisionsBack) {
   const std::uint64_t old = Write("a", 0);
   store_.SaveSnapshot("monday");
   Write("a", old);
@@ -82,7 +82,7 @@
   EXPECT_FALSE(store_.RestoreSnapshot("tuesday"));
 }
 
-class AStoreCall : public testing::Test {
+class a_store_call : public testing::Test {
  protected:
   static std::optional<store_call> Parse(boost::beast::http::verb method,
                                          const char* target) {
@@ -92,14 +92,14 @@
 
 using boost::beast::http::verb;
 
-TEST_F(AStoreCall, DecodesItsKey) {
+TEST_F(a_store_call, DecodesItsKey) {
   const auto call = Parse(verb::put, "/v1/kv?key=rows%2Fa%20b&expected=7");
   ASSERT_TRUE(call);
   EXPECT_EQ(call->key, "rows/a b");
   EXPECT_EQ(call->expected, 7U);
 }
 
-TEST_F(AStoreCall, IsRefusedIfItIsIncomplete) {
+TEST_F(a_store_call, IsRefusedIfItIsIncomplete) {
   EXPECT_FALSE(Parse(verb::put, "/v1/kv?key=a"));
   EXPECT_FALSE(Parse(verb::put, "/v1/kv?key=a&expected=x"));
   EXPECT_FALSE(Parse(verb::post, "/v1/leases"));
--- a/Tests/StandIns/load_test.cc
+++ b/Tests/StandIns/load_test.cc
@@ -10,9 +10,9 @@
 
 using namespace std::chrono_literals;
 
-class AHistogram : public testing::Test {};
+class a_histogram : public testing::Test {};
 
-TEST_F(AHistogram, GivesQuantilesWithinItsPrecision) {
+TEST_F(a_histogram, GivesQuantilesWithinItsPrecision) {
   log_linear_histogram histogram;
   for (int i = 1; i <= 100'000; ++i) {
     histogram.Add(std::chrono::microseconds(i));
@@ -25,11 +25,11 @@
   }
 }
 
-TEST_F(AHistogram, IsZeroWhileItIsEmpty) {
+TEST_F(a_histogram, IsZeroWhileItIsEmpty) {
   EXPECT_EQ(log_linear_histogram().Quantile(0.99), 0us);
 }
 
-class ARecovery : public testing::Test {
+class a_recovery : public testing::Test {
  protected:
   // 20 calls each 50 ms, of which so many are useful.
   void Serve(std::chrono::milliseconds from,
@@ -45,24 +45,24 @@
   recovery_meter meter_;
 };
 
-TEST_F(ARecovery, BeginsWhereAWholeSecondIsServed) {
+TEST_F(a_recovery, BeginsWhereAWholeSecondIsServed) {
   Serve(0ms, 1500ms, 0);
   Serve(1500ms, 4000ms, 19);
   EXPECT_EQ(meter_.RecoveryAfter(1000ms, 4000ms), 500ms);
 }
 
-TEST_F(ARecovery, IsAbsentIfTheServedSecondIsNotWhole) {
+TEST_F(a_recovery, IsAbsentIfTheServedSecondIsNotWhole) {
   Serve(0ms, 1500ms, 0);
   Serve(1500ms, 2400ms, 20);
   EXPECT_EQ(meter_.RecoveryAfter(1000ms, 2400ms), std::nullopt);
 }
 
-TEST_F(ARecovery, IsAbsentBelowTheShare) {
+TEST_F(a_recovery, IsAbsentBelowTheShare) {
   Serve(0ms, 4000ms, 18);
   EXPECT_EQ(meter_.RecoveryAfter(1000ms, 4000ms), std::nullopt);
 }
 
-class AClientsRetry : public testing::Test {
+class a_clients_retry : public testing::Test {
  protected:
   std::optional<std::chrono::milliseconds> Wait(send_verdict verdict,
                                                 std::uint32_t sends = 1) {
@@ -73,28 +73,28 @@
   load_class class_{.is_idempotent = false};
 };
 
-TEST_F(AClientsRetry, WaitsAsLongAsItWasTold) {
+TEST_F(a_clients_retry, WaitsAsLongAsItWasTold) {
   EXPECT_EQ(Wait({call_outcome::kRefused, 400ms}), 400ms);
   EXPECT_EQ(Wait({call_outcome::kRefused, 1ms}, 2), 100ms);
 }
 
-TEST_F(AClientsRetry, IsNotMadeIfTheAnswerDoesNotInviteIt) {
+TEST_F(a_clients_retry, IsNotMadeIfTheAnswerDoesNotInviteIt) {
   EXPECT_EQ(Wait({call_outcome::kRefused, std::nullopt}), std::nullopt);
 }
 
-TEST_F(AClientsRetry, IsNotMadeIfTheFirstSendMayHaveRun) {
+TEST_F(a_clients_retry, IsNotMadeIfTheFirstSendMayHaveRun) {
   EXPECT_EQ(Wait({call_outcome::kUnknown, 10ms}), std::nullopt);
   class_.uses_key = true;
   EXPECT_EQ(Wait({call_outcome::kUnknown, 10ms}), 50ms);
 }
 
-TEST_F(AClientsRetry, IsMadeRegardlessByHardClientsUpToTheirTries) {
+TEST_F(a_clients_retry, IsMadeRegardlessByHardClientsUpToTheirTries) {
   retries_.is_hard = true;
   EXPECT_EQ(Wait({call_outcome::kUnknown, 900ms}, 2), 50ms);
   EXPECT_EQ(Wait({call_outcome::kUnknown, 900ms}, 3), std::nullopt);
 }
 
-class APlan : public testing::Test {
+class a_plan : public testing::Test {
  protected:
   static std::string ErrorOf(const char* text) {
     try {
@@ -106,7 +106,7 @@
   }
 };
 
-TEST_F(APlan, MayHaveComments) {
+TEST_F(a_plan, MayHaveComments) {
   const load_plan plan = ParseLoadPlan(
       R"({"nodes": ["127.0.0.1:9000"], // two nodes would do as well
           "classes": [{"service": "gate", "class": "scan"}],
@@ -118,7 +118,7 @@
   EXPECT_NO_THROW(CheckServers(plan));
 }
 
-TEST_F(APlan, NamesTheKeyThatIsWrong) {
+TEST_F(a_plan, NamesTheKeyThatIsWrong) {
   EXPECT_EQ(ErrorOf(R"({"classes": [{"service": "a", "class": "b",
                                      "timeout_ms": 0}]})"),
             "plan.json: classes[0]: timeout_ms: is not a number from 1 to "
