LibDecision: Take new work for 1.5 s after a leave or stop was announced

Change: work and outside calls are taken for 1.5 s after the announcement, within which it reaches every caller, and are refused as not run after it; the node stops once that time is over and nothing runs.

--- a/Libraries/LibDecision/Calls/outgoing_calls.cc
+++ b/Libraries/LibDecision/Calls/outgoing_calls.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "LibDecision/Pressure/rank.h"
+#include "LibDecision/Works/own_endpoint.h"
 
 namespace auburnfold {
 
@@ -43,7 +44,9 @@
     open.facts.priority = row.priority;
   }
   open.allowance = AllowanceFor(arrived, row);
-  if (is_stopping_ && !arrived.parent) {
+  const bool is_stop_known =
+      stopping_since_ && now.now() - *stopping_since_ >= kLeavingGrace;
+  if (is_stop_known && !arrived.parent) {
     return Refuse(now, arrived.call, error_kind::kNodeStopping,
                   kSoonRetryAfter);
   }
--- a/Libraries/LibDecision/Calls/outgoing_calls.h
+++ b/Libraries/LibDecision/Calls/outgoing_calls.h
@@ -50,8 +50,9 @@
   void OnTimer(step& now, std::uint64_t key);
   /// Gives up the attempts whose connections have gone silent.
   void OnConnectionTimer(step& now);
-  /// From now on only calls for works of the own endpoint are carried out.
-  void OnStopRequested() { is_stopping_ = true; }
+  /// After the leaving grace, only calls for works of the own endpoint are
+  /// carried out.
+  void OnStopRequested(step& now) { stopping_since_ = now.now(); }
   /// Ends everything: the stop took too long.
   void CutAll(step& now);
   /// Ends every call made for `parent`, whose caller has gone.
@@ -118,7 +119,7 @@
   std::unordered_multimap<work_id, call_id> children_;
   std::vector<work_id> ended_children_;
   std::uint64_t next_attempt_ = 1;
-  bool is_stopping_ = false;
+  std::optional<instant> stopping_since_;
 };
 
 }  // namespace auburnfold
--- a/Libraries/LibDecision/Works/incoming_works.cc
+++ b/Libraries/LibDecision/Works/incoming_works.cc
@@ -20,7 +20,7 @@
   if (arrived.facts.key && !TakeKey(now, arrived.work, open)) {
     return;
   }
-  if (const auto refusal = RefusalFor(arrived)) {
+  if (const auto refusal = RefusalFor(now.now(), arrived)) {
     return Refuse(now, arrived.work, *refusal, run_state::kNotRun);
   }
   if (arrived.facts.purpose == request_purpose::kIssueKey) {
@@ -36,15 +36,16 @@
 // A sender that names another run has an old view: its choice of this node,
 // and what it believes to be beside it, may be wrong.
 std::optional<error_kind> incoming_works::RefusalFor(
+    instant now,
     const work_arrived& arrived) const {
   const bool is_run_stated = arrived.expected_run != incarnation();
   if (is_run_stated && arrived.expected_run != run_) {
     return error_kind::kEndpointUnreachable;
   }
-  if (is_stopping_) {
+  if (is_stop_grace_over(now)) {
     return error_kind::kNodeStopping;
   }
-  if (const auto refusal = endpoint_.RefusalFor(arrived.facts.service)) {
+  if (const auto refusal = endpoint_.RefusalFor(now, arrived.facts.service)) {
     return refusal;
   }
   if (arrived.facts.time_left <= duration::zero()) {
@@ -160,8 +161,12 @@
   return effect;
 }
 
-void incoming_works::OnStopRequested(step&) {
-  is_stopping_ = true;
+void incoming_works::OnStopRequested(step& now) {
+  stopping_since_ = now.now();
+}
+
+bool incoming_works::is_stop_grace_over(instant now) const {
+  return stopping_since_ && now - *stopping_since_ >= kLeavingGrace;
 }
 
 void incoming_works::CutAll(step& now) {
--- a/Libraries/LibDecision/Works/incoming_works.h
+++ b/Libraries/LibDecision/Works/incoming_works.h
@@ -38,6 +38,8 @@
   void OnFinished(step& now, const work_finished& finished);
   report_effect OnEndpointReported(step& now, const endpoint_reported& report);
   void OnStopRequested(step& now);
+  /// A stop was requested so long ago that nothing new is taken.
+  bool is_stop_grace_over(instant now) const;
   /// Ends everything: the stop took too long.
   void CutAll(step& now);
   void OnTimer(step& now, timer_subscription due);
@@ -71,7 +73,8 @@
     std::uint32_t open_children = 0;
   };
 
-  std::optional<error_kind> RefusalFor(const work_arrived& arrived) const;
+  std::optional<error_kind> RefusalFor(instant now,
+                                       const work_arrived& arrived) const;
   /// Takes the key of new work. Returns whether the work may run.
   bool TakeKey(step& now, work_id id, work& open);
   void Apply(step& now, const std::vector<admission_decision>& decisions);
@@ -90,7 +93,7 @@
   retry_allowance& allowance_;
   const pressure_memory& pressure_;
   incarnation run_;
-  bool is_stopping_ = false;
+  std::optional<instant> stopping_since_;
   own_endpoint endpoint_;
   admission admission_;
   key_register keys_;
--- a/Libraries/LibDecision/Works/own_endpoint.cc
+++ b/Libraries/LibDecision/Works/own_endpoint.cc
@@ -11,6 +11,11 @@
     return report_effect::kIgnored;
   }
   report_ = report;
+  if (report.state == endpoint_state::kReady) {
+    leaving_since_.reset();
+  } else if (!leaving_since_ || is_other_run) {
+    leaving_since_ = now.now();
+  }
   is_silent_ = false;
   last_heard_ = now.now();
   WatchSilence(now);
@@ -32,11 +37,12 @@
 }
 
 std::optional<error_kind> own_endpoint::RefusalFor(
+    instant now,
     const service_name& service) const {
   if (!report_ || is_silent_ || report_->service != service) {
     return error_kind::kNoEndpoint;
   }
-  if (report_->state == endpoint_state::kLeaving) {
+  if (leaving_since_ && now - *leaving_since_ >= kLeavingGrace) {
     return error_kind::kEndpointLeaving;
   }
   return std::nullopt;
--- a/Libraries/LibDecision/Works/own_endpoint.h
+++ b/Libraries/LibDecision/Works/own_endpoint.h
@@ -13,6 +13,10 @@
 /// Time without report or answer after which the endpoint is taken as gone.
 inline constexpr duration kEndpointSilenceLimit = std::chrono::seconds(5);
 
+/// Time after a leave was announced in which new work is still taken, since
+/// callers hear of the leave only then.
+inline constexpr duration kLeavingGrace = std::chrono::milliseconds(1500);
+
 /// What a report changed.
 enum class report_effect : std::uint8_t {
   kTaken,     ///< The endpoint described itself.
@@ -30,7 +34,8 @@
   bool OnTimer(step& now);
 
   /// Why the endpoint takes no new work for `service`; nothing if it does.
-  std::optional<error_kind> RefusalFor(const service_name& service) const;
+  std::optional<error_kind> RefusalFor(instant now,
+                                       const service_name& service) const;
   /// The last report taken.
   const std::optional<endpoint_reported>& report() const { return report_; }
 
@@ -39,6 +44,7 @@
 
   std::optional<endpoint_reported> report_;
   instant last_heard_;
+  std::optional<instant> leaving_since_;
   bool is_silent_ = false;
 };
 
--- a/Libraries/LibDecision/reducer.cc
+++ b/Libraries/LibDecision/reducer.cc
@@ -19,6 +19,10 @@
 /// Longest time that a planned stop waits for what runs.
 constexpr duration kStopLimit = std::chrono::seconds(25);
 
+// Keys of the timers of a planned stop.
+constexpr std::uint64_t kStopLimitKey = 0;
+constexpr std::uint64_t kStopGraceKey = 1;
+
 }  // namespace
 
 struct node_state::parts {
@@ -32,7 +36,6 @@
   pressure_memory pressure;
   outgoing_calls calls{rows, members, allowance, pressure, options};
   incoming_works works{rows, allowance, pressure, options};
-  bool is_stopping = false;
   bool is_stopped = false;
   std::optional<instant> wake;
 
@@ -43,11 +46,13 @@
   }
 
   void On(step& now, const stop_requested&) {
-    is_stopping = true;
     members.OnStopRequested(now);
-    calls.OnStopRequested();
+    calls.OnStopRequested(now);
     works.OnStopRequested(now);
-    now.timers().Subscribe({timer_owner::kStop}, now.now() + kStopLimit);
+    now.timers().Subscribe({timer_owner::kStop, kStopLimitKey},
+                           now.now() + kStopLimit);
+    now.timers().Subscribe({timer_owner::kStop, kStopGraceKey},
+                           now.now() + kLeavingGrace);
   }
 
   void On(step&, const time_passed&) {}
@@ -152,7 +157,7 @@
       case timer_owner::kEndpoint:
         return OnEndpointTimer(now);
       case timer_owner::kStop:
-        return Cut(now);
+        return OnStopTimer(now, due.key);
       case timer_owner::kConnections:
         return calls.OnConnectionTimer(now);
       case timer_owner::kRouting:
@@ -175,6 +180,13 @@
     }
   }
 
+  // The end of the grace only wakes the node, to stop if it is idle.
+  void OnStopTimer(step& now, std::uint64_t key) {
+    if (key == kStopLimitKey) {
+      Cut(now);
+    }
+  }
+
   void Cut(step& now) {
     const std::size_t cut = calls.open_count() + works.open_count();
     calls.CutAll(now);
@@ -197,7 +209,8 @@
   }
 
   void StopIfIdle(step& now) {
-    if (is_stopping && calls.open_count() == 0 && works.open_count() == 0) {
+    if (works.is_stop_grace_over(now.now()) && calls.open_count() == 0 &&
+        works.open_count() == 0) {
       Stop(now, 0);
     }
   }
