auburnfold: Name an edit that nobody named, and set rows in the demo

Change: the command makes a name for the change; the demo writes a row for each class through the administration API before it offers load.

--- a/Meta/demo.sh
+++ b/Meta/demo.sh
@@ -87,6 +87,12 @@
   WaitForService listings lookup
   WaitForService reservations reserve
   WaitForService faults alert
+  SetRow listings-1-node listings lookup '{"priority": 1, "idempotent": true}'
+  SetRow listings-1-node bookings lookup '{"priority": 1, "idempotent": true}'
+  SetRow listings-1-node reservations reserve '{"priority": 4}'
+  SetRow listings-1-node bookings book '{"priority": 4}'
+  SetRow listings-1-node faults alert '{"priority": 7, "idempotent": true}'
+  SetRow listings-1-node bookings alert '{"priority": 7, "idempotent": true}'
   WritePlan '[
     {"name": "listings", "service": "listings", "class": "lookup", "timeout_ms": 1000, "share": 0.62},
     {"name": "reservations", "service": "reservations", "class": "reserve", "timeout_ms": 1500,
@@ -108,6 +114,12 @@
   WaitForService booking book
   WaitForService gate scan
   WaitForService shuttle times
+  SetRow lots-1-node lots lookup '{"priority": 1, "idempotent": true}'
+  SetRow lots-1-node shuttle times '{"priority": 1, "idempotent": true}'
+  SetRow lots-1-node booking occupancy '{"priority": 1, "idempotent": true}'
+  SetRow lots-1-node booking book '{"priority": 4}'
+  SetRow lots-1-node gate scan '{"priority": 7, "idempotent": true}'
+  SetRow lots-1-node booking check '{"priority": 7, "idempotent": true}'
   WritePlan '[
     {"name": "lot lookups", "service": "lots", "class": "lookup", "timeout_ms": 1000, "share": 0.53},
     {"name": "shuttle times", "service": "shuttle", "class": "times", "timeout_ms": 1000, "share": 0.05},
--- a/Meta/deployment.sh
+++ b/Meta/deployment.sh
@@ -34,6 +34,8 @@
 # FIXME: Three would do once nodes learn of others from their seeds.
 seed_count=${AUBURNFOLD_SEEDS:-16}
 store_port=
+# Of the team that may edit every row of a deployment on this machine.
+operator_token=deployment-operator-0123
 
 # Starts "$@" under the name $1, with its output in $work/$1.log.
 StartProcess() {
@@ -88,9 +90,11 @@
   [ -n "${seeds:=$(SeedsJson)}" ]
   jq -n --arg host "$host" --arg domain "$domain" --argjson port "$port" \
     --argjson seeds "$seeds" --argjson store "${store_port:-null}" \
+    --arg token "$operator_token" \
     '{host: $host, endpoint_host: $host, domain: $domain, call_port: $port,
       peer_port: ($port + 1), control_port: ($port + 2), admin_port: ($port + 3),
-      seeds: $seeds}
+      seeds: $seeds,
+      admin: {teams: [{name: "operator", token: $token, services: ["*"]}]}}
      + if $store then {store_host: $host, store_port: $store} else {} end' >"$work/$name.json"
   RunNode "$name"
 }
@@ -122,6 +126,13 @@
   done
 }
 
+# Writes a new row for service $2 and class $3 through the node named $1; $4 is
+# the row as JSON.
+SetRow() {
+  AUBURNFOLD_TOKEN=$operator_token "$build/Utilities/auburnfold/auburnfold" \
+    --host "$host" --port "${admin_port_of[$1]}" --expected 0 table set "$2" "$3" "$4" >/dev/null
+}
+
 # One call of service $2 and class $3 through the node named $1.
 CallThrough() {
   Fetch -X POST -H "Auburnfold-Service: $2" -H "Auburnfold-Class: $3" \
--- a/Utilities/auburnfold/main.cc
+++ b/Utilities/auburnfold/main.cc
@@ -10,6 +10,7 @@
 #include <cstdlib>
 #include <iostream>
 #include <optional>
+#include <random>
 #include <string>
 #include <utility>
 #include <vector>
@@ -25,6 +26,12 @@
 
 constexpr std::chrono::seconds kAnswerTimeout{15};
 
+// Every edit needs a name; one that nobody chose is unlikely to stand twice.
+std::string NewChangeName() {
+  std::random_device random;
+  return "change-" + std::to_string(random()) + "-" + std::to_string(random());
+}
+
 struct options {
   std::string host;
   std::string port;
@@ -118,9 +125,8 @@
   if (!chosen.token.empty()) {
     request.set(http::field::authorization, "Bearer " + chosen.token);
   }
-  if (!chosen.change.empty()) {
-    request.set("Auburnfold-Change", chosen.change);
-  }
+  request.set("Auburnfold-Change",
+              chosen.change.empty() ? NewChangeName() : chosen.change);
   if (chosen.expected == "0") {
     request.set(http::field::if_none_match, "*");
   } else if (!chosen.expected.empty()) {
