--- a/Libraries/LibDecision/Calls/outgoing_calls.cc
+++ b/Libraries/LibDecision/Calls/outgoing_calls.cc
@@ -154,6 +154,13 @@
   }
   open.has_run = open.has_run || result.ran == run_state::kRan;
   open.may_have_run = open.may_have_run || result.ran != run_state::kNotRun;
+  RetryOrRefuse(now, id, open, result);
+}
+
+void outgoing_calls::RetryOrRefuse(step& now,
+                                   call_id id,
+                                   call& open,
+                                   const outcome& result) {
   if (MayRetry(now, open, result) && HasRetryLeft(now, open, result)) {
     now.Count(counter::kRetries);
     return Send(now, id, open);
@@ -203,12 +210,7 @@
   open.carried = 0;
   router_.OnCancelled(now, open.tried.back());
   now.Emit(cancel_attempt{attempt});
-  const outcome lost{error_kind::kAnswerLost, run_state::kUnknown};
-  if (MayRetry(now, open, lost) && HasRetryLeft(now, open, lost)) {
-    now.Count(counter::kRetries);
-    return Send(now, id, open);
-  }
-  Refuse(now, id, error_kind::kAnswerLost, duration::zero());
+  RetryOrRefuse(now, id, open, {error_kind::kAnswerLost, run_state::kUnknown});
 }
 
 void outgoing_calls::CutAll(step& now) {
--- a/Libraries/LibDecision/Calls/outgoing_calls.h
+++ b/Libraries/LibDecision/Calls/outgoing_calls.h
@@ -92,6 +92,8 @@
   /// As above for a call whose key names its home.
   const member_record* ChooseHome(step& now, call_id id, const key_home& home);
   void OnAttemptLost(step& now, attempt_id attempt);
+  /// Goes on after an attempt that ended without a whole answer.
+  void RetryOrRefuse(step& now, call_id id, call& open, const outcome& result);
   void Refuse(step& now, call_id id, error_kind kind, duration retry_after);
   void Close(step& now, call_id id);
   /// What is certain about all attempts of a call together.
--- a/Libraries/LibDecision/Works/incoming_works.cc
+++ b/Libraries/LibDecision/Works/incoming_works.cc
@@ -141,7 +141,6 @@
 report_effect incoming_works::OnEndpointReported(
     step& now,
     const endpoint_reported& report) {
-  admission_.OnEndpointReported(now, report);
   const report_effect effect = endpoint_.OnReported(now, report);
   if (effect != report_effect::kIgnored) {
     admission_.OnEndpointReported(now, report);
--- a/Libraries/LibDecision/Works/incoming_works.h
+++ b/Libraries/LibDecision/Works/incoming_works.h
@@ -56,6 +56,7 @@
   /// The facts of open work; nothing if `work` is not open.
   const request_facts* FactsOf(work_id work) const;
   std::size_t open_count() const { return works_.size(); }
+  /// What this node knows about the endpoint beside it.
   const own_endpoint& endpoint() const { return endpoint_; }
 
  private:
