--- a/Libraries/LibDecision/Admission/adaptive_limit.h
+++ b/Libraries/LibDecision/Admission/adaptive_limit.h
@@ -24,6 +24,7 @@
     return static_cast<std::uint32_t>(total_limit_);
   }
   bool has_queue() const { return true; }
+  bool lets_important_over() const { return true; }
   double OnSample(instant now, const limit_sample& sample);
   void OnLimited(endpoint_occupancy occupancy);
 
--- a/Libraries/LibDecision/Admission/admission.cc
+++ b/Libraries/LibDecision/Admission/admission.cc
@@ -15,13 +15,19 @@
 constexpr duration kBaseRetryAfter = std::chrono::milliseconds(100);
 constexpr duration kLongestRetryAfter = std::chrono::seconds(1);
 constexpr duration kColdPeriod = std::chrono::seconds(5);
+/// Part of its latency objective that a request waits at most.
+constexpr int kRootWaitPart = 8;
+/// The same for a call of work that already runs.
+constexpr int kCallWaitPart = 2;
 /// Share of the limit that the highest priority may use on top.
 constexpr std::uint32_t kReservedPart = 4;
 
-std::variant<adaptive_limit, fixed_limit> Make(limit_choice choice) {
+std::variant<adaptive_limit, announced_limit, fixed_limit> Make(limit_choice choice) {
   switch (choice) {
     case limit_choice::kAdaptive:
       return adaptive_limit();
+    case limit_choice::kAnnounced:
+      return announced_limit();
     case limit_choice::kFixed:
       return fixed_limit(kFixedLimit);
     case limit_choice::kUnlimited:
@@ -30,6 +36,16 @@
   return adaptive_limit();
 }
 
+// A caller that is to come back must learn it soon; work that already ran for
+// a request is lost if one of its calls is refused, so those may wait longer.
+duration LongestWait(const request_facts& facts, const row_settings& settings) {
+  if (facts.objective <= duration::zero()) {
+    return settings.queue_limit;
+  }
+  return facts.depth > 0 ? facts.objective / kCallWaitPart
+                         : facts.objective / kRootWaitPart;
+}
+
 rank RankOf(const request_facts& facts, const row_settings& settings) {
   return RankOf(facts.priority.value_or(settings.priority), facts.root);
 }
@@ -66,7 +82,8 @@
   const instant deadline =
       now.now() + facts.time_left - times_.ShortestWhole(facts.request_class);
   const queued_request request{
-      work, position, std::min(deadline, now.now() + settings.queue_limit)};
+      work, position,
+      std::min(deadline, now.now() + LongestWait(facts, settings))};
   return Enqueue(now, request, facts, settings);
 }
 
@@ -156,6 +173,9 @@
 
 void admission::OnEndpointReported(step& now, const endpoint_reported& report) {
   connection_limit_ = report.connection_limit;
+  if (auto* announced = std::get_if<announced_limit>(&limit_)) {
+    announced->SetSlots(report.slots);
+  }
   if (report.run != endpoint_run_) {
     endpoint_run_ = report.run;
     endpoint_since_ = now.now();
@@ -186,7 +206,10 @@
     return false;
   }
   endpoint_occupancy counted = occupancy_;
-  if (priority == kHighestPriority) {
+  const bool may_go_over =
+      std::visit([](const auto& limit) { return limit.lets_important_over(); },
+                 limit_);
+  if (may_go_over && priority == kHighestPriority) {
     const std::uint32_t reserved = 1 + limit() / kReservedPart;
     counted.active -= std::min(counted.active, reserved);
     counted.total -= std::min(counted.total, reserved);
--- a/Libraries/LibDecision/Admission/admission.h
+++ b/Libraries/LibDecision/Admission/admission.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "LibDecision/Admission/adaptive_limit.h"
+#include "LibDecision/Admission/announced_limit.h"
 #include "LibDecision/Admission/fixed_limit.h"
 #include "LibDecision/Admission/request_queue.h"
 #include "LibDecision/Admission/service_times.h"
@@ -67,7 +68,8 @@
   std::uint32_t limit() const;
 
  private:
-  using limit_variant = std::variant<adaptive_limit, fixed_limit>;
+  using limit_variant =
+      std::variant<adaptive_limit, announced_limit, fixed_limit>;
   struct admitted_work {
     class_name request_class;
     instant started;
--- a/Libraries/LibDecision/Admission/fixed_limit.h
+++ b/Libraries/LibDecision/Admission/fixed_limit.h
@@ -21,6 +21,7 @@
   }
   std::uint32_t limit() const { return limit_; }
   bool has_queue() const { return false; }
+  bool lets_important_over() const { return true; }
   double OnSample(instant, const limit_sample&) { return 1; }
   void OnLimited(endpoint_occupancy) {}
 
--- a/Libraries/LibDecision/Admission/limit_policy.h
+++ b/Libraries/LibDecision/Admission/limit_policy.h
@@ -45,6 +45,8 @@
   { constant.limit() } -> std::same_as<std::uint32_t>;
   /// Requests wait while there is no room.
   { constant.has_queue() } -> std::same_as<bool>;
+  /// The highest priority may go a little over the limit.
+  { constant.lets_important_over() } -> std::same_as<bool>;
   /// Returns the factor by which every expected time is to be multiplied.
   { policy.OnSample(now, sample) } -> std::same_as<double>;
   /// A request found no room.
--- a/Libraries/LibDecision/Calls/outgoing_calls.cc
+++ b/Libraries/LibDecision/Calls/outgoing_calls.cc
@@ -15,6 +15,17 @@
 // Of the three-tries baseline.
 constexpr std::size_t kMostTries = 3;
 
+// Attempts that no endpoint saw cost the endpoints nothing, but each takes the
+// time of a hop.
+constexpr std::uint16_t kMostUnseenAttempts = 3;
+
+// The endpoint turned the request away, or nobody knows what became of it.
+bool MayHaveArrived(const outcome& result) {
+  return result.ran != run_state::kNotRun ||
+         result.error == error_kind::kEndpointBusy ||
+         result.error == error_kind::kEndpointReplaced;
+}
+
 bool IsOverload(error_kind kind) {
   return kind == error_kind::kOverloaded ||
          kind == error_kind::kQueueDeadline ||
@@ -26,11 +37,16 @@
 void outgoing_calls::OnArrived(step& now,
                                const call_arrived& arrived,
                                const request_facts* parent) {
-  const request_facts& facts = arrived.facts;
+  call& open = calls_[arrived.call];
+  open.facts = arrived.facts;
+  open.arrived = now.now();
+  std::optional<error_kind> fault;
+  if (arrived.target) {
+    fault = ApplyRoute(*arrived.target, open.facts);
+  }
+  const request_facts& facts = open.facts;
   const row_settings& row =
       rows_.SettingsFor(facts.service, facts.request_class);
-  call& open = calls_[arrived.call];
-  open.facts = facts;
   open.parent = arrived.parent;
   // A second key does no harm.
   open.is_idempotent =
@@ -44,14 +60,21 @@
     open.facts.priority = row.priority;
   }
   open.allowance = AllowanceFor(arrived, row);
+  if (fault) {
+    return Refuse(now, arrived.call, *fault,
+                  AnswerFor(*fault).when == come_back::kNever
+                      ? duration::zero()
+                      : kSoonRetryAfter);
+  }
   const bool is_stop_known =
       stopping_since_ && now.now() - *stopping_since_ >= kLeavingGrace;
   if (is_stop_known && !arrived.parent) {
     return Refuse(now, arrived.call, error_kind::kNodeStopping,
                   kSoonRetryAfter);
   }
-  if (!rows_.has_service(facts.service) &&
-      !members_.has_service(facts.service)) {
+  const bool is_known = arrived.target || rows_.has_service(facts.service) ||
+                        members_.has_service(facts.service);
+  if (!is_known) {
     return Refuse(now, arrived.call, error_kind::kUnknownService,
                   duration::zero());
   }
@@ -66,9 +89,26 @@
                   RetryAfterFor(now, open, error_kind::kOverloaded));
   }
   retry_share_.OnFirstAttempt();
+  service_shares_.OnFirstAttempt(facts.service);
+  now.Log(Describe(now, decision_kind::kCallRouted, open));
   Send(now, arrived.call, open);
 }
 
+std::optional<error_kind> outgoing_calls::ApplyRoute(const route_target& target,
+                                                     request_facts& facts) {
+  if (!routes_.version()) {
+    return error_kind::kNoRoutes;
+  }
+  const route* found = routes_.Match(target.host, target.path);
+  if (found == nullptr) {
+    return error_kind::kUnknownRoute;
+  }
+  facts.service = routes_.NextService(*found);
+  facts.request_class = found->name;
+  facts.objective = found->objective;
+  return std::nullopt;
+}
+
 // A resend and a call of an unknown parent get nothing: what their root
 // request may spend was given out before.
 std::uint16_t outgoing_calls::AllowanceFor(const call_arrived& arrived,
@@ -104,7 +144,9 @@
 }
 
 void outgoing_calls::OnCancelled(step& now, call_id id) {
-  if (calls_.contains(id)) {
+  const auto found = calls_.find(id);
+  if (found != calls_.end()) {
+    now.Log(Describe(now, decision_kind::kCallCancelled, found->second));
     Close(now, id);
   }
 }
@@ -149,9 +191,18 @@
   TakeBackAllowance(open, result);
   pressure_.OnAnswer(now.now(), CalledBy(open), open.tried.back(), result);
   if (result.is_whole()) {
+    now.Log(Describe(now, decision_kind::kCallAnswered, open));
     now.Emit(relay_answer{id, finished.attempt, open.allowance});
     return Close(now, id);
   }
+  decision_record failed = Describe(now, decision_kind::kAttemptFailed, open);
+  failed.error = result.error;
+  failed.ran = result.ran;
+  failed.age = now.now() - open.attempt_started;
+  now.Log(std::move(failed));
+  if (!MayHaveArrived(result)) {
+    ++open.unseen_attempts;
+  }
   open.has_run = open.has_run || result.ran == run_state::kRan;
   open.may_have_run = open.may_have_run || result.ran != run_state::kNotRun;
   RetryOrRefuse(now, id, open, result);
@@ -210,6 +261,7 @@
   open.carried = 0;
   router_.OnCancelled(now, open.tried.back());
   now.Emit(cancel_attempt{attempt});
+  now.Log(Describe(now, decision_kind::kConnectionDropped, open));
   RetryOrRefuse(now, id, open, {error_kind::kAnswerLost, run_state::kUnknown});
 }
 
@@ -253,6 +305,10 @@
   open.carried = std::exchange(open.allowance, std::uint16_t{0});
   facts.allowance = open.carried;
   now.Count(counter::kAttempts);
+  decision_record sent = Describe(now, decision_kind::kAttemptSent, open);
+  sent.run = chosen->run;
+  sent.candidates = static_cast<std::uint32_t>(router_.candidate_count());
+  now.Log(std::move(sent));
   now.Emit(send_attempt{attempt, id, chosen->node, chosen->run, chosen->address,
                         std::move(facts)});
 }
@@ -304,6 +360,12 @@
                             duration retry_after) {
   const call& open = calls_.at(id);
   const run_state ran = KnowledgeOf(open);
+  decision_record refused = Describe(now, decision_kind::kCallRefused, open);
+  refused.error = kind;
+  refused.ran = ran;
+  refused.retry_after = retry_after;
+  refused.level = pressure_.LevelFor(now.now(), CalledBy(open));
+  now.Log(std::move(refused));
   now.Emit(refuse_call{id, kind, ran, retry_after, open.allowance});
   Close(now, id);
 }
@@ -366,6 +428,13 @@
       return open.tried.size() < kMostTries;
     case retry_choice::kAllowance:
       break;
+    case retry_choice::kArrivals:
+      if (!MayHaveArrived(result)) {
+        return open.unseen_attempts <= kMostUnseenAttempts &&
+               !(IsOverload(*result.error) &&
+                 pressure_.RefusesAsWhole(now.now(), CalledBy(open)));
+      }
+      break;
   }
   if (open.allowance == 0) {
     now.Count(counter::kRetriesDeniedByAllowance);
@@ -378,7 +447,10 @@
     now.Count(counter::kRetriesDeniedByPressure);
     return false;
   }
-  if (!retry_share_.TryTake()) {
+  const bool has_share = options_.retries == retry_choice::kArrivals
+                             ? service_shares_.TryTake(open.facts.service)
+                             : retry_share_.TryTake();
+  if (!has_share) {
     now.Count(counter::kRetriesDeniedByNodeShare);
     return false;
   }
@@ -386,6 +458,27 @@
   return true;
 }
 
+decision_record outgoing_calls::Describe(step& now,
+                                         decision_kind kind,
+                                         const call& open) const {
+  decision_record record{.kind = kind,
+                         .request = open.facts.own_id,
+                         .root = open.facts.root,
+                         .service = open.facts.service,
+                         .request_class = open.facts.request_class};
+  if (!open.tried.empty()) {
+    record.node = open.tried.back();
+  }
+  if (routes_.version()) {
+    record.routes = routes_.version();
+  }
+  record.time_left = open.deadline - now.now();
+  record.waited = now.now() - open.arrived;
+  record.attempt = static_cast<std::uint32_t>(open.tried.size());
+  record.priority = open.facts.priority;
+  return record;
+}
+
 duration outgoing_calls::RetryAfterFor(step& now,
                                        const call& open,
                                        error_kind kind) const {
--- a/Libraries/LibDecision/Calls/outgoing_calls.h
+++ b/Libraries/LibDecision/Calls/outgoing_calls.h
@@ -12,6 +12,7 @@
 #include "LibDecision/Pressure/pressure_memory.h"
 #include "LibDecision/Retries/retry_allowance.h"
 #include "LibDecision/Retries/retry_share.h"
+#include "LibDecision/Routes/route_table.h"
 #include "LibDecision/Routing/router.h"
 #include "LibDecision/Table/table.h"
 #include "LibDecision/event.h"
@@ -26,11 +27,13 @@
 class outgoing_calls {
  public:
   outgoing_calls(const table& rows,
+                 route_table& routes,
                  const membership& members,
                  retry_allowance& allowance,
                  pressure_memory& pressure,
                  const node_options& options)
       : rows_(rows),
+        routes_(routes),
         members_(members),
         allowance_(allowance),
         pressure_(pressure),
@@ -62,6 +65,8 @@
   std::vector<work_id> TakeEndedChildren();
 
   std::size_t open_count() const { return calls_.size(); }
+  /// When the node beside an endpoint last answered.
+  instant AnsweredAt(node_id node) const { return router_.AnsweredAt(node); }
 
  private:
   struct call {
@@ -82,10 +87,17 @@
     bool may_have_run = false;
     /// An earlier attempt certainly ran.
     bool has_run = false;
+    /// Attempts that certainly reached no endpoint.
+    std::uint16_t unseen_attempts = 0;
+    instant arrived;
     bool is_idempotent = false;
   };
   using call_map = std::unordered_map<call_id, call>;
 
+  /// Settles service, class and limits of a call that names none. Returns why
+  /// it cannot be served, if so.
+  std::optional<error_kind> ApplyRoute(const route_target& target,
+                                       request_facts& facts);
   void Send(step& now, call_id id, call& open);
   /// The member to send to next; refuses the call if there is none.
   const member_record* ChooseMember(step& now, call_id id, const call& open);
@@ -108,12 +120,19 @@
   bool HasRetryLeft(step& now, call& open, const outcome& result);
   duration RetryAfterFor(step& now, const call& open, error_kind kind) const;
 
+  /// A record about `open` with what every record of a call tells.
+  decision_record Describe(step& now,
+                           decision_kind kind,
+                           const call& open) const;
+
   const table& rows_;
+  route_table& routes_;
   const membership& members_;
   retry_allowance& allowance_;
   pressure_memory& pressure_;
   const node_options& options_;
   retry_share retry_share_;
+  service_retry_shares service_shares_;
   router router_;
   connection_monitor connections_;
   call_map calls_;
--- a/Libraries/LibDecision/Membership/member_list.cc
+++ b/Libraries/LibDecision/Membership/member_list.cc
@@ -26,13 +26,17 @@
   if (held != nullptr && !IsNewer(record, *held)) {
     return false;
   }
-  const bool is_first = held == nullptr;
+  Replace(record);
+  return true;
+}
+
+void member_list::Replace(const member_record& record) {
+  const bool is_first = Find(record.node) == nullptr;
   Remove(record.node);
   Add(record);
   if (is_first) {
     bucket_nodes_[BucketOf(record.node)].push_back(record.node);
   }
-  return true;
 }
 
 void member_list::Forget(node_id node) {
--- a/Libraries/LibDecision/Membership/member_list.h
+++ b/Libraries/LibDecision/Membership/member_list.h
@@ -28,6 +28,8 @@
 
   /// Takes `record` if it is newer than the copy held. Returns whether it was.
   bool Take(const member_record& record);
+  /// Takes `record` whatever copy is held.
+  void Replace(const member_record& record);
   /// Drops the memory of a node that is gone.
   void Forget(node_id node);
 
--- a/Libraries/LibDecision/Membership/membership.cc
+++ b/Libraries/LibDecision/Membership/membership.cc
@@ -35,6 +35,9 @@
   seeds_ = self.seeds;
   started_ = now.now();
   list_.Take(self_);
+  if (discovery_ == discovery_choice::kRegistry) {
+    return;
+  }
   gossip_.set_self(self_);
   gossip_.UpdateNeighbours(now, seeds_);
   rendezvous_.Start(now, LookAround(now));
@@ -45,6 +48,7 @@
 
 void membership::OnEndpointReported(step&, const endpoint_reported& report) {
   self_.service = report.service;
+  self_.slots = report.slots;
   endpoint_ = report.state;
   Announce();
 }
@@ -72,6 +76,9 @@
 void membership::OnStopped(step& now) {
   self_.state = member_state::kGone;
   ++self_.version;
+  if (discovery_ == discovery_choice::kRegistry) {
+    return;
+  }
   gossip_.set_self(self_);
   if (is_published_) {
     gossip_.Spread(self_, self_.node);
@@ -147,6 +154,10 @@
 }
 
 void membership::SpreadChanges(step& now) {
+  if (discovery_ == discovery_choice::kRegistry) {
+    rows_.TakeChanged();
+    return;
+  }
   PublishIfSynced(now);
   gossip_.SpreadRows(now, rows_.TakeChanged());
   gossip_.Flush(now);
@@ -175,6 +186,14 @@
   return true;
 }
 
+void membership::Replace(step& now, const member_record& record) {
+  const member_record* held = list_.Find(record.node);
+  if (held == nullptr || *held != record) {
+    list_.Replace(record);
+    now.Count(counter::kMemberChanges);
+  }
+}
+
 std::vector<const member_record*> membership::ReadyEndpoints(
     const service_name& service) const {
   return list_.Ready(service);
@@ -192,11 +211,13 @@
 // others are told when this node knows the table.
 void membership::Announce() {
   const bool is_leaving =
-      is_draining_ || is_stopping_ || endpoint_ == endpoint_state::kLeaving;
+      is_draining_ || is_stopping_ || endpoint_ != endpoint_state::kReady;
   const member_state state =
       is_leaving ? member_state::kLeaving : member_state::kReady;
   const member_record* held = list_.Find(self_.node);
-  if (held->service == self_.service && held->state == state) {
+  const bool is_known = held->service == self_.service &&
+                        held->slots == self_.slots && held->state == state;
+  if (is_known) {
     return;
   }
   self_.state = state;
--- a/Libraries/LibDecision/Membership/membership.h
+++ b/Libraries/LibDecision/Membership/membership.h
@@ -12,6 +12,7 @@
 #include "LibDecision/Table/table.h"
 #include "LibDecision/event.h"
 #include "LibDecision/member_record.h"
+#include "LibDecision/node_options.h"
 #include "LibDecision/step.h"
 
 namespace auburnfold {
@@ -19,7 +20,8 @@
 /// What this node knows about all others, and tells them about its endpoint.
 class membership {
  public:
-  explicit membership(table& rows) : rows_(rows) {}
+  membership(table& rows, discovery_choice discovery)
+      : rows_(rows), discovery_(discovery) {}
   membership(const membership&) = delete;
   membership& operator=(const membership&) = delete;
 
@@ -41,6 +43,9 @@
   /// Takes `record` if it is newer than the copy held. Returns whether it was.
   bool Take(step& now, const member_record& record);
 
+  /// Takes what the registry holds, whatever copy is held.
+  void Replace(step& now, const member_record& record);
+
   /// Every node whose endpoint offers `service` and is ready, by id. Pointers
   /// last until the next event.
   std::vector<const member_record*> ReadyEndpoints(
@@ -69,6 +74,7 @@
   std::vector<node_address> KnownSeeds() const;
 
   table& rows_;
+  discovery_choice discovery_;
   member_record self_;
   member_list list_;
   gossip gossip_{list_, rows_};
--- /dev/null
+++ b/Libraries/LibDecision/Registry/member_codec.cc
@@ -0,0 +1,79 @@
+#include "LibDecision/Registry/member_codec.h"
+
+#include <charconv>
+#include <cstdint>
+
+#include "LibDecision/text_words.h"
+
+namespace auburnfold {
+
+namespace {
+
+constexpr std::string_view kFormatWord = "auburnfold-node-1";
+
+}  // namespace
+
+std::string MemberKey(node_id node) {
+  return std::string(kRegistryPrefix) + std::to_string(node.value());
+}
+
+std::string EncodeMember(const member_record& record) {
+  std::string line;
+  AppendWord(line, kFormatWord);
+  AppendNumber(line, record.run.value());
+  AppendNumber(line, record.version);
+  AppendNumber(line, static_cast<std::uint64_t>(record.state));
+  AppendWord(line, record.address.host);
+  AppendNumber(line, record.address.peer_port);
+  AppendNumber(line, record.address.control_port);
+  AppendWord(line, record.domain.value());
+  AppendWord(line, record.service.value());
+  AppendNumber(line, record.slots);
+  return line;
+}
+
+std::optional<member_record> DecodeMember(std::string_view key,
+                                          std::string_view value) {
+  const std::optional<node_id> node = NodeOfKey(key);
+  word_reader words(value);
+  if (!node || words.Take(' ') != kFormatWord) {
+    return std::nullopt;
+  }
+  member_record record{.node = *node};
+  std::uint64_t run = 0;
+  std::uint64_t state = 0;
+  const bool has_state = words.TakeNumber(run) &&
+                         words.TakeNumber(record.version) &&
+                         words.TakeNumber(state);
+  if (!has_state || state > static_cast<std::uint64_t>(member_state::kGone)) {
+    return std::nullopt;
+  }
+  record.run = incarnation(run);
+  record.state = static_cast<member_state>(state);
+  record.address.host = std::string(words.Take(' '));
+  const bool has_ports = words.TakeNumber(record.address.peer_port) &&
+                         words.TakeNumber(record.address.control_port);
+  record.domain = domain_name(std::string(words.Take(' ')));
+  record.service = service_name(std::string(words.Take(' ')));
+  const bool is_whole = words.TakeNumber(record.slots) && words.is_empty();
+  if (!has_ports || !is_whole || record.address.host.empty()) {
+    return std::nullopt;
+  }
+  return record;
+}
+
+std::optional<node_id> NodeOfKey(std::string_view key) {
+  if (!key.starts_with(kRegistryPrefix)) {
+    return std::nullopt;
+  }
+  const std::string_view digits = key.substr(kRegistryPrefix.size());
+  const char* last = digits.data() + digits.size();
+  std::uint64_t value = 0;
+  const auto [stopped, error] = std::from_chars(digits.data(), last, value);
+  if (error != std::errc() || stopped != last || digits.empty()) {
+    return std::nullopt;
+  }
+  return node_id(value);
+}
+
+}  // namespace auburnfold
--- a/Libraries/LibDecision/Retries/retry_share.h
+++ b/Libraries/LibDecision/Retries/retry_share.h
@@ -1,18 +1,49 @@
 #ifndef LIBDECISION_RETRIES_RETRY_SHARE_H_
 #define LIBDECISION_RETRIES_RETRY_SHARE_H_
 
+#include <unordered_map>
+
+#include "LibDecision/ids.h"
+
 namespace auburnfold {
 
 /// Bounds the retries of one node to a share of its first attempts.
 class retry_share {
  public:
+  /// `per_attempt` retries are earned with each first attempt; `first` are
+  /// there at the start, and at most `most` are kept.
+  explicit retry_share(double per_attempt = kNodeRetriesPerAttempt,
+                       double first = kFirstNodeRetries,
+                       double most = kMostNodeRetries)
+      : per_attempt_(per_attempt), most_(most), tokens_(first) {}
+
   void OnFirstAttempt();
   /// Takes one retry; false if the share is used up.
   bool TryTake();
 
  private:
+  /// For all services of a node together.
+  static constexpr double kNodeRetriesPerAttempt = 0.1;
+  static constexpr double kFirstNodeRetries = 10;
+  static constexpr double kMostNodeRetries = 50;
+
+  double per_attempt_;
+  double most_;
   /// Retries that may be made at once.
-  double tokens_ = 10;
+  double tokens_;
+};
+
+/// A share for each service. All nodes together stay within the retries that a
+/// service can bear, whatever each of them does, since each keeps to its own.
+class service_retry_shares {
+ public:
+  void OnFirstAttempt(const service_name& service);
+  bool TryTake(const service_name& service);
+
+ private:
+  retry_share& ShareOf(const service_name& service);
+
+  std::unordered_map<service_name, retry_share> shares_;
 };
 
 }  // namespace auburnfold
--- /dev/null
+++ b/Libraries/LibDecision/Routes/route_feed.cc
@@ -0,0 +1,37 @@
+#include "LibDecision/Routes/route_feed.h"
+
+#include <chrono>
+#include <optional>
+
+namespace auburnfold {
+
+namespace {
+
+// A change must be in force two seconds after it was accepted, also where the
+// watch has silently gone deaf: one wait and one listing fit into that.
+constexpr duration kLongestWatch = std::chrono::milliseconds(1000);
+constexpr duration kRelistInterval = std::chrono::seconds(10);
+
+}  // namespace
+
+route_feed::route_feed(const std::string& key)
+    : key_(key),
+      watch_({.prefix = key,
+              .owner = timer_owner::kRouteWatch,
+              .caller = store_caller::kRouteWatch,
+              .longest_wait = kLongestWatch,
+              .relist_interval = kRelistInterval}) {}
+
+void route_feed::OnStoreAnswered(step& now, const store_answered& answer) {
+  std::optional<prefix_change> change;
+  if (!watch_.OnStoreAnswered(now, answer, change) || !change) {
+    return;
+  }
+  for (const store_entry& entry : change->entries) {
+    if (entry.key == key_ && !entry.is_removed) {
+      now.Emit(decode_routes{entry.value});
+    }
+  }
+}
+
+}  // namespace auburnfold
--- /dev/null
+++ b/Libraries/LibDecision/Routes/route_feed.h
@@ -0,0 +1,32 @@
+#ifndef LIBDECISION_ROUTES_ROUTE_FEED_H_
+#define LIBDECISION_ROUTES_ROUTE_FEED_H_
+
+#include <string>
+
+#include "LibDecision/Store/prefix_watch.h"
+#include "LibDecision/event.h"
+#include "LibDecision/step.h"
+
+namespace auburnfold {
+
+/// Follows the key that holds the routes and has each new value decoded.
+class route_feed {
+ public:
+  explicit route_feed(const std::string& key);
+
+  void Start(step& now) { watch_.Start(now); }
+  void OnStoreAnswered(step& now, const store_answered& answer);
+  void OnTimer(step& now) { watch_.OnTimer(now); }
+
+  /// When the key-value service last answered.
+  instant heard_at() const { return watch_.heard_at(); }
+  bool is_store_missing() const { return watch_.is_failing(); }
+
+ private:
+  std::string key_;
+  prefix_watch watch_;
+};
+
+}  // namespace auburnfold
+
+#endif  // LIBDECISION_ROUTES_ROUTE_FEED_H_
--- /dev/null
+++ b/Libraries/LibDecision/Routes/route_table.cc
@@ -0,0 +1,89 @@
+#include "LibDecision/Routes/route_table.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace auburnfold {
+
+namespace {
+
+// Host names compare without regard to case, and a port is not part of them.
+std::string HostKey(std::string_view host) {
+  std::string key(host.substr(0, host.find(':')));
+  std::transform(key.begin(), key.end(), key.begin(), [](char letter) {
+    const bool is_upper = letter >= 'A' && letter <= 'Z';
+    return is_upper ? static_cast<char>(letter - 'A' + 'a') : letter;
+  });
+  return key;
+}
+
+}  // namespace
+
+bool route_table::Take(instant now, const route_config& config) {
+  if (version_ && config.version <= *version_) {
+    return false;
+  }
+  version_ = config.version;
+  taken_at_ = now;
+  hosts_.clear();
+  services_.clear();
+  services_.insert(config.services.begin(), config.services.end());
+  for (const route& each : config.routes) {
+    std::vector<std::int64_t> credits(each.services.size(), 0);
+    hosts_[HostKey(each.host)].push_back({each, std::move(credits)});
+    for (const weighted_service& part : each.services) {
+      services_.insert(part.service);
+    }
+  }
+  for (auto& [host, routes] : hosts_) {
+    std::stable_sort(routes.begin(), routes.end(),
+                     [](const host_route& left, const host_route& right) {
+                       return left.content.prefix.size() >
+                              right.content.prefix.size();
+                     });
+  }
+  return true;
+}
+
+const route* route_table::Match(std::string_view host,
+                                std::string_view path) const {
+  const auto found = hosts_.find(HostKey(host));
+  if (found == hosts_.end()) {
+    return nullptr;
+  }
+  const std::string_view without_query = path.substr(0, path.find('?'));
+  for (const host_route& each : found->second) {
+    if (without_query.starts_with(each.content.prefix)) {
+      return &each.content;
+    }
+  }
+  return nullptr;
+}
+
+// Smooth weighted round robin: every service earns its weight, and the one
+// with the most credit pays the whole round. Unlike a random draw it keeps
+// the shares over a few requests too.
+const service_name& route_table::NextService(const route& matched) {
+  if (matched.services.size() == 1) {
+    return matched.services.front().service;
+  }
+  std::vector<host_route>& routes = hosts_.at(HostKey(matched.host));
+  const auto found =
+      std::find_if(routes.begin(), routes.end(), [&](const host_route& each) {
+        return &each.content == &matched;
+      });
+  std::int64_t round = 0;
+  std::size_t next = 0;
+  for (std::size_t i = 0; i < matched.services.size(); ++i) {
+    const auto weight = static_cast<std::int64_t>(matched.services[i].weight);
+    found->credits[i] += weight;
+    round += weight;
+    if (found->credits[i] > found->credits[next]) {
+      next = i;
+    }
+  }
+  found->credits[next] -= round;
+  return matched.services[next].service;
+}
+
+}  // namespace auburnfold
--- a/Libraries/LibDecision/Routing/endpoint_view.cc
+++ b/Libraries/LibDecision/Routing/endpoint_view.cc
@@ -19,6 +19,20 @@
 constexpr duration kColdRamp = std::chrono::seconds(5);
 constexpr double kColdShare = 0.2;
 
+/// An endpoint that takes nothing is left alone for this long, unless its
+/// record changes; short against the time in which clients come back.
+constexpr duration kClosedMemory = std::chrono::milliseconds(400);
+
+// No request can run there now, whatever the load.
+bool IsClosed(const outcome& result) {
+  const error_kind kind = *result.error;
+  return kind == error_kind::kNoEndpoint ||
+         kind == error_kind::kEndpointLeaving ||
+         kind == error_kind::kEndpointReplaced ||
+         kind == error_kind::kNodeStopping ||
+         kind == error_kind::kEndpointUnreachable;
+}
+
 bool IsEndpointFailure(error_kind kind) {
   return kind == error_kind::kEndpointUnreachable ||
          kind == error_kind::kAnswerLost ||
@@ -39,6 +53,7 @@
   ejections_ = 0;
   ejected_until_ = instant();
   refused_at_ = instant::min();
+  closed_until_ = instant();
 }
 
 void endpoint_view::OnFinished(instant now,
@@ -46,6 +61,7 @@
                                duration elapsed) {
   --in_flight_;
   if (result.peer) {
+    answered_at_ = now;
     unanswered_ = 0;
     if (result.peer->is_cold && !is_cold_) {
       cold_since_ = now;
@@ -61,6 +77,9 @@
                       : latency_ns_ + kSmoothing * (seen - latency_ns_);
     return;
   }
+  if (IsClosed(result)) {
+    closed_until_ = now + kClosedMemory;
+  }
   if (IsEndpointFailure(*result.error)) {
     ++failures_;
   } else {
--- a/Libraries/LibDecision/Routing/endpoint_view.h
+++ b/Libraries/LibDecision/Routing/endpoint_view.h
@@ -25,7 +25,12 @@
   double Cost(instant now) const;
   /// Failures in a row are enough to stop using the endpoint for a while.
   bool is_failing() const;
-  bool IsEjected(instant now) const { return now < ejected_until_; }
+  bool IsEjected(instant now) const {
+    return now < ejected_until_ || now < closed_until_;
+  }
+  /// When the endpoint's node last answered.
+  instant answered_at() const { return answered_at_; }
+  std::uint32_t in_flight() const { return in_flight_; }
   /// Stops using the endpoint, each time in a row for twice as long.
   void Eject(instant now);
 
@@ -40,6 +45,10 @@
   double latency_ns_ = 0;
   instant ejected_until_{};
   instant refused_at_ = instant::min();
+  /// The endpoint takes nothing until then, as its node says, or cannot be
+  /// reached.
+  instant closed_until_{};
+  instant answered_at_{};
   bool is_cold_ = false;
   instant cold_since_{};
 };
--- a/Libraries/LibDecision/Routing/router.cc
+++ b/Libraries/LibDecision/Routing/router.cc
@@ -78,6 +78,11 @@
   endpoints_[node].OnCancelled();
 }
 
+instant router::AnsweredAt(node_id node) const {
+  const auto found = endpoints_.find(node);
+  return found == endpoints_.end() ? instant() : found->second.answered_at();
+}
+
 void router::OnUnanswered(step& now, node_id node) {
   endpoints_[node].OnUnanswered(now.now());
   EjectIfFailing(now, node);
@@ -107,6 +112,7 @@
   }
   view.Eject(now.now());
   now.Count(counter::kEndpointsEjected);
+  now.Log({.kind = decision_kind::kEndpointEjected, .node = node});
 }
 
 // At most half of the endpoints of a service are ejected at once: the others
--- a/Libraries/LibDecision/Routing/router.h
+++ b/Libraries/LibDecision/Routing/router.h
@@ -30,6 +30,11 @@
                   const outcome& result,
                   duration elapsed);
   void OnCancelled(step& now, node_id node);
+  /// When the node beside an endpoint last answered; the origin of time if it
+  /// never did.
+  instant AnsweredAt(node_id node) const;
+  /// Endpoints that the last choice was made from.
+  std::size_t candidate_count() const { return candidates_.size(); }
   /// The deadline passed without an answer from `node`.
   void OnUnanswered(step& now, node_id node);
 
--- /dev/null
+++ b/Libraries/LibDecision/Store/prefix_watch.cc
@@ -0,0 +1,128 @@
+#include "LibDecision/Store/prefix_watch.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace auburnfold {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Doubled with each failure; small enough that a node is in touch again well
+// within two seconds of the service's return.
+constexpr duration kFirstRetryDelay = milliseconds(100);
+constexpr duration kLongestRetryDelay = milliseconds(800);
+constexpr std::uint32_t kMostDoublings = 3;
+
+duration RetryDelay(step& now, std::uint32_t failures) {
+  const std::uint32_t doublings = std::min(failures, kMostDoublings);
+  const duration longest =
+      std::min(kFirstRetryDelay * (1U << doublings), kLongestRetryDelay);
+  return std::chrono::duration_cast<duration>(longest *
+                                              (0.5 + now.RandomShare() / 2));
+}
+
+}  // namespace
+
+void prefix_watch::Refresh(step& now) {
+  must_list_ = true;
+  if (!watch_call_) {
+    List(now);
+  }
+}
+
+bool prefix_watch::OnStoreAnswered(step& now,
+                                   const store_answered& answer,
+                                   std::optional<prefix_change>& change) {
+  const bool is_list = answer.call == list_call_;
+  const bool is_watch = answer.call == watch_call_;
+  if (!is_list && !is_watch) {
+    return false;
+  }
+  const bool is_done = answer.result.status == store_status::kDone;
+  if (is_done && (is_list || !answer.result.entries.empty())) {
+    change = prefix_change{answer.result.entries, is_list};
+  }
+  if (is_list) {
+    OnListed(now, answer.result);
+  } else {
+    OnWatched(now, answer.result);
+  }
+  return true;
+}
+
+void prefix_watch::OnTimer(step& now) {
+  if (must_list_ || !revision_) {
+    return List(now);
+  }
+  Watch(now);
+}
+
+void prefix_watch::List(step& now) {
+  if (list_call_) {
+    return;
+  }
+  must_list_ = false;
+  list_call_ = numbers_.Next();
+  now.Count(counter::kStoreCalls);
+  now.Emit(call_store{*list_call_, store_list{options_.prefix}});
+}
+
+void prefix_watch::Watch(step& now) {
+  if (watch_call_ || list_call_) {
+    return;
+  }
+  watch_call_ = numbers_.Next();
+  now.Count(counter::kStoreCalls);
+  now.Emit(
+      call_store{*watch_call_, store_watch{options_.prefix, *revision_,
+                                           options_.longest_wait}});
+}
+
+void prefix_watch::OnListed(step& now, const store_result& result) {
+  list_call_.reset();
+  if (result.status != store_status::kDone) {
+    return OnFailed(now, true);
+  }
+  listed_at_ = now.now();
+  revision_ = result.revision;
+  OnAnswered(now);
+}
+
+// A watch that heard nothing says nothing of what it may have missed, so the
+// next one begins where it began.
+void prefix_watch::OnWatched(step& now, const store_result& result) {
+  watch_call_.reset();
+  if (result.status != store_status::kDone) {
+    return OnFailed(now, result.status == store_status::kHistoryGone);
+  }
+  if (!result.entries.empty()) {
+    revision_ = result.revision;
+  }
+  OnAnswered(now);
+}
+
+void prefix_watch::OnAnswered(step& now) {
+  failures_ = 0;
+  heard_at_ = now.now();
+  if (must_list_ || now.now() - listed_at_ >= options_.relist_interval) {
+    return List(now);
+  }
+  Watch(now);
+}
+
+// A lost history is no failure of the service: the listing follows at once.
+void prefix_watch::OnFailed(step& now, bool must_list) {
+  const bool is_first = failures_ == 0;
+  must_list_ = must_list_ || must_list;
+  now.Count(counter::kStoreFailures);
+  ++failures_;
+  if (must_list && is_first && revision_) {
+    return List(now);
+  }
+  now.timers().Subscribe({options_.owner},
+                         now.now() + RetryDelay(now, failures_));
+}
+
+}  // namespace auburnfold
--- a/Libraries/LibDecision/Table/row_codec.cc
+++ b/Libraries/LibDecision/Table/row_codec.cc
@@ -1,9 +1,9 @@
 #include "LibDecision/Table/row_codec.h"
 
-#include <charconv>
 #include <cstdint>
 
 #include "LibDecision/Table/row_rules.h"
+#include "LibDecision/text_words.h"
 
 namespace auburnfold {
 
@@ -11,49 +11,6 @@
 
 constexpr std::string_view kFormatLine = "auburnfold-row 1";
 
-/// Takes words and lines off the front of a text.
-class word_reader {
- public:
-  explicit word_reader(std::string_view text) : rest_(text) {}
-
-  std::string_view Take(char end) {
-    const std::size_t found = rest_.find(end);
-    const std::string_view taken = rest_.substr(0, found);
-    rest_.remove_prefix(found == std::string_view::npos ? rest_.size()
-                                                        : found + 1);
-    return taken;
-  }
-
-  template <class number>
-  bool TakeNumber(number& read) {
-    const std::string_view word = Take(' ');
-    const char* last = word.data() + word.size();
-    const auto [stopped, error] = std::from_chars(word.data(), last, read);
-    return error == std::errc() && stopped == last && !word.empty();
-  }
-
-  bool TakeFlag(bool& read) {
-    int number = 0;
-    const bool is_number = TakeNumber(number);
-    read = number == 1;
-    return is_number && (number == 0 || number == 1);
-  }
-
-  bool is_empty() const { return rest_.empty(); }
-
- private:
-  std::string_view rest_;
-};
-
-void AppendWord(std::string& line, std::string_view word) {
-  line += word;
-  line += ' ';
-}
-
-void AppendNumber(std::string& line, std::uint64_t number) {
-  AppendWord(line, std::to_string(number));
-}
-
 std::string EncodeVersion(const row_history_entry& entry) {
   const row_settings& settings = entry.row.settings;
   std::string line;
--- a/Libraries/LibDecision/Table/row_edits.cc
+++ b/Libraries/LibDecision/Table/row_edits.cc
@@ -230,6 +230,8 @@
     }
     case store_status::kConflict:
       return TryAgain(now, key);
+    case store_status::kNoLease:
+    case store_status::kHistoryGone:
     case store_status::kUnavailable:
       now.Count(counter::kStoreFailures);
       if (request.is_uncertain) {
--- a/Libraries/LibDecision/Timers/timer_service.h
+++ b/Libraries/LibDecision/Timers/timer_service.h
@@ -24,6 +24,10 @@
   kMembership,
   kTable,
   kStop,
+  kRegistration,
+  kRegistryWatch,
+  kRegistryLapse,
+  kRouteWatch,
 };
 
 /// One subscription: `owner` tells its timers apart by `key`.
--- a/Libraries/LibDecision/Works/incoming_works.cc
+++ b/Libraries/LibDecision/Works/incoming_works.cc
@@ -1,10 +1,20 @@
 #include "LibDecision/Works/incoming_works.h"
 
 #include <algorithm>
+#include <chrono>
+#include <iterator>
 #include <utility>
 
 namespace auburnfold {
 
+namespace {
+
+// Milliseconds are rounded down twice on the way to the endpoint and back, and
+// the request crosses the machine once.
+constexpr duration kDeadlineTolerance = std::chrono::milliseconds(4);
+
+}  // namespace
+
 void incoming_works::Start(const node_started& self) {
   run_ = self.run;
   keys_.Start(self.node, self.run);
@@ -31,6 +41,10 @@
   const row_settings& row =
       rows_.SettingsFor(open.facts.service, open.facts.request_class);
   Apply(now, admission_.Offer(now, arrived.work, open.facts, row));
+  const auto waiting = works_.find(arrived.work);
+  if (waiting != works_.end() && !waiting->second.is_running) {
+    now.Log(Describe(now, decision_kind::kWorkQueued, waiting->second));
+  }
 }
 
 // A sender that names another run has an old view: its choice of this node,
@@ -126,6 +140,7 @@
     }
     const answer_facts facts =
         DescribeAnswer(now, open, allowance_.Close(finished.work));
+    now.Log(Describe(now, decision_kind::kWorkAnswered, open));
     if (!open.is_caller_gone) {
       now.Emit(relay_work_answer{finished.work, facts});
     }
@@ -133,6 +148,12 @@
   } else {
     const run_state ran =
         open.is_sent ? finished.result.ran : run_state::kNotRun;
+    const bool is_away =
+        finished.result.error == error_kind::kEndpointUnreachable ||
+        finished.result.error == error_kind::kEndpointReplaced;
+    if (is_away) {
+      endpoint_.OnUnreachable(now);
+    }
     Refuse(now, finished.work, *finished.result.error, ran);
   }
   Apply(now, decisions);
@@ -143,7 +164,15 @@
     const endpoint_reported& report) {
   const report_effect effect = endpoint_.OnReported(now, report);
   if (effect != report_effect::kIgnored) {
-    admission_.OnEndpointReported(now, report);
+    admission_.OnEndpointReported(now, *endpoint_.report());
+  }
+  if (effect == report_effect::kReplaced || effect == report_effect::kChanged) {
+    now.Log({.kind = decision_kind::kEndpointChanged,
+             .service = report.service,
+             .endpoint = report.name,
+             .run = report.run,
+             .limit = report.slots,
+             .state = static_cast<std::uint32_t>(report.state)});
   }
   if (effect != report_effect::kReplaced) {
     return effect;
@@ -165,7 +194,7 @@
 }
 
 bool incoming_works::is_stop_grace_over(instant now) const {
-  return stopping_since_ && now - *stopping_since_ >= kLeavingGrace;
+  return stopping_since_ && now - *stopping_since_ >= leaving_grace_;
 }
 
 void incoming_works::CutAll(step& now) {
@@ -241,7 +270,29 @@
 void incoming_works::Run(step& now, work_id id) {
   work& open = works_.at(id);
   open.is_running = true;
-  now.Emit(run_work{id, open.deadline - now.now()});
+  running_by_deadline_.emplace(open.deadline, id);
+  now.Log(Describe(now, decision_kind::kWorkStarted, open));
+  now.Emit(run_work{id, endpoint_.name(), open.deadline - now.now()});
+}
+
+// An endpoint states the time that is left for its own calls, which is that of
+// the work they are for. It rounds, and its request takes a moment to arrive.
+std::optional<work_id> incoming_works::FindByDeadline(instant deadline) const {
+  const auto after = running_by_deadline_.lower_bound(deadline);
+  auto nearest = after;
+  if (after != running_by_deadline_.begin()) {
+    const auto before = std::prev(after);
+    const bool is_nearer = after == running_by_deadline_.end() ||
+                           deadline - before->first < after->first - deadline;
+    nearest = is_nearer ? before : after;
+  }
+  if (nearest == running_by_deadline_.end()) {
+    return std::nullopt;
+  }
+  const duration apart = nearest->first > deadline ? nearest->first - deadline
+                                                   : deadline - nearest->first;
+  return apart <= kDeadlineTolerance ? std::optional(nearest->second)
+                                     : std::nullopt;
 }
 
 void incoming_works::EndAtDeadline(step& now, work_id id) {
@@ -281,6 +332,12 @@
     keys_.OnFinished(now, *open.facts.key, id, {kind, ran});
   }
   const answer_facts facts = DescribeAnswer(now, open, allowance_.Close(id));
+  decision_record refused = Describe(now, decision_kind::kWorkRefused, open);
+  refused.error = kind;
+  refused.ran = ran;
+  refused.level = facts.level;
+  refused.retry_after = facts.retry_after;
+  now.Log(std::move(refused));
   if (!open.is_caller_gone) {
     now.Emit(refuse_work{id, kind, ran, facts});
   }
@@ -314,8 +371,34 @@
 void incoming_works::Close(step& now, work_id id) {
   allowance_.Close(id);
   now.timers().Cancel({timer_owner::kWorks, id.value()});
-  works_.erase(id);
+  const auto closed = works_.find(id);
+  const auto [first, last] =
+      running_by_deadline_.equal_range(closed->second.deadline);
+  const auto running = std::find_if(
+      first, last, [id](const auto& entry) { return entry.second == id; });
+  if (running != last) {
+    running_by_deadline_.erase(running);
+  }
+  works_.erase(closed);
   ended_.push_back(id);
 }
 
+decision_record incoming_works::Describe(step& now,
+                                         decision_kind kind,
+                                         const work& open) const {
+  decision_record record{.kind = kind,
+                         .request = open.facts.own_id,
+                         .root = open.facts.root,
+                         .service = open.facts.service,
+                         .request_class = open.facts.request_class,
+                         .endpoint = endpoint_.name()};
+  record.time_left = open.deadline - now.now();
+  record.waited = now.now() - open.arrived;
+  record.priority = open.facts.priority;
+  record.running = admission_.running();
+  record.queued = static_cast<std::uint32_t>(admission_.queued());
+  record.limit = admission_.limit();
+  return record;
+}
+
 }  // namespace auburnfold
--- a/Libraries/LibDecision/Works/incoming_works.h
+++ b/Libraries/LibDecision/Works/incoming_works.h
@@ -2,6 +2,7 @@
 #define LIBDECISION_WORKS_INCOMING_WORKS_H_
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <unordered_map>
 #include <vector>
@@ -29,6 +30,8 @@
       : rows_(rows),
         allowance_(allowance),
         pressure_(pressure),
+        leaving_grace_(options.leaving_grace),
+        endpoint_(options.leaving_grace),
         admission_(options.limit) {}
 
   void Start(const node_started& self);
@@ -53,6 +56,10 @@
   void OnChildStarted(step& now, work_id work);
   void OnChildFinished(step& now, work_id work);
 
+  /// The running work whose deadline is nearest to `deadline`, if it is near
+  /// enough to be the same.
+  std::optional<work_id> FindByDeadline(instant deadline) const;
+
   /// The facts of open work; nothing if `work` is not open.
   const request_facts* FactsOf(work_id work) const;
   std::size_t open_count() const { return works_.size(); }
@@ -89,16 +96,23 @@
                               const work& open,
                               std::uint16_t allowance) const;
   void Close(step& now, work_id id);
+  /// A record about `open` with what every record of a work tells.
+  decision_record Describe(step& now,
+                           decision_kind kind,
+                           const work& open) const;
 
   const table& rows_;
   retry_allowance& allowance_;
   const pressure_memory& pressure_;
+  duration leaving_grace_;
   incarnation run_;
   std::optional<instant> stopping_since_;
   own_endpoint endpoint_;
   admission admission_;
   key_register keys_;
   std::unordered_map<work_id, work> works_;
+  /// Works at the endpoint.
+  std::multimap<instant, work_id> running_by_deadline_;
   std::vector<work_id> ended_;
 };
 
--- a/Libraries/LibDecision/Works/own_endpoint.cc
+++ b/Libraries/LibDecision/Works/own_endpoint.cc
@@ -2,16 +2,39 @@
 
 namespace auburnfold {
 
+namespace {
+
+// An endpoint that has ended is replaced after seconds; one whose queue of new
+// connections was full accepts again much sooner.
+constexpr duration kUnreachableMemory = std::chrono::milliseconds(200);
+
+}  // namespace
+
 // A replaced endpoint that was paused may wake and report once more. Its run
 // is the lower one, and it is believed only if the newer run has gone silent.
 report_effect own_endpoint::OnReported(step& now,
                                        const endpoint_reported& report) {
+  if (report.state == endpoint_state::kGone) {
+    return OnFarewell(now, report);
+  }
   const bool is_other_run = report_ && report.run != report_->run;
   if (is_other_run && report.run < report_->run && !is_silent_) {
     return report_effect::kIgnored;
   }
+  const bool is_late = report_ && !is_other_run && report.sequence != 0 &&
+                       report.sequence <= report_->sequence;
+  if (is_late) {
+    return report_effect::kIgnored;
+  }
+  const bool is_same = report_ && !is_silent_ &&
+                       report.state == report_->state &&
+                       report.service == report_->service;
   report_ = report;
-  if (report.state == endpoint_state::kReady) {
+  if (report.run == gone_run_) {
+    report_->state = endpoint_state::kLeaving;
+  }
+  unreachable_until_ = instant();
+  if (report_->state == endpoint_state::kReady) {
     leaving_since_.reset();
   } else if (!leaving_since_ || is_other_run) {
     leaving_since_ = now.now();
@@ -19,7 +42,32 @@
   is_silent_ = false;
   last_heard_ = now.now();
   WatchSilence(now);
-  return is_other_run ? report_effect::kReplaced : report_effect::kTaken;
+  if (is_other_run) {
+    return report_effect::kReplaced;
+  }
+  return is_same ? report_effect::kTaken : report_effect::kChanged;
+}
+
+// A farewell that names another endpoint, or an earlier run, is an old one.
+report_effect own_endpoint::OnFarewell(step& now,
+                                       const endpoint_reported& report) {
+  const bool is_own = report_ && report.name == report_->name &&
+                      (report.run == incarnation() ||
+                       report.run == report_->run);
+  if (!is_own) {
+    return report_effect::kIgnored;
+  }
+  gone_run_ = report_->run;
+  const bool is_known = report_->state == endpoint_state::kLeaving;
+  report_->state = endpoint_state::kLeaving;
+  if (!leaving_since_) {
+    leaving_since_ = now.now();
+  }
+  return is_known ? report_effect::kTaken : report_effect::kChanged;
+}
+
+void own_endpoint::OnUnreachable(step& now) {
+  unreachable_until_ = now.now() + kUnreachableMemory;
 }
 
 void own_endpoint::OnAnswered(step& now) {
@@ -42,7 +90,10 @@
   if (!report_ || is_silent_ || report_->service != service) {
     return error_kind::kNoEndpoint;
   }
-  if (leaving_since_ && now - *leaving_since_ >= kLeavingGrace) {
+  if (now < unreachable_until_) {
+    return error_kind::kNoEndpoint;
+  }
+  if (leaving_since_ && now - *leaving_since_ >= leaving_grace_) {
     return error_kind::kEndpointLeaving;
   }
   return std::nullopt;
--- a/Libraries/LibDecision/counter.cc
+++ b/Libraries/LibDecision/counter.cc
@@ -38,6 +38,12 @@
       return "keys_forgotten";
     case counter::kMembersFoundDead:
       return "members_found_dead";
+    case counter::kMemberChanges:
+      return "member_changes";
+    case counter::kRoutesTaken:
+      return "routes_taken";
+    case counter::kRoutesRejected:
+      return "routes_rejected";
     case counter::kOldRecordsIgnored:
       return "old_records_ignored";
     case counter::kOldRowsIgnored:
--- /dev/null
+++ b/Libraries/LibDecision/decision_record.cc
@@ -0,0 +1,85 @@
+#include "LibDecision/decision_record.h"
+
+namespace auburnfold {
+
+std::string_view NameOf(decision_kind kind) {
+  switch (kind) {
+    case decision_kind::kCallRouted:
+      return "call_routed";
+    case decision_kind::kCallRefused:
+      return "call_refused";
+    case decision_kind::kCallAnswered:
+      return "call_answered";
+    case decision_kind::kCallCancelled:
+      return "call_cancelled";
+    case decision_kind::kAttemptSent:
+      return "attempt_sent";
+    case decision_kind::kAttemptFailed:
+      return "attempt_failed";
+    case decision_kind::kWorkQueued:
+      return "work_queued";
+    case decision_kind::kWorkStarted:
+      return "work_started";
+    case decision_kind::kWorkRefused:
+      return "work_refused";
+    case decision_kind::kWorkAnswered:
+      return "work_answered";
+    case decision_kind::kMemberChanged:
+      return "member_changed";
+    case decision_kind::kMemberLapsed:
+      return "member_lapsed";
+    case decision_kind::kEndpointChanged:
+      return "endpoint_changed";
+    case decision_kind::kEndpointEjected:
+      return "endpoint_ejected";
+    case decision_kind::kRoutesTaken:
+      return "routes_taken";
+    case decision_kind::kRoutesRejected:
+      return "routes_rejected";
+    case decision_kind::kConnectionDropped:
+      return "connection_dropped";
+    case decision_kind::kStoreLost:
+      return "store_lost";
+    case decision_kind::kStoreRegained:
+      return "store_regained";
+    case decision_kind::kStarted:
+      return "started";
+    case decision_kind::kStopping:
+      return "stopping";
+    case decision_kind::kStopped:
+      return "stopped";
+  }
+  return "unknown";
+}
+
+bool IsRoutine(decision_kind kind) {
+  switch (kind) {
+    case decision_kind::kCallRouted:
+    case decision_kind::kCallAnswered:
+    case decision_kind::kCallCancelled:
+    case decision_kind::kAttemptSent:
+    case decision_kind::kWorkQueued:
+    case decision_kind::kWorkStarted:
+    case decision_kind::kWorkAnswered:
+      return true;
+    case decision_kind::kCallRefused:
+    case decision_kind::kAttemptFailed:
+    case decision_kind::kWorkRefused:
+    case decision_kind::kMemberChanged:
+    case decision_kind::kMemberLapsed:
+    case decision_kind::kEndpointChanged:
+    case decision_kind::kEndpointEjected:
+    case decision_kind::kRoutesTaken:
+    case decision_kind::kRoutesRejected:
+    case decision_kind::kConnectionDropped:
+    case decision_kind::kStoreLost:
+    case decision_kind::kStoreRegained:
+    case decision_kind::kStarted:
+    case decision_kind::kStopping:
+    case decision_kind::kStopped:
+      return false;
+  }
+  return false;
+}
+
+}  // namespace auburnfold
--- a/Libraries/LibDecision/effect.h
+++ b/Libraries/LibDecision/effect.h
@@ -10,6 +10,7 @@
 #include "LibDecision/admin_call.h"
 #include "LibDecision/answer_facts.h"
 #include "LibDecision/counter.h"
+#include "LibDecision/decision_record.h"
 #include "LibDecision/error_kind.h"
 #include "LibDecision/ids.h"
 #include "LibDecision/instant.h"
@@ -60,6 +61,8 @@
 /// byte and with `work_finished` once.
 struct run_work {
   work_id work;
+  /// The endpoint that must run it; empty if any may that answers there.
+  endpoint_name endpoint;
   duration time_left{};
 };
 
@@ -129,6 +132,11 @@
   store_request request;
 };
 
+/// Read routes from the value of the route key. Answer with `routes_decoded`.
+struct decode_routes {
+  std::string value;
+};
+
 /// Answer an administration request.
 struct answer_admin {
   admin_call_id call;
@@ -151,6 +159,11 @@
   std::string what;
 };
 
+/// Something was decided that must be explained later.
+struct log_decision {
+  decision_record record;
+};
+
 /// All that ran is finished: the process may exit.
 struct stop_process {
   /// Requests that were cut because the stop took too long.
@@ -173,10 +186,12 @@
                             send_message,
                             keep_neighbours,
                             call_store,
+                            decode_routes,
                             answer_admin,
                             wake_at,
                             add_count,
                             log_change,
+                            log_decision,
                             stop_process>;
 
 /// What the embedder must do after an event, in this order.
--- a/Libraries/LibDecision/event.h
+++ b/Libraries/LibDecision/event.h
@@ -3,9 +3,11 @@
 
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <variant>
 #include <vector>
 
+#include "LibDecision/Routes/route.h"
 #include "LibDecision/admin_call.h"
 #include "LibDecision/ids.h"
 #include "LibDecision/instant.h"
@@ -32,14 +34,25 @@
 /// Time has passed; sent when the instant of the last `wake_at` is reached.
 struct time_passed {};
 
+/// Where a request wants to go, if routes decide its service.
+struct route_target {
+  std::string host;
+  std::string path;
+};
+
 /// A caller, or the endpoint beside this node, asks for a service.
 struct call_arrived {
   call_id call;
+  /// Set if the caller names no service: the routes name it.
+  std::optional<route_target> target;
   /// The work at the own endpoint that the call was made for. Unset for a
   /// root request, and for one whose parent this node does not know.
   std::optional<work_id> parent;
   /// The caller named a parent, known or not.
   bool has_parent = false;
+  /// The endpoint beside this node may have sent it, without a word of the
+  /// work that it is for.
+  bool may_have_parent = false;
   request_facts facts;
 };
 
@@ -89,7 +102,11 @@
 };
 
 /// How the endpoint describes itself.
-enum class endpoint_state : std::uint8_t { kReady, kLeaving };
+enum class endpoint_state : std::uint8_t {
+  kReady,
+  kLeaving,
+  kGone,  ///< It says farewell: this run takes nothing new, whatever it said.
+};
 
 /// The endpoint beside this node announced itself, or reported again. A
 /// report may be old or wrong.
@@ -103,6 +120,14 @@
   bool is_healthy = true;
   /// Most connections that the endpoint accepts; 0 if unsaid.
   std::uint32_t connection_limit = 0;
+  /// Requests that the endpoint runs at once; 0 if unsaid.
+  std::uint32_t slots = 0;
+  /// How much longer the endpoint is slow after its start.
+  duration cold_for{};
+  /// As the endpoint names itself; empty if it does not.
+  endpoint_name name;
+  /// Grows with each report of one run; 0 if reports are not numbered.
+  std::uint64_t sequence = 0;
 };
 
 /// A connection to `peer` (or to the own endpoint, if unset) was closed by
@@ -123,6 +148,12 @@
   store_result result;
 };
 
+/// The value under the route key was read. `config` is unset if it makes no
+/// sense.
+struct routes_decoded {
+  std::optional<route_config> config;
+};
+
 /// Someone uses the administration API of this node.
 struct admin_requested {
   admin_call_id call;
@@ -144,6 +175,7 @@
                                    connection_closed,
                                    message_received,
                                    store_answered,
+                                   routes_decoded,
                                    admin_requested>;
 
 /// Something that happened to the node, with the time and the randomness that
--- a/Libraries/LibDecision/ids.h
+++ b/Libraries/LibDecision/ids.h
@@ -34,6 +34,8 @@
 using service_name = strong_value<struct service_tag, std::string>;
 using class_name = strong_value<struct class_tag, std::string>;
 using tenant_name = strong_value<struct tenant_tag, std::string>;
+/// An endpoint as it names itself.
+using endpoint_name = strong_value<struct endpoint_tag, std::string>;
 using domain_name = strong_value<struct domain_tag, std::string>;
 
 /// The `Idempotency-Key` of a request, as the caller sent it.
@@ -44,6 +46,8 @@
 /// Names one change of the table, chosen by its author; makes a retried write
 /// recognizable.
 using change_id = strong_value<struct change_tag, std::string>;
+/// A lease of the key-value service; 0 means none.
+using store_lease = strong_value<struct store_lease_tag, std::uint64_t>;
 /// The revision that the key-value service gave a value; 0 means absent.
 using store_revision = strong_value<struct store_revision_tag, std::uint64_t>;
 
--- a/Libraries/LibDecision/member_record.h
+++ b/Libraries/LibDecision/member_record.h
@@ -25,6 +25,8 @@
   domain_name domain;
   /// Empty while no endpoint has announced itself at the node.
   service_name service;
+  /// Requests that the endpoint runs at once; 0 if it does not say.
+  std::uint32_t slots = 0;
 
   friend bool operator==(const member_record&, const member_record&) = default;
 };
--- a/Libraries/LibDecision/reducer.cc
+++ b/Libraries/LibDecision/reducer.cc
@@ -1,12 +1,16 @@
 #include "LibDecision/reducer.h"
 
+#include <algorithm>
 #include <optional>
 #include <variant>
 
 #include "LibDecision/Calls/outgoing_calls.h"
 #include "LibDecision/Membership/membership.h"
 #include "LibDecision/Pressure/pressure_memory.h"
+#include "LibDecision/Registry/registry.h"
 #include "LibDecision/Retries/retry_allowance.h"
+#include "LibDecision/Routes/route_feed.h"
+#include "LibDecision/Routes/route_table.h"
 #include "LibDecision/Table/table.h"
 #include "LibDecision/Timers/timer_service.h"
 #include "LibDecision/Works/incoming_works.h"
@@ -31,21 +35,42 @@
   node_options options;
   timer_service timers;
   table rows;
-  membership members{rows};
+  route_table routes;
+  route_feed feed{options.route_key};
+  membership members{rows, options.discovery};
+  registry nodes{members};
   retry_allowance allowance;
   pressure_memory pressure;
-  outgoing_calls calls{rows, members, allowance, pressure, options};
+  outgoing_calls calls{rows, routes, members, allowance, pressure, options};
   incoming_works works{rows, allowance, pressure, options};
   bool is_stopped = false;
+  bool is_store_away = false;
   std::optional<instant> wake;
 
   void On(step& now, const node_started& self) {
+    now.Log({.kind = decision_kind::kStarted, .node = self.node,
+             .run = self.run});
     members.Start(now, self);
-    rows.Start(now);
+    switch (options.discovery) {
+      case discovery_choice::kGossip:
+        break;
+      case discovery_choice::kRegistry:
+        nodes.Start(now);
+        break;
+    }
+    switch (options.settings) {
+      case settings_choice::kTable:
+        rows.Start(now);
+        break;
+      case settings_choice::kRoutes:
+        feed.Start(now);
+        break;
+    }
     works.Start(self);
   }
 
   void On(step& now, const stop_requested&) {
+    now.Log({.kind = decision_kind::kStopping});
     members.OnStopRequested(now);
     calls.OnStopRequested(now);
     works.OnStopRequested(now);
@@ -58,6 +83,19 @@
   void On(step&, const time_passed&) {}
 
   void On(step& now, const call_arrived& arrived) {
+    if (!arrived.parent && arrived.may_have_parent) {
+      const auto work =
+          works.FindByDeadline(now.now() + arrived.facts.time_left);
+      if (work) {
+        call_arrived child = arrived;
+        child.may_have_parent = false;
+        child.parent = work;
+        const request_facts& above = *works.FactsOf(*work);
+        child.facts.root = above.root;
+        child.facts.depth = static_cast<std::uint16_t>(above.depth + 1);
+        return On(now, child);
+      }
+    }
     const request_facts* parent =
         arrived.parent ? works.FactsOf(*arrived.parent) : nullptr;
     if (parent == nullptr) {
@@ -96,8 +134,13 @@
   }
 
   void On(step& now, const endpoint_reported& report) {
-    if (works.OnEndpointReported(now, report) != report_effect::kIgnored) {
-      members.OnEndpointReported(now, report);
+    switch (works.OnEndpointReported(now, report)) {
+      case report_effect::kIgnored:
+        return;
+      case report_effect::kTaken:
+      case report_effect::kChanged:
+      case report_effect::kReplaced:
+        return members.OnEndpointReported(now, *works.endpoint().report());
     }
   }
 
@@ -120,10 +163,55 @@
   }
 
   void On(step& now, const store_answered& answer) {
+    NoteStore(now, answer);
     members.OnStoreAnswered(now, answer);
+    nodes.OnStoreAnswered(now, answer);
+    feed.OnStoreAnswered(now, answer);
     rows.OnStoreAnswered(now, answer);
   }
 
+  void On(step& now, const routes_decoded& decoded) {
+    if (!decoded.config) {
+      now.Count(counter::kRoutesRejected);
+      return now.Log({.kind = decision_kind::kRoutesRejected});
+    }
+    if (!routes.Take(now.now(), *decoded.config)) {
+      return;
+    }
+    now.Count(counter::kRoutesTaken);
+    now.Log({.kind = decision_kind::kRoutesTaken,
+             .routes = decoded.config->version});
+    for (const route& each : decoded.config->routes) {
+      TakeRows(now, decoded.config->version, each);
+    }
+  }
+
+  // The settings of a service and class follow from the route of that name.
+  void TakeRows(step& now, route_version version, const route& from) {
+    table_row row{.request_class = from.name,
+                  .version = row_version(version.value())};
+    row.settings.priority = from.priority;
+    row.settings.is_idempotent = from.is_idempotent;
+    row.settings.longest_deadline = from.longest_wait;
+    row.settings.retry_allowance =
+        static_cast<std::uint16_t>(std::max<int>(from.most_attempts, 1) - 1);
+    for (const weighted_service& part : from.services) {
+      row.service = part.service;
+      rows.Take(now, row);
+    }
+  }
+
+  void NoteStore(step& now, const store_answered& answer) {
+    const bool is_away = answer.result.status == store_status::kUnavailable ||
+                         answer.result.status == store_status::kUnknown;
+    if (is_away == is_store_away) {
+      return;
+    }
+    is_store_away = is_away;
+    now.Log({.kind = is_away ? decision_kind::kStoreLost
+                             : decision_kind::kStoreRegained});
+  }
+
   void On(step& now, const admin_requested& request) {
     if (const auto* wanted = std::get_if<set_draining>(&request.request)) {
       members.SetDraining(now, wanted->is_draining);
@@ -162,6 +250,14 @@
         return calls.OnConnectionTimer(now);
       case timer_owner::kRouting:
         return;
+      case timer_owner::kRegistration:
+      case timer_owner::kRegistryWatch:
+        return nodes.OnTimer(now, due.owner);
+      case timer_owner::kRegistryLapse:
+        return nodes.DropLapsed(
+            now, [this](node_id node) { return calls.AnsweredAt(node); });
+      case timer_owner::kRouteWatch:
+        return feed.OnTimer(now);
     }
   }
 
@@ -204,6 +300,10 @@
     if (!is_stopped) {
       is_stopped = true;
       members.OnStopped(now);
+      if (options.discovery == discovery_choice::kRegistry) {
+        nodes.OnStopped(now);
+      }
+      now.Log({.kind = decision_kind::kStopped});
       now.Emit(stop_process{cut_requests});
     }
   }
@@ -241,6 +341,9 @@
   parts.CancelChildrenOfEndedWorks(now);
   parts.ResumeParents(now);
   parts.members.SpreadChanges(now);
+  if (parts.options.discovery == discovery_choice::kRegistry) {
+    parts.nodes.PublishChanges(now);
+  }
   parts.StopIfIdle(now);
   parts.AskForWake(now);
   return now.TakeEffects();
--- a/Libraries/LibDecision/request_facts.h
+++ b/Libraries/LibDecision/request_facts.h
@@ -21,8 +21,12 @@
   service_name service;
   class_name request_class;
   tenant_name tenant;
+  /// This request's own id, where it differs from the root's.
+  request_id own_id;
   /// Time until the answer is useless, counted from the event's instant.
   duration time_left{};
+  /// Time until the answer is worth less; zero if nobody says.
+  duration objective{};
   /// Retries that this call and everything below it may still spend.
   std::uint16_t allowance = 0;
   /// 1 for the client's first send, higher for its own resends.
--- a/Libraries/LibDecision/step.h
+++ b/Libraries/LibDecision/step.h
@@ -27,6 +27,7 @@
   double RandomShare();
 
   void Emit(effect made) { made_.push_back(std::move(made)); }
+  void Log(decision_record record) { Emit(log_decision{std::move(record)}); }
   void Count(counter which, std::uint64_t amount = 1) {
     Emit(add_count{which, amount});
   }
--- a/Libraries/LibDecision/store_call_numbers.h
+++ b/Libraries/LibDecision/store_call_numbers.h
@@ -8,7 +8,14 @@
 namespace auburnfold {
 
 /// The parts of the reducer that call the key-value service.
-enum class store_caller : std::uint8_t { kRendezvous, kRowEdits, kRowWatch };
+enum class store_caller : std::uint8_t {
+  kRendezvous,
+  kRowEdits,
+  kRowWatch,
+  kRegistration,
+  kRegistryWatch,
+  kRouteWatch,
+};
 
 /// Makes ids of store calls that no other part makes.
 class store_call_numbers {
@@ -16,7 +23,8 @@
   explicit store_call_numbers(store_caller caller) : caller_(caller) {}
 
   store_call_id Next() {
-    constexpr std::uint64_t kCallerCount = 3;
+    constexpr auto kCallerCount =
+        static_cast<std::uint64_t>(store_caller::kRouteWatch) + 1;
     ++made_;
     return store_call_id(made_ * kCallerCount +
                          static_cast<std::uint64_t>(caller_));
--- a/Libraries/LibRuntime/admin_side.cc
+++ b/Libraries/LibRuntime/admin_side.cc
@@ -30,10 +30,7 @@
         MakeTextAnswer(http::status::ok, kPlainText, "alive\n"));
   }
   if (target == "/readyz") {
-    return session->Answer(
-        is_stopping_ ? MakeTextAnswer(http::status::service_unavailable,
-                                      kPlainText, "stopping\n")
-                     : MakeTextAnswer(http::status::ok, kPlainText, "ready\n"));
+    return AnswerReady(session);
   }
   const bool is_taken =
       handler_ && handler_(request, [session](http_response response) {
@@ -45,6 +42,19 @@
   }
 }
 
+void admin_side::AnswerReady(
+    const std::shared_ptr<server_session>& session) const {
+  if (is_stopping_) {
+    return session->Answer(MakeTextAnswer(http::status::service_unavailable,
+                                          kPlainText, "stopping\n"));
+  }
+  if (awaits_routes_) {
+    return session->Answer(MakeTextAnswer(http::status::service_unavailable,
+                                          kPlainText, "no routes yet\n"));
+  }
+  session->Answer(MakeTextAnswer(http::status::ok, kPlainText, "ready\n"));
+}
+
 void admin_side::Request(admin_request request,
                          admin_result_handler on_result) {
   const admin_call_id call(next_call_++);
--- a/Libraries/LibRuntime/admin_side.h
+++ b/Libraries/LibRuntime/admin_side.h
@@ -22,6 +22,11 @@
   void SetHandler(admin_handler handler) { handler_ = std::move(handler); }
   void OnRequest(const std::shared_ptr<server_session>& session,
                  const http_request& request);
+  /// Says whether callers should come here.
+  void AnswerReady(const std::shared_ptr<server_session>& session) const;
+  /// The node does not count as ready before it knows routes.
+  void AwaitRoutes() { awaits_routes_ = true; }
+  void OnRoutesKnown() { awaits_routes_ = false; }
   /// From now on the node does not count as ready.
   void OnStopRequested() { is_stopping_ = true; }
 
@@ -34,6 +39,7 @@
   admin_handler handler_;
   std::uint64_t next_call_ = 1;
   std::unordered_map<admin_call_id, admin_result_handler> waiting_;
+  bool awaits_routes_ = false;
   bool is_stopping_ = false;
 };
 
--- /dev/null
+++ b/Libraries/LibRuntime/bounded_appender.h
@@ -0,0 +1,40 @@
+#ifndef LIBRUNTIME_BOUNDED_APPENDER_H_
+#define LIBRUNTIME_BOUNDED_APPENDER_H_
+
+#include <log4cplus/appender.h>
+
+#include <cstdint>
+#include <string>
+
+namespace auburnfold {
+
+/// Writes log lines to a file descriptor without ever waiting for its reader.
+/// Lines are kept up to a bound; those beyond it are dropped, and the next
+/// line that is kept says how many were.
+class bounded_appender : public log4cplus::Appender {
+ public:
+  explicit bounded_appender(int descriptor) : descriptor_(descriptor) {}
+  ~bounded_appender() override;
+
+  /// Writes as much as the descriptor takes at once. Call it regularly.
+  void Flush();
+  void close() override;
+
+  std::uint64_t dropped_lines() const { return dropped_in_all_; }
+
+ protected:
+  void append(const log4cplus::spi::InternalLoggingEvent& event) override;
+
+ private:
+  void Keep(const std::string& line);
+
+  int descriptor_;
+  std::string kept_;
+  std::uint64_t dropped_ = 0;
+  std::uint64_t dropped_in_all_ = 0;
+  bool is_broken_ = false;
+};
+
+}  // namespace auburnfold
+
+#endif  // LIBRUNTIME_BOUNDED_APPENDER_H_
--- a/Libraries/LibRuntime/call_side.cc
+++ b/Libraries/LibRuntime/call_side.cc
@@ -18,12 +18,14 @@
 call_side::call_side(asio::io_context& io,
                      const node_identity& self,
                      const work_side& works,
+                     const any_wire_dialect& dialect,
                      connection_pool::id_source next_connection,
                      event_sink sink,
                      node_metrics& metrics)
     : io_(io),
       self_(self),
       works_(works),
+      dialect_(dialect),
       next_connection_(std::move(next_connection)),
       sink_(std::move(sink)),
       metrics_(metrics),
@@ -44,24 +46,26 @@
                      request_purpose purpose) {
   leaf::try_handle_all(
       [&]() -> leaf::result<void> {
-        BOOST_LEAF_AUTO(facts, ReadCallerHeaders(request));
-        facts.purpose = purpose;
-        Accept(session, std::move(request), std::move(facts));
+        BOOST_LEAF_AUTO(read, dialect_.ReadCaller(request));
+        read.facts.purpose = purpose;
+        Accept(session, std::move(request), std::move(read));
         return {};
       },
       [&](const request_error& error) {
         metrics_.CountError(error.kind);
-        session->Answer(MakeErrorAnswer(error.kind, run_state::kNotRun,
-                                        duration::zero(), request_id(),
-                                        error.reason));
+        session->Answer(dialect_.MakeError(
+            {.kind = error.kind, .reason = error.reason}));
       },
       [&] { session->Close(); });
 }
 
 void call_side::Accept(const std::shared_ptr<server_session>& session,
                        http_request request,
-                       request_facts facts) {
-  call_arrived arrived{.call = call_id(next_call_++)};
+                       caller_request read) {
+  request_facts facts = std::move(read.facts);
+  call_arrived arrived{.call = call_id(next_call_++),
+                       .target = std::move(read.target),
+                       .may_have_parent = read.may_have_parent};
   const std::string_view parent_text = request[kParentHeader];
   arrived.has_parent = !parent_text.empty();
   if (arrived.has_parent) {
@@ -79,11 +83,15 @@
     facts.root = request_id(ToHexadecimal(self_.run.value()) + '-' +
                             ToHexadecimal(arrived.call.value()));
   }
+  if (facts.own_id.value().empty()) {
+    facts.own_id = facts.root;
+  }
   StripHeaders(request);
+  dialect_.MarkOrigin(request);
   calls_.emplace(
       arrived.call,
       open_call{session, std::make_shared<http_request>(std::move(request)),
-                facts.root, facts.request_class, facts.tenant, clock::now()});
+                facts.own_id, facts.request_class, facts.tenant, clock::now()});
   session->WatchCaller([this, call = arrived.call] {
     if (calls_.erase(call) > 0) {
       sink_(call_cancelled{call});
@@ -145,7 +153,7 @@
   }
   http_response response = std::move(attempt->second.response);
   StripHeaders(response);
-  MarkWhole(response, call->second.root);
+  dialect_.MarkWhole(response, call->second.id);
   metrics_.ObserveCall(call->second.request_class, call->second.tenant,
                        clock::now() - call->second.started);
   Answer(relayed.call, std::move(response));
@@ -158,8 +166,10 @@
     return;
   }
   Answer(refused.call,
-         MakeErrorAnswer(refused.kind, refused.ran, refused.retry_after,
-                         call->second.root, {}));
+         dialect_.MakeError({.kind = refused.kind,
+                             .ran = refused.ran,
+                             .retry_after = refused.retry_after,
+                             .request = call->second.id}));
 }
 
 void call_side::Answer(call_id call, http_response response) {
--- a/Libraries/LibRuntime/call_side.h
+++ b/Libraries/LibRuntime/call_side.h
@@ -14,6 +14,7 @@
 #include "LibRuntime/node_identity.h"
 #include "LibRuntime/node_metrics.h"
 #include "LibRuntime/server_session.h"
+#include "LibRuntime/wire_dialect.h"
 
 namespace auburnfold {
 
@@ -27,6 +28,7 @@
   call_side(asio::io_context& io,
             const node_identity& self,
             const work_side& works,
+            const any_wire_dialect& dialect,
             connection_pool::id_source next_connection,
             event_sink sink,
             node_metrics& metrics);
@@ -59,7 +61,8 @@
     std::shared_ptr<server_session> session;
     /// Without the headers that concern one connection.
     std::shared_ptr<const http_request> request;
-    request_id root;
+    /// The request's own id, as its caller knows it.
+    request_id id;
     class_name request_class;
     tenant_name tenant;
     clock::time_point started;
@@ -75,7 +78,7 @@
             request_purpose purpose);
   void Accept(const std::shared_ptr<server_session>& session,
               http_request request,
-              request_facts facts);
+              caller_request read);
   /// Nothing if `to` is no IP number.
   connection_pool* PoolTo(const node_address& to, node_id node);
   void OnAttemptFinished(attempt_id attempt, client_result result);
@@ -85,6 +88,7 @@
   asio::io_context& io_;
   const node_identity& self_;
   const work_side& works_;
+  const any_wire_dialect& dialect_;
   connection_pool::id_source next_connection_;
   event_sink sink_;
   node_metrics& metrics_;
--- a/Libraries/LibRuntime/client_connection.cc
+++ b/Libraries/LibRuntime/client_connection.cc
@@ -1,16 +1,24 @@
 #include "LibRuntime/client_connection.h"
 
+#include <algorithm>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/write.hpp>
+#include <charconv>
 #include <utility>
 
+#include "LibRuntime/connection_silence.h"
+
 namespace auburnfold {
 
 namespace {
 
 // Shorter than the idle limit of server_session; see there.
 constexpr std::chrono::seconds kIdleLimit{45};
-constexpr std::chrono::seconds kConnectLimit{2};
+// An endpoint may forget an idle connection before the time that it states.
+constexpr int kStatedIdlePart = 2;
+// Within a region a connection takes a few milliseconds; a first packet that
+// was lost is sent again only after a second.
+constexpr std::chrono::milliseconds kConnectLimit{300};
 constexpr unsigned kFirstFinalStatus = 200;
 
 }  // namespace
@@ -18,12 +26,12 @@
 client_connection::client_connection(asio::io_context& io,
                                      connection_id id,
                                      const connection_handlers& handlers)
-    : socket_(io), id_(id), handlers_(handlers) {}
+    : socket_(io), connect_timer_(io), id_(id), handlers_(handlers) {}
 
 void client_connection::Connect(const tcp::endpoint& to,
                                 client_request request) {
   request_ = std::move(request);
-  stale_at_ = clock::now() + kConnectLimit;
+  LimitConnecting();
   socket_.async_connect(to, [self = shared_from_this()](error_code error) {
     self->OnConnected(error);
   });
@@ -68,21 +76,30 @@
 }
 
 void client_connection::CloseIfStale(clock::time_point now) {
-  const bool is_waiting =
-      state_ == state::kConnecting || state_ == state::kIdle;
-  if (is_waiting && now >= stale_at_) {
+  if (state_ == state::kIdle && now >= stale_at_) {
     Close();
   }
 }
 
+void client_connection::LimitConnecting() {
+  connect_timer_.expires_after(kConnectLimit);
+  connect_timer_.async_wait([self = shared_from_this()](error_code error) {
+    if (!error && self->state_ == state::kConnecting) {
+      self->Close();
+    }
+  });
+}
+
 void client_connection::OnConnected(error_code error) {
   if (state_ != state::kConnecting) {
     return;
   }
+  connect_timer_.cancel();
   if (error) {
     return Fail(error_kind::kEndpointUnreachable, run_state::kNotRun, true);
   }
   socket_.set_option(tcp::no_delay(true), error);
+  LimitSilence(socket_);
   if (is_abandoned_) {
     state_ = state::kIdle;
     stale_at_ = clock::now() + kIdleLimit;
@@ -162,9 +179,40 @@
     PrepareParser();
     return buffer_.size() > 0 ? Parse() : Read();
   }
+  if (!IsOwnAnswer()) {
+    // A late answer to an earlier request; the right one may follow.
+    is_spoilt_ = true;
+    PrepareParser();
+    return buffer_.size() > 0 ? Parse() : Read();
+  }
   Complete();
 }
 
+bool client_connection::IsOwnAnswer() const {
+  if (request_.echoed_header.empty()) {
+    return true;
+  }
+  const std::string_view echoed = parser_->get()[request_.echoed_header];
+  return echoed.empty() || echoed == request_.echoed_value;
+}
+
+client_connection::clock::time_point client_connection::IdleEnd() const {
+  constexpr std::string_view kTimeout = "timeout=";
+  const std::string_view stated = parser_->get()[http::field::keep_alive];
+  const std::size_t at = stated.find(kTimeout);
+  int seconds = 0;
+  if (at != std::string_view::npos) {
+    const char* first = stated.data() + at + kTimeout.size();
+    std::from_chars(first, stated.data() + stated.size(), seconds);
+  }
+  const auto limit = seconds > 0 ? std::min<std::chrono::milliseconds>(
+                                       kIdleLimit, std::chrono::seconds(
+                                                       seconds)) /
+                                       kStatedIdlePart
+                                 : std::chrono::milliseconds(kIdleLimit);
+  return clock::now() + limit;
+}
+
 void client_connection::PrepareParser() {
   parser_.emplace();
   parser_->eager(true);
@@ -176,14 +224,15 @@
 void client_connection::Complete() {
   const auto on_finished = std::move(request_.on_finished);
   client_result result;
-  const bool is_reusable =
-      parser_->keep_alive() && is_write_done_ && buffer_.size() == 0;
+  const bool is_reusable = parser_->keep_alive() && is_write_done_ &&
+                           buffer_.size() == 0 && !is_spoilt_;
+  const clock::time_point idle_end = IdleEnd();
   result.response = parser_->release();
   const std::shared_ptr<client_connection> self = shared_from_this();
   if (is_reusable) {
     request_ = {};
     state_ = state::kIdle;
-    stale_at_ = clock::now() + kIdleLimit;
+    stale_at_ = idle_end;
     Read();
     handlers_.on_idle(self);
   } else {
@@ -194,7 +243,19 @@
   }
 }
 
-void client_connection::EndByPeer(error_code) {
+// The end of the connection may also be the end of an answer that states no
+// length, but only if the other side ended it in order.
+void client_connection::EndByPeer(error_code error) {
+  const bool may_end_answer = state_ == state::kBusy &&
+                              error == asio::error::eof && parser_->got_some();
+  if (may_end_answer) {
+    error_code ending;
+    parser_->put_eof(ending);
+    if (!ending && parser_->is_done() && IsOwnAnswer()) {
+      is_spoilt_ = true;
+      return Complete();
+    }
+  }
   switch (state_) {
     case state::kConnecting:
       return Fail(error_kind::kEndpointUnreachable, run_state::kNotRun, true);
@@ -222,6 +283,7 @@
     return;
   }
   state_ = state::kClosed;
+  connect_timer_.cancel();
   error_code ignored;
   socket_.close(ignored);
   handlers_.on_closed(shared_from_this(), by_peer);
--- a/Libraries/LibRuntime/client_connection.h
+++ b/Libraries/LibRuntime/client_connection.h
@@ -1,6 +1,7 @@
 #ifndef LIBRUNTIME_CLIENT_CONNECTION_H_
 #define LIBRUNTIME_CLIENT_CONNECTION_H_
 
+#include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <functional>
 #include <memory>
@@ -65,9 +66,15 @@
   void Complete();
   void Fail(error_kind kind, run_state ran, bool by_peer);
   void EndByPeer(error_code error);
+  /// Whether the answer that was read belongs to the request.
+  bool IsOwnAnswer() const;
+  /// When an idle connection is no longer used.
+  clock::time_point IdleEnd() const;
+  void LimitConnecting();
   void Shut(bool by_peer);
 
   tcp::socket socket_;
+  asio::steady_timer connect_timer_;
   connection_id id_;
   const connection_handlers& handlers_;
   state state_ = state::kConnecting;
@@ -81,6 +88,8 @@
   /// The request was given up while the connection was still being made.
   bool is_abandoned_ = false;
   bool is_write_done_ = true;
+  /// An answer to no request was met: nothing more is sent here.
+  bool is_spoilt_ = false;
 };
 
 }  // namespace auburnfold
--- a/Libraries/LibRuntime/client_request.h
+++ b/Libraries/LibRuntime/client_request.h
@@ -4,6 +4,8 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string>
+#include <string_view>
 
 #include "LibDecision/error_kind.h"
 #include "LibDecision/ids.h"
@@ -23,6 +25,10 @@
 /// A request to be sent over a connection of a pool.
 struct client_request {
   http_request_view message;
+  /// The value that the answer must repeat in this header, if both are set:
+  /// another answer belongs to another request.
+  std::string_view echoed_header;
+  std::string echoed_value;
   /// Keeps what `message`'s body points to.
   std::shared_ptr<const void> body_owner;
   /// Called right before the first byte is written.
--- /dev/null
+++ b/Libraries/LibRuntime/decision_log.cc
@@ -0,0 +1,138 @@
+#include "LibRuntime/decision_log.h"
+
+#include <log4cplus/logger.h>
+#include <log4cplus/loggingmacros.h>
+
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+#include <string_view>
+
+#include "LibDecision/hash.h"
+
+namespace auburnfold {
+
+namespace json = boost::json;
+
+namespace {
+
+/// One of so many requests is logged while it goes its usual way.
+constexpr std::uint64_t kSampleOneIn = 64;
+/// Lines of one kind in a second.
+constexpr std::uint32_t kMostLinesPerSecond = 25;
+
+log4cplus::Logger Log() {
+  static const log4cplus::Logger kLogger =
+      log4cplus::Logger::getInstance(LOG4CPLUS_TEXT("auburnfold.decision"));
+  return kLogger;
+}
+
+double Milliseconds(duration length) {
+  const auto whole =
+      std::chrono::duration_cast<std::chrono::microseconds>(length).count();
+  return static_cast<double>(whole) / 1000;
+}
+
+/// Adds the fields that a record has set.
+class field_writer {
+ public:
+  explicit field_writer(json::object& line) : line_(line) {}
+
+  void Add(std::string_view name, std::string_view text) {
+    if (!text.empty()) {
+      line_[name] = text;
+    }
+  }
+
+  void Add(std::string_view name, const std::optional<std::uint32_t>& number) {
+    if (number) {
+      line_[name] = *number;
+    }
+  }
+
+  void Add(std::string_view name, const std::optional<duration>& length) {
+    if (length) {
+      line_[name] = Milliseconds(*length);
+    }
+  }
+
+  template <class tag>
+  void Add(std::string_view name,
+           const std::optional<strong_value<tag, std::uint64_t>>& id) {
+    if (id) {
+      line_[name] = id->value();
+    }
+  }
+
+ private:
+  json::object& line_;
+};
+
+json::object ToJson(const decision_record& record) {
+  json::object line;
+  field_writer fields(line);
+  fields.Add("event", NameOf(record.kind));
+  fields.Add("request", record.request.value());
+  if (record.root != record.request) {
+    fields.Add("root", record.root.value());
+  }
+  fields.Add("service", record.service.value());
+  fields.Add("class", record.request_class.value());
+  fields.Add("endpoint", record.endpoint.value());
+  fields.Add("node", record.node);
+  fields.Add("run", record.run);
+  fields.Add("error", record.error ? AnswerFor(*record.error).name : "");
+  fields.Add("ran", record.ran ? NameOf(*record.ran) : "");
+  fields.Add("routes", record.routes);
+  fields.Add("age_ms", record.age);
+  fields.Add("time_left_ms", record.time_left);
+  fields.Add("waited_ms", record.waited);
+  fields.Add("retry_after_ms", record.retry_after);
+  fields.Add("attempt", record.attempt);
+  fields.Add("priority", record.priority);
+  fields.Add("level", record.level);
+  fields.Add("running", record.running);
+  fields.Add("queued", record.queued);
+  fields.Add("limit", record.limit);
+  fields.Add("candidates", record.candidates);
+  fields.Add("state", record.state);
+  return line;
+}
+
+void WriteLine(const json::object& line) {
+  LOG4CPLUS_INFO(Log(), json::serialize(line));
+}
+
+}  // namespace
+
+void decision_log::Write(const decision_record& record) {
+  const bool is_sampled =
+      StableHash(record.root.value()) % kSampleOneIn == 0;
+  if (IsRoutine(record.kind) && !is_sampled) {
+    return;
+  }
+  const clock::time_point now = clock::now();
+  if (now >= second_ends_) {
+    BeginSecond(now);
+  }
+  kind_budget& budget = budgets_[static_cast<std::size_t>(record.kind)];
+  if (budget.written >= kMostLinesPerSecond) {
+    ++budget.left_out;
+    return;
+  }
+  ++budget.written;
+  WriteLine(ToJson(record));
+}
+
+void decision_log::BeginSecond(clock::time_point now) {
+  second_ends_ = now + std::chrono::seconds(1);
+  for (std::size_t i = 0; i < kDecisionKindCount; ++i) {
+    if (budgets_[i].left_out > 0) {
+      WriteLine({{"event", "lines_left_out"},
+                 {"of", NameOf(static_cast<decision_kind>(i))},
+                 {"count", budgets_[i].left_out}});
+    }
+    budgets_[i] = {};
+  }
+}
+
+}  // namespace auburnfold
--- a/Libraries/LibRuntime/decision_loop.cc
+++ b/Libraries/LibRuntime/decision_loop.cc
@@ -5,8 +5,10 @@
 
 namespace auburnfold {
 
-decision_loop::decision_loop(executor execute, finisher finish)
-    : execute_(std::move(execute)), finish_(std::move(finish)) {
+decision_loop::decision_loop(const node_options& options,
+                             executor execute,
+                             finisher finish)
+    : state_(options), execute_(std::move(execute)), finish_(std::move(finish)) {
   std::random_device device;
   std::seed_seq seed{device(), device(), device(), device()};
   random_.seed(seed);
--- a/Libraries/LibRuntime/decision_loop.h
+++ b/Libraries/LibRuntime/decision_loop.h
@@ -18,7 +18,9 @@
 
   /// `execute` is called for each effect, `finish` once all effects of an
   /// event are executed.
-  decision_loop(executor execute, finisher finish);
+  decision_loop(const node_options& options,
+                executor execute,
+                finisher finish);
 
   /// An event given while another is worked on waits for it to end.
   void Feed(event_content content);
@@ -29,9 +31,9 @@
  private:
   void Step(event_content content);
 
+  node_state state_;
   executor execute_;
   finisher finish_;
-  node_state state_;
   std::mt19937_64 random_;
   std::deque<event_content> waiting_;
   bool is_running_ = false;
--- a/Libraries/LibRuntime/headers.cc
+++ b/Libraries/LibRuntime/headers.cc
@@ -165,6 +165,13 @@
     }
     facts.priority = static_cast<std::uint8_t>(*priority);
   }
+  const std::string_view own_id = ValueOf(headers, kOwnIdHeader);
+  facts.own_id = own_id.empty() ? facts.root : request_id(std::string(own_id));
+  facts.objective = std::chrono::milliseconds(
+      NumberOrZero<std::uint32_t>(headers, kObjectiveHeader));
+  if (ValueOf(headers, kKeyedHeader).empty()) {
+    facts.key.reset();
+  }
   const std::string_view purpose = ValueOf(headers, kPurposeHeader);
   if (purpose == kIssueKeyPurpose) {
     facts.purpose = request_purpose::kIssueKey;
@@ -281,6 +288,15 @@
   Set(headers, kExpectedRunHeader, expected_run.value());
   Set(headers, kAllowanceHeader, facts.allowance);
   Set(headers, kDepthHeader, facts.depth);
+  if (facts.own_id != facts.root && !facts.own_id.value().empty()) {
+    headers.set(kOwnIdHeader, facts.own_id.value());
+  }
+  if (facts.objective > duration::zero()) {
+    Set(headers, kObjectiveHeader, MillisecondsRoundedUp(facts.objective));
+  }
+  if (facts.key) {
+    headers.set(kKeyedHeader, "1");
+  }
   if (facts.priority) {
     Set(headers, kPriorityHeader, *facts.priority);
   }
--- a/Libraries/LibRuntime/node_runtime.cc
+++ b/Libraries/LibRuntime/node_runtime.cc
@@ -14,12 +14,14 @@
 #include "LibRuntime/answers.h"
 #include "LibRuntime/call_side.h"
 #include "LibRuntime/control_channel.h"
+#include "LibRuntime/decision_log.h"
 #include "LibRuntime/decision_loop.h"
 #include "LibRuntime/endpoint_report.h"
 #include "LibRuntime/http_listener.h"
 #include "LibRuntime/lazy_timer.h"
 #include "LibRuntime/node_identity.h"
 #include "LibRuntime/node_metrics.h"
+#include "LibRuntime/own_dialect.h"
 #include "LibRuntime/work_side.h"
 
 namespace auburnfold {
@@ -29,7 +31,6 @@
 using session_pointer = std::shared_ptr<server_session>;
 
 constexpr std::chrono::seconds kSweepInterval{1};
-constexpr std::string_view kEndpointTarget = "/auburnfold/v1/endpoint";
 constexpr std::string_view kKeysTarget = "/auburnfold/v1/keys";
 
 // Microseconds, so that a restart within the same millisecond is a later run.
@@ -47,9 +48,13 @@
 }  // namespace
 
 struct node_runtime::parts {
-  parts(asio::io_context& context, const node_settings& from);
+  parts(asio::io_context& context,
+        const node_settings& from,
+        any_wire_dialect spoken,
+        const node_options& chosen);
 
   leaf::result<void> Start();
+  leaf::result<void> ListenForControl();
   void Stop();
   void Execute(effect& one);
   void OnHandled(const event_content& content);
@@ -75,7 +80,9 @@
   void On(const add_count& effect) {
     metrics.Count(effect.which, effect.amount);
   }
+  void On(const decode_routes& effect);
   void On(const log_change& effect);
+  void On(const log_decision& effect) { decisions.Write(effect.record); }
   void On(const stop_process& effect);
 
   void OnCallPort(const std::shared_ptr<server_session>& session,
@@ -97,8 +104,11 @@
 
   asio::io_context& io;
   node_settings settings;
+  any_wire_dialect dialect;
+  node_options options;
   node_identity self;
   node_metrics metrics;
+  decision_log decisions;
   std::uint64_t next_connection = 1;
   decision_loop loop;
   event_sink sink;
@@ -109,11 +119,14 @@
   http_listener call_listener;
   http_listener peer_listener;
   http_listener admin_listener;
+  http_listener ready_listener;
+  http_listener report_listener;
   lazy_timer wake_timer;
   asio::steady_timer sweep_timer;
   asio::steady_timer stop_timer;
   asio::steady_timer linger_timer;
   store_caller store;
+  route_decoder read_routes;
   std::function<void()> on_stopped;
   std::chrono::steady_clock::time_point last_request;
   std::uint64_t cut_requests = 0;
@@ -122,20 +135,26 @@
   bool is_finished = false;
 };
 
-node_runtime::parts::parts(asio::io_context& context, const node_settings& from)
+node_runtime::parts::parts(asio::io_context& context,
+                           const node_settings& from,
+                           any_wire_dialect spoken,
+                           const node_options& chosen)
     : io(context),
       settings(from),
+      dialect(std::move(spoken)),
+      options(chosen),
       self{from.node,
            RunOfThisProcess(),
            {from.host, from.peer_port, from.control_port},
            from.domain},
       metrics(from.label_limit),
-      loop([this](effect& one) { Execute(one); },
+      loop(options, [this](effect& one) { Execute(one); },
            [this](const event_content& content) { OnHandled(content); }),
       sink([this](event_content content) { loop.Feed(std::move(content)); }),
       works(
           io,
           self,
+          dialect,
           [this] { return connection_id(next_connection++); },
           sink,
           metrics),
@@ -143,6 +162,7 @@
           io,
           self,
           works,
+          dialect,
           [this] { return connection_id(next_connection++); },
           sink,
           metrics),
@@ -169,6 +189,16 @@
                                         const http_request& read) {
                        admin.OnRequest(session, read);
                      })),
+      ready_listener(io,
+                     HandlersFor([this](const session_pointer& session,
+                                        const http_request&) {
+                       admin.AnswerReady(session);
+                     })),
+      report_listener(io,
+                      HandlersFor([this](const session_pointer& session,
+                                         const http_request& read) {
+                        OnEndpointReport(session, read);
+                      })),
       wake_timer(io, [this] { sink(time_passed{}); }),
       sweep_timer(io),
       stop_timer(io),
@@ -182,8 +212,7 @@
   handlers.on_malformed = [this](const std::shared_ptr<server_session>& session,
                                  error_kind kind) {
     metrics.CountError(kind);
-    session->AnswerAndClose(MakeErrorAnswer(
-        kind, run_state::kNotRun, duration::zero(), request_id(), {}));
+    session->AnswerAndClose(dialect.MakeError({.kind = kind}));
   };
   return handlers;
 }
@@ -192,19 +221,37 @@
   BOOST_LEAF_CHECK(ListenAt(call_listener, "call_port", settings.call_port));
   BOOST_LEAF_CHECK(ListenAt(peer_listener, "peer_port", settings.peer_port));
   BOOST_LEAF_CHECK(ListenAt(admin_listener, "admin_port", settings.admin_port));
+  if (settings.ready_port != 0) {
+    BOOST_LEAF_CHECK(
+        ListenAt(ready_listener, "ready_port", settings.ready_port));
+  }
+  if (settings.report_port != 0) {
+    BOOST_LEAF_CHECK(
+        ListenAt(report_listener, "report_port", settings.report_port));
+  }
+  BOOST_LEAF_CHECK(ListenForControl());
+  self.address.peer_port = peer_listener.port();
+  LOG4CPLUS_INFO(Log(), "started at " << settings.host << ", call port "
+                                      << call_listener.port());
+  sink(node_started{self.node, self.run, self.address, self.domain,
+                    settings.seeds});
+  Sweep();
+  return {};
+}
+
+// Nodes that find each other in the registry have nothing to tell each other
+// but what travels with requests.
+leaf::result<void> node_runtime::parts::ListenForControl() {
+  if (options.discovery == discovery_choice::kRegistry) {
+    return {};
+  }
   BOOST_LEAF_CHECK(leaf::try_handle_some(
       [this] { return control.Listen(settings.host, settings.control_port); },
       [this](const nng_error& error) -> leaf::result<void> {
         return leaf::new_error(
             listen_error{"control_port", settings.control_port, error.reason});
       }));
-  self.address.peer_port = peer_listener.port();
   self.address.control_port = control.port();
-  LOG4CPLUS_INFO(Log(), "started at " << settings.host << ", call port "
-                                      << call_listener.port());
-  sink(node_started{self.node, self.run, self.address, self.domain,
-                    settings.seeds});
-  Sweep();
   return {};
 }
 
@@ -271,6 +318,14 @@
           effect.when.time_since_epoch())));
 }
 
+void node_runtime::parts::On(const decode_routes& effect) {
+  auto config = read_routes ? read_routes(effect.value) : std::nullopt;
+  if (config) {
+    admin.OnRoutesKnown();
+  }
+  sink(routes_decoded{std::move(config)});
+}
+
 void node_runtime::parts::On(const log_change& effect) {
   LOG4CPLUS_INFO(Log(), effect.what);
 }
@@ -308,6 +363,8 @@
   call_listener.Close();
   peer_listener.Close();
   admin_listener.Close();
+  ready_listener.Close();
+  report_listener.Close();
   sweep_timer.cancel();
   stop_timer.cancel();
   linger_timer.cancel();
@@ -320,6 +377,8 @@
   call_listener.Sweep();
   peer_listener.Sweep();
   admin_listener.Sweep();
+  ready_listener.Sweep();
+  report_listener.Sweep();
   calls.Sweep();
   works.Sweep();
   control.Sweep();
@@ -334,7 +393,7 @@
 void node_runtime::parts::OnCallPort(
     const std::shared_ptr<server_session>& session,
     http_request request) {
-  if (request.target() == kEndpointTarget) {
+  if (dialect.IsReport(request)) {
     return OnEndpointReport(session, request);
   }
   last_request = std::chrono::steady_clock::now();
@@ -349,30 +408,47 @@
     const http_request& request) {
   leaf::try_handle_all(
       [&]() -> leaf::result<void> {
-        BOOST_LEAF_AUTO(report, ParseEndpointReport(request.body()));
-        const auto host = asio::ip::make_address(settings.endpoint_host);
-        works.OnEndpointAt(tcp::endpoint(host, report.port));
+        BOOST_LEAF_AUTO(report, dialect.ReadReport(request));
+        if (report.port != 0) {
+          const auto host = asio::ip::make_address(settings.endpoint_host);
+          works.OnEndpointAt(tcp::endpoint(host, report.port));
+        }
         sink(std::move(report.content));
         session->Answer(MakeTextAnswer(http::status::ok, "text/plain", "ok\n"));
         return {};
       },
       [&](const request_error& error) {
         metrics.CountError(error.kind);
-        session->Answer(MakeErrorAnswer(error.kind, run_state::kNotRun,
-                                        duration::zero(), request_id(),
-                                        error.reason));
+        session->Answer(dialect.MakeError(
+            {.kind = error.kind, .reason = error.reason}));
       },
       [&] { session->Close(); });
 }
 
 node_runtime::node_runtime(asio::io_context& io, const node_settings& settings)
-    : parts_(std::make_unique<parts>(io, settings)) {}
+    : node_runtime(io,
+                   settings,
+                   any_wire_dialect(own_dialect()),
+                   node_options()) {}
+node_runtime::node_runtime(asio::io_context& io,
+                           const node_settings& settings,
+                           any_wire_dialect dialect,
+                           const node_options& options)
+    : parts_(std::make_unique<parts>(io,
+                                     settings,
+                                     std::move(dialect),
+                                     options)) {}
 node_runtime::~node_runtime() = default;
 
 void node_runtime::SetStoreCaller(store_caller caller) {
   parts_->store = std::move(caller);
 }
 
+void node_runtime::SetRouteDecoder(route_decoder decoder) {
+  parts_->read_routes = std::move(decoder);
+  parts_->admin.AwaitRoutes();
+}
+
 void node_runtime::SetAdminHandler(admin_handler handler) {
   parts_->admin.SetHandler(std::move(handler));
 }
--- a/Libraries/LibRuntime/node_runtime.h
+++ b/Libraries/LibRuntime/node_runtime.h
@@ -8,9 +8,12 @@
 #include <memory>
 #include <string>
 
+#include "LibDecision/node_options.h"
 #include "LibRuntime/admin_handler.h"
 #include "LibRuntime/node_settings.h"
+#include "LibRuntime/route_decoder.h"
 #include "LibRuntime/store_caller.h"
+#include "LibRuntime/wire_dialect.h"
 
 namespace auburnfold {
 
@@ -25,7 +28,12 @@
 /// io_context and one thread.
 class node_runtime {
  public:
+  /// The product's own dialect and policies.
   node_runtime(boost::asio::io_context& io, const node_settings& settings);
+  node_runtime(boost::asio::io_context& io,
+               const node_settings& settings,
+               any_wire_dialect dialect,
+               const node_options& options);
   ~node_runtime();
   node_runtime(const node_runtime&) = delete;
   node_runtime& operator=(const node_runtime&) = delete;
@@ -33,6 +41,8 @@
   /// Without one, the key-value service counts as unavailable.
   void SetStoreCaller(store_caller caller);
   void SetAdminHandler(admin_handler handler);
+  /// Without one, routes cannot be read and none are in force.
+  void SetRouteDecoder(route_decoder decoder);
 
   /// Listens and begins. Fails with `listen_error`.
   leaf::result<void> Start();
--- a/Libraries/LibRuntime/node_settings.cc
+++ b/Libraries/LibRuntime/node_settings.cc
@@ -25,6 +25,13 @@
   return kLevels;
 }
 
+constexpr std::string_view kOwnDialect = "own";
+
+const std::vector<std::string_view>& Dialects() {
+  static const std::vector<std::string_view> kDialects{kOwnDialect, "platform"};
+  return kDialects;
+}
+
 leaf::result<json::value> ParseWithComments(const std::string& file,
                                             std::string_view text) {
   json::parse_options options;
@@ -46,9 +53,15 @@
 leaf::result<void> ReadPorts(settings_reader& reader, node_settings& settings) {
   using enum presence;
   BOOST_LEAF_CHECK(reader.ReadPort("call_port", kRequired, settings.call_port));
+  BOOST_LEAF_CHECK(
+      reader.ReadPort("ready_port", kOptional, settings.ready_port));
+  BOOST_LEAF_CHECK(
+      reader.ReadPort("report_port", kOptional, settings.report_port));
   BOOST_LEAF_CHECK(reader.ReadPort("peer_port", kRequired, settings.peer_port));
+  const presence control =
+      settings.dialect == kOwnDialect ? kRequired : kOptional;
   BOOST_LEAF_CHECK(
-      reader.ReadPort("control_port", kRequired, settings.control_port));
+      reader.ReadPort("control_port", control, settings.control_port));
   return reader.ReadPort("admin_port", kRequired, settings.admin_port);
 }
 
@@ -57,13 +70,17 @@
   BOOST_LEAF_CHECK(
       reader.ReadHost("store_host", kOptional, settings.store_host));
   const presence port = settings.store_host.empty() ? kOptional : kRequired;
-  return reader.ReadPort("store_port", port, settings.store_port);
+  BOOST_LEAF_CHECK(reader.ReadPort("store_port", port, settings.store_port));
+  return reader.ReadAddress("store_address", settings.store_host,
+                            settings.store_port);
 }
 
 leaf::result<void> ReadLimits(settings_reader& reader,
                               node_settings& settings) {
   BOOST_LEAF_CHECK(reader.ReadMilliseconds("stop_limit_ms", kLongestStopMs,
                                            settings.stop_limit));
+  BOOST_LEAF_CHECK(reader.ReadSeconds("stop_limit_s", kLongestStopMs / 1000.0,
+                                      settings.stop_limit));
   BOOST_LEAF_CHECK(reader.ReadMilliseconds("stop_linger_ms", kLongestLingerMs,
                                            settings.stop_linger));
   std::uint64_t labels = settings.label_limit;
@@ -95,9 +112,13 @@
   BOOST_LEAF_CHECK(reader.ReadHost("host", kRequired, settings.host));
   BOOST_LEAF_CHECK(reader.ReadName("domain", kRequired, domain));
   settings.domain = domain_name(domain);
+  BOOST_LEAF_CHECK(reader.ReadChoice("dialect", Dialects(), settings.dialect));
   BOOST_LEAF_CHECK(ReadPorts(reader, settings));
   settings.node = node_id(
       StableHash(settings.host + ":" + std::to_string(settings.peer_port)));
+  std::string service;
+  BOOST_LEAF_CHECK(reader.ReadName("service", kOptional, service));
+  settings.service = service_name(service);
   BOOST_LEAF_CHECK(reader.ReadNodeId("node", settings.node));
   BOOST_LEAF_CHECK(
       reader.ReadHost("endpoint_host", kOptional, settings.endpoint_host));
--- a/Libraries/LibRuntime/node_settings.h
+++ b/Libraries/LibRuntime/node_settings.h
@@ -23,10 +23,18 @@
   std::string host;
   domain_name domain;
   std::uint16_t call_port = 0;
+  /// Where readiness is asked for, besides the administration port; 0: nowhere.
+  std::uint16_t ready_port = 0;
+  /// Where the endpoint reports, besides the call port; 0: nowhere.
+  std::uint16_t report_port = 0;
   std::uint16_t peer_port = 0;
   std::uint16_t control_port = 0;
   std::uint16_t admin_port = 0;
   std::string endpoint_host = "127.0.0.1";
+  /// The service of the endpoint, as far as the settings say.
+  service_name service;
+  /// `own` or `platform`: how callers and the endpoint speak to the node.
+  std::string dialect = "own";
   std::vector<node_address> seeds;
   std::string store_host;
   std::uint16_t store_port = 0;
--- /dev/null
+++ b/Libraries/LibRuntime/own_dialect.cc
@@ -0,0 +1,60 @@
+#include "LibRuntime/own_dialect.h"
+
+#include <boost/leaf/result.hpp>
+#include <utility>
+
+#include "LibRuntime/answers.h"
+
+namespace auburnfold {
+
+namespace {
+
+constexpr std::string_view kEndpointTarget = "/auburnfold/v1/endpoint";
+
+}  // namespace
+
+static_assert(wire_dialect<own_dialect>);
+
+leaf::result<caller_request> own_dialect::ReadCaller(
+    const http_request& request) const {
+  BOOST_LEAF_AUTO(facts, ReadCallerHeaders(request));
+  caller_request read;
+  read.facts = std::move(facts);
+  return read;
+}
+
+void own_dialect::WriteToEndpoint(http::fields& headers,
+                                  const endpoint_hand_over& hand_over) const {
+  WriteEndpointHeaders(headers, hand_over.facts, hand_over.time_left,
+                       hand_over.parent);
+}
+
+outcome own_dialect::ReadEndpointAnswer(const http_response& response) const {
+  outcome result{.body_size = response.body().size()};
+  if (IsEndpointRefusal(response)) {
+    result.error = error_kind::kOverloaded;
+    result.ran = run_state::kNotRun;
+  }
+  return result;
+}
+
+void own_dialect::MarkWhole(http_response& response,
+                            const request_id& request) const {
+  auburnfold::MarkWhole(response, request);
+}
+
+http_response own_dialect::MakeError(const caller_error& error) const {
+  return MakeErrorAnswer(error.kind, error.ran, error.retry_after,
+                         error.request, error.reason);
+}
+
+bool own_dialect::IsReport(const http_request& request) const {
+  return request.target() == kEndpointTarget;
+}
+
+leaf::result<endpoint_report> own_dialect::ReadReport(
+    const http_request& request) const {
+  return ParseEndpointReport(request.body());
+}
+
+}  // namespace auburnfold
--- /dev/null
+++ b/Libraries/LibRuntime/own_dialect.h
@@ -0,0 +1,28 @@
+#ifndef LIBRUNTIME_OWN_DIALECT_H_
+#define LIBRUNTIME_OWN_DIALECT_H_
+
+#include <string_view>
+
+#include "LibRuntime/wire_dialect.h"
+
+namespace auburnfold {
+
+/// The interface that docs/headers.md describes: callers name service and
+/// class, and endpoints hand back the token of the work that a call is for.
+class own_dialect {
+ public:
+  leaf::result<caller_request> ReadCaller(const http_request& request) const;
+  void MarkOrigin(http::fields&) const {}
+  void WriteToEndpoint(http::fields& headers,
+                       const endpoint_hand_over& hand_over) const;
+  std::string_view echoed_header() const { return {}; }
+  outcome ReadEndpointAnswer(const http_response& response) const;
+  void MarkWhole(http_response& response, const request_id& request) const;
+  http_response MakeError(const caller_error& error) const;
+  bool IsReport(const http_request& request) const;
+  leaf::result<endpoint_report> ReadReport(const http_request& request) const;
+};
+
+}  // namespace auburnfold
+
+#endif  // LIBRUNTIME_OWN_DIALECT_H_
--- a/Libraries/LibRuntime/settings_reader.cc
+++ b/Libraries/LibRuntime/settings_reader.cc
@@ -5,6 +5,7 @@
 #include <boost/json/array.hpp>
 #include <boost/json/serialize.hpp>
 #include <boost/leaf/error.hpp>
+#include <charconv>
 #include <limits>
 #include <utility>
 
@@ -48,9 +49,60 @@
   return {};
 }
 
+leaf::result<void> settings_reader::ReadAddress(std::string_view key,
+                                                std::string& host,
+                                                std::uint16_t& port) {
+  BOOST_LEAF_AUTO(found, Find(key, presence::kOptional));
+  if (found == nullptr) {
+    return {};
+  }
+  const json::string* held = found->if_string();
+  const std::string text = held == nullptr ? "" : std::string(*held);
+  const std::size_t colon = text.rfind(':');
+  boost::system::error_code error;
+  const std::string host_text = text.substr(0, colon);
+  boost::asio::ip::make_address(host_text, error);
+  std::uint16_t number = 0;
+  const char* const last = text.data() + text.size();
+  const char* const first =
+      colon == std::string::npos ? last : text.data() + colon + 1;
+  const auto [stopped, fault] = std::from_chars(first, last, number);
+  const bool is_port = fault == std::errc() && stopped == last && first != last;
+  if (error || !is_port) {
+    return Fail(key, "must be HOST:PORT with an IP number as HOST");
+  }
+  host = host_text;
+  port = number;
+  return {};
+}
+
+leaf::result<void> settings_reader::ReadSeconds(
+    std::string_view key,
+    double highest,
+    std::chrono::milliseconds& value) {
+  BOOST_LEAF_AUTO(found, Find(key, presence::kOptional));
+  if (found == nullptr) {
+    return {};
+  }
+  boost::system::error_code error;
+  const auto seconds = found->to_number<double>(error);
+  if (error || !(seconds > 0) || seconds > highest) {
+    return Fail(key, "must be a time in seconds, at most " +
+                         std::to_string(static_cast<int>(highest)));
+  }
+  value = std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::chrono::duration<double>(seconds));
+  return {};
+}
+
 leaf::result<void> settings_reader::ReadPort(std::string_view key,
                                              presence needed,
                                              std::uint16_t& value) {
+  const auto found_text = object_.find(key);
+  if (found_text != object_.end() && found_text->value().is_string()) {
+    std::string host;
+    return ReadAddress(key, host, value);
+  }
   std::uint64_t number = value;
   BOOST_LEAF_CHECK(ReadInteger(
       key, needed, 0, std::numeric_limits<std::uint16_t>::max(), number));
--- a/Libraries/LibRuntime/settings_reader.h
+++ b/Libraries/LibRuntime/settings_reader.h
@@ -32,12 +32,21 @@
                                  std::uint64_t lowest,
                                  std::uint64_t highest,
                                  std::uint64_t& value);
+  /// A port, or an address as HOST:PORT of which only the port is taken.
   leaf::result<void> ReadPort(std::string_view key,
                               presence needed,
                               std::uint16_t& value);
   leaf::result<void> ReadMilliseconds(std::string_view key,
                                       std::uint64_t highest,
                                       std::chrono::milliseconds& value);
+  /// An address as HOST:PORT, where HOST is an IP number.
+  leaf::result<void> ReadAddress(std::string_view key,
+                                 std::string& host,
+                                 std::uint16_t& port);
+  /// A time in seconds, with fractions.
+  leaf::result<void> ReadSeconds(std::string_view key,
+                                 double highest,
+                                 std::chrono::milliseconds& value);
   /// An IP number.
   leaf::result<void> ReadHost(std::string_view key,
                               presence needed,
--- a/Libraries/LibRuntime/work_side.cc
+++ b/Libraries/LibRuntime/work_side.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/leaf/handle_errors.hpp>
+#include <string>
 #include <utility>
 
 #include "LibRuntime/answers.h"
@@ -13,11 +14,13 @@
 
 work_side::work_side(asio::io_context& io,
                      const node_identity& self,
+                     const any_wire_dialect& dialect,
                      connection_pool::id_source next_connection,
                      event_sink sink,
                      node_metrics& metrics)
     : io_(io),
       self_(self),
+      dialect_(dialect),
       next_connection_(std::move(next_connection)),
       sink_(std::move(sink)),
       metrics_(metrics),
@@ -103,8 +106,14 @@
   out.message.base() = std::move(request->base());
   out.message.version(kHttp11);
   out.message.body() = {request->body().data(), request->body().size()};
-  WriteEndpointHeaders(out.message, open.facts, run.time_left,
-                       parent_token{self_.node, self_.run, run.work}.Text());
+  dialect_.WriteToEndpoint(
+      out.message,
+      {open.facts, run.time_left, run.endpoint,
+       parent_token{self_.node, self_.run, run.work}.Text()});
+  out.echoed_header = dialect_.echoed_header();
+  if (!out.echoed_header.empty()) {
+    out.echoed_value = std::string(out.message[out.echoed_header]);
+  }
   out.message.prepare_payload();
   out.body_owner = std::move(request);
   out.on_sending = [this, work = run.work](connection_id connection) {
@@ -243,11 +252,7 @@
 void work_side::OnRunFinished(work_id work, client_result result) {
   outcome ended{.error = result.error, .ran = result.ran};
   if (!result.error) {
-    ended.body_size = result.response.body().size();
-    if (IsEndpointRefusal(result.response)) {
-      ended.error = error_kind::kOverloaded;
-      ended.ran = run_state::kNotRun;
-    }
+    ended = dialect_.ReadEndpointAnswer(result.response);
     const auto found = works_.find(work);
     if (found != works_.end()) {
       found->second.response = std::move(result.response);
--- a/Libraries/LibRuntime/work_side.h
+++ b/Libraries/LibRuntime/work_side.h
@@ -15,6 +15,7 @@
 #include "LibRuntime/node_identity.h"
 #include "LibRuntime/node_metrics.h"
 #include "LibRuntime/server_session.h"
+#include "LibRuntime/wire_dialect.h"
 
 namespace auburnfold {
 
@@ -25,6 +26,7 @@
 
   work_side(asio::io_context& io,
             const node_identity& self,
+            const any_wire_dialect& dialect,
             connection_pool::id_source next_connection,
             event_sink sink,
             node_metrics& metrics);
@@ -83,6 +85,7 @@
 
   asio::io_context& io_;
   const node_identity& self_;
+  const any_wire_dialect& dialect_;
   connection_pool::id_source next_connection_;
   event_sink sink_;
   node_metrics& metrics_;
--- a/Libraries/LibWire/header_names.h
+++ b/Libraries/LibWire/header_names.h
@@ -11,6 +11,12 @@
 inline constexpr std::string_view kTenantHeader = "Auburnfold-Tenant";
 inline constexpr std::string_view kTimeoutHeader = "Auburnfold-Timeout-Ms";
 inline constexpr std::string_view kRequestIdHeader = "Auburnfold-Request-Id";
+/// The forwarded request's own id, where it differs from the root's.
+inline constexpr std::string_view kOwnIdHeader = "Auburnfold-Own-Id";
+/// Milliseconds until the answer is worth less.
+inline constexpr std::string_view kObjectiveHeader = "Auburnfold-Objective-Ms";
+/// The idempotency key of a forwarded request is this product's own.
+inline constexpr std::string_view kKeyedHeader = "Auburnfold-Keyed";
 inline constexpr std::string_view kParentHeader = "Auburnfold-Parent";
 inline constexpr std::string_view kAttemptHeader = "Auburnfold-Attempt";
 inline constexpr std::string_view kKeyHeader = "Idempotency-Key";
--- a/Services/auburnfold-node/main.cc
+++ b/Services/auburnfold-node/main.cc
@@ -1,12 +1,14 @@
-#include <log4cplus/consoleappender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/logger.h>
 #include <sysexits.h>
 #include <tclap/CmdLine.h>
+#include <unistd.h>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/leaf/handle_errors.hpp>
+#include <chrono>
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
@@ -16,9 +18,14 @@
 #include <utility>
 
 #include "LibAdmin/admin_api.h"
-#include "LibPlatform/store_client.h"
+#include "LibRuntime/bounded_appender.h"
+#include "LibRuntime/json_layout.h"
 #include "LibRuntime/node_runtime.h"
 #include "LibRuntime/node_settings.h"
+#include "platform/platform_dialect.h"
+#include "platform/route_reader.h"
+#include "platform/store_client.h"
+#include "platform/wire_names.h"
 
 namespace auburnfold {
 
@@ -35,30 +42,55 @@
       "asked, 64 wrong usage, 69 a port cannot be listened at, 70 internal "
       "error, 78 wrong settings.",
       ' ', AUBURNFOLD_VERSION);
-  TCLAP::ValueArg<std::string> settings("s", "settings", "Settings file", true,
-                                        "", "FILE", line);
+  TCLAP::ValueArg<std::string> settings(
+      "s", "settings",
+      std::string("Settings file; without it the environment variable ") +
+          platform::kSettingsVariable + " names it",
+      false, "", "FILE", line);
   TCLAP::SwitchArg check("c", "check", "Check the settings and exit", line);
   line.setExceptionHandling(false);
   line.parse(argc, argv);
-  return {settings.getValue(), check.getValue()};
+  options chosen{settings.getValue(), check.getValue()};
+  const char* named = std::getenv(platform::kSettingsVariable);
+  if (chosen.settings_file.empty() && named != nullptr) {
+    chosen.settings_file = named;
+  }
+  if (chosen.settings_file.empty()) {
+    throw TCLAP::CmdLineParseException("no settings file is named",
+                                       "--settings");
+  }
+  return chosen;
 }
 
-void StartLogging(const std::string& level) {
-  log4cplus::SharedAppenderPtr console(
-      new log4cplus::ConsoleAppender(true, true));
-  console->setLayout(std::make_unique<log4cplus::PatternLayout>(
-      LOG4CPLUS_TEXT("%D{%Y-%m-%dT%H:%M:%S.%q} %-5p %c %m%n")));
+/// Starts logging and returns the appender, which must be flushed.
+bounded_appender& StartLogging(const std::string& level) {
+  auto* appender = new bounded_appender(STDOUT_FILENO);
+  const log4cplus::SharedAppenderPtr shared(appender);
+  shared->setLayout(std::make_unique<json_layout>());
   log4cplus::Logger root = log4cplus::Logger::getRoot();
-  root.addAppender(console);
+  root.addAppender(shared);
   std::string name = level;
   for (char& letter : name) {
     letter =
         static_cast<char>(std::toupper(static_cast<unsigned char>(letter)));
   }
   root.setLogLevel(log4cplus::getLogLevelManager().fromString(name));
+  return *appender;
+}
+
+/// Writes out the log again and again while `io` runs.
+void FlushLog(boost::asio::steady_timer& timer, bounded_appender& log) {
+  constexpr std::chrono::milliseconds kFlushInterval{200};
+  timer.expires_after(kFlushInterval);
+  timer.async_wait([&timer, &log](boost::system::error_code error) {
+    if (!error) {
+      log.Flush();
+      FlushLog(timer, log);
+    }
+  });
 }
 
-void ConnectStore(node_runtime& node, store_client& store) {
+void ConnectStore(node_runtime& node, platform::store_client& store) {
   node.SetStoreCaller(
       [&store](const store_request& request, store_answer_handler done) {
         store.Call(request, std::move(done));
@@ -78,16 +110,45 @@
 // being set up, so a node that has finished leaves its sockets to the system.
 [[noreturn]] void ExitWithoutClosing() {
   log4cplus::Logger::shutdown();
-  std::cout.flush();
   std::quick_exit(EX_OK);
 }
 
-leaf::result<int> Serve(const node_settings& settings) {
+/// Where the platform keeps the routes, nodes find each other there too.
+node_options PlatformOptions() {
+  // Callers hear of a leaving endpoint from its record within a store call, or
+  // from its node's refusal.
+  constexpr std::chrono::milliseconds kPlatformLeavingGrace{300};
+  return {.limit = limit_choice::kAnnounced,
+          .retries = retry_choice::kArrivals,
+          .discovery = discovery_choice::kRegistry,
+          .settings = settings_choice::kRoutes,
+          .route_key = std::string(platform::kRoutesKey),
+          .leaving_grace = kPlatformLeavingGrace};
+}
+
+std::unique_ptr<node_runtime> MakeNode(boost::asio::io_context& io,
+                                       const node_settings& settings) {
+  if (settings.dialect == "own") {
+    return std::make_unique<node_runtime>(io, settings);
+  }
+  auto node = std::make_unique<node_runtime>(
+      io, settings,
+      any_wire_dialect(platform::platform_dialect(settings.service)),
+      PlatformOptions());
+  node->SetRouteDecoder(
+      [](const std::string& value) { return platform::ReadRoutes(value); });
+  return node;
+}
+
+leaf::result<int> Serve(const node_settings& settings, bounded_appender& log) {
   BOOST_LEAF_AUTO(rules, ReadAccessRules(settings));
   boost::asio::io_context io(1);
-  node_runtime node(io, settings);
-  store_client store(io.get_executor(),
-                     {settings.store_host, settings.store_port});
+  boost::asio::steady_timer log_timer(io);
+  FlushLog(log_timer, log);
+  const std::unique_ptr<node_runtime> made = MakeNode(io, settings);
+  node_runtime& node = *made;
+  platform::store_client store(io.get_executor(),
+                               {settings.store_host, settings.store_port});
   if (settings.store_port != 0) {
     ConnectStore(node, store);
   }
@@ -118,8 +179,7 @@
     std::cout << chosen.settings_file << ": settings are valid\n";
     return EX_OK;
   }
-  StartLogging(settings.log_level);
-  return Serve(settings);
+  return Serve(settings, StartLogging(settings.log_level));
 }
 
 int RunAndReport(const options& chosen) {
