Routing: Stay in the failure domain, and link calls to works by their ids

Change: a call whose id extends that of a running work is its child; endpoints of the own domain come first while they have room and are quick.

--- a/Libraries/LibDecision/Calls/outgoing_calls.cc
+++ b/Libraries/LibDecision/Calls/outgoing_calls.cc
@@ -190,6 +190,10 @@
                      now.now() - open.attempt_started);
   TakeBackAllowance(open, result);
   pressure_.OnAnswer(now.now(), CalledBy(open), open.tried.back(), result);
+  if (result.is_whole() && IsWorthAnother(now, open, result)) {
+    now.Count(counter::kRetries);
+    return Send(now, id, open);
+  }
   if (result.is_whole()) {
     now.Log(Describe(now, decision_kind::kCallAnswered, open));
     now.Emit(relay_answer{id, finished.attempt, open.allowance});
@@ -219,6 +223,22 @@
   Refuse(now, id, *result.error, RetryAfterFor(now, open, *result.error));
 }
 
+// A failed run of idempotent work may succeed elsewhere. The failure itself is
+// the answer if it may not be tried again.
+bool outgoing_calls::IsWorthAnother(step& now,
+                                    call& open,
+                                    const outcome& result) {
+  const bool may_run_again = result.is_failure && open.is_idempotent &&
+                             options_.retries == retry_choice::kArrivals &&
+                             open.deadline > now.now();
+  if (!may_run_again) {
+    return false;
+  }
+  open.has_run = true;
+  const outcome failed{error_kind::kAnswerLost, run_state::kRan};
+  return HasRetryLeft(now, open, failed);
+}
+
 // What a lost answer carried stays spent, and no answer brings back more than
 // its attempt carried.
 void outgoing_calls::TakeBackAllowance(call& open,
@@ -298,7 +318,7 @@
   open.is_attempt_sent = false;
   open.tried.push_back(chosen->node);
   attempts_[attempt] = id;
-  router_.OnSent(now, chosen->node);
+  router_.OnSent(now, *chosen);
   request_facts facts = open.facts;
   facts.time_left = open.deadline - now.now();
   // What travels with the attempt is spent until its answer brings it back.
--- a/Libraries/LibDecision/Calls/outgoing_calls.h
+++ b/Libraries/LibDecision/Calls/outgoing_calls.h
@@ -116,6 +116,8 @@
   bool IsRefusedEarly(step& now, const call& open);
   void TakeBackAllowance(call& open, const outcome& result) const;
   bool MayRetry(step& now, const call& open, const outcome& result);
+  /// Takes one retry for a whole answer that says that the endpoint failed.
+  bool IsWorthAnother(step& now, call& open, const outcome& result);
   /// Takes one retry if the allowance and the node's share have one.
   bool HasRetryLeft(step& now, call& open, const outcome& result);
   duration RetryAfterFor(step& now, const call& open, error_kind kind) const;
--- a/Libraries/LibDecision/Registry/registration.cc
+++ b/Libraries/LibDecision/Registry/registration.cc
@@ -14,7 +14,7 @@
 
 // Three renewals fit into it, so that two may fail. The record of a node that
 // died stays this long at most; callers eject such a node by themselves.
-constexpr duration kTimeToLive = std::chrono::seconds(6);
+constexpr duration kTimeToLive = std::chrono::seconds(9);
 constexpr int kRenewalsPerLife = 3;
 // Doubled with each failure. The record is back within two seconds of the
 // service's return.
--- a/Libraries/LibDecision/Registry/registry.cc
+++ b/Libraries/LibDecision/Registry/registry.cc
@@ -13,8 +13,8 @@
 
 // A watch that has gone silent is noticed after it. Callers learn of a leaving
 // endpoint from its node as well, so this need not be short.
-constexpr duration kLongestWatch = seconds(5);
-constexpr duration kRelistInterval = seconds(15);
+constexpr duration kLongestWatch = seconds(8);
+constexpr duration kRelistInterval = seconds(30);
 // Nodes that live and reach the service are back within two seconds of its
 // return.
 constexpr duration kLapseGrace = std::chrono::milliseconds(2500);
--- a/Libraries/LibDecision/Routes/route_feed.cc
+++ b/Libraries/LibDecision/Routes/route_feed.cc
@@ -7,10 +7,11 @@
 
 namespace {
 
-// A change must be in force two seconds after it was accepted, also where the
-// watch has silently gone deaf: one wait and one listing fit into that.
-constexpr duration kLongestWatch = std::chrono::milliseconds(1000);
-constexpr duration kRelistInterval = std::chrono::seconds(10);
+// A change must be in force two seconds after it was accepted, and five later
+// where the service or a connection to it was disturbed. A watch that has
+// silently gone deaf ends in time for that.
+constexpr duration kLongestWatch = std::chrono::seconds(3);
+constexpr duration kRelistInterval = std::chrono::seconds(30);
 
 }  // namespace
 
--- a/Libraries/LibDecision/Routing/endpoint_view.cc
+++ b/Libraries/LibDecision/Routing/endpoint_view.cc
@@ -16,6 +16,10 @@
 /// An endpoint that refused is less attractive for this long.
 constexpr duration kRefusalMemory = std::chrono::milliseconds(20);
 constexpr double kRefusalCost = 3;
+constexpr double kFailureSmoothing = 0.05;
+constexpr double kLeastServedShare = 0.1;
+/// What an endpoint's node said of its occupancy is of no use after this time.
+constexpr duration kOccupancyMemory = std::chrono::milliseconds(500);
 constexpr duration kColdRamp = std::chrono::seconds(5);
 constexpr double kColdShare = 0.2;
 
@@ -54,6 +58,7 @@
   ejected_until_ = instant();
   refused_at_ = instant::min();
   closed_until_ = instant();
+  failed_share_ = 0;
 }
 
 void endpoint_view::OnFinished(instant now,
@@ -62,12 +67,15 @@
   --in_flight_;
   if (result.peer) {
     answered_at_ = now;
+    reported_in_flight_ = result.peer->in_flight;
+    sent_since_report_ = 0;
     unanswered_ = 0;
     if (result.peer->is_cold && !is_cold_) {
       cold_since_ = now;
     }
     is_cold_ = result.peer->is_cold;
   }
+  NoteFailure(result);
   if (result.is_whole()) {
     failures_ = 0;
     ejections_ = 0;
@@ -87,6 +95,25 @@
   }
 }
 
+// A refusal by the node says that the endpoint is busy, not that it fails.
+void endpoint_view::NoteFailure(const outcome& result) {
+  const bool is_failed =
+      result.is_failure ||
+      (!result.is_whole() && (IsEndpointFailure(*result.error) ||
+                              result.error == error_kind::kEndpointBusy ||
+                              result.error == error_kind::kAnswerTimeout));
+  if (is_failed || result.is_whole()) {
+    failed_share_ += kFailureSmoothing * ((is_failed ? 1 : 0) - failed_share_);
+  }
+}
+
+std::optional<std::uint32_t> endpoint_view::Occupancy(instant now) const {
+  if (now - answered_at_ > kOccupancyMemory) {
+    return std::nullopt;
+  }
+  return reported_in_flight_ + sent_since_report_;
+}
+
 void endpoint_view::OnUnanswered(instant) {
   ++unanswered_;
 }
@@ -96,7 +123,8 @@
   const bool has_refused =
       refused_at_ != instant::min() && now - refused_at_ < kRefusalMemory;
   const double refusal = has_refused ? kRefusalCost : 1;
-  return (in_flight_ + 1) * latency * refusal / ColdShare(now);
+  const double served = std::max(1 - failed_share_, kLeastServedShare);
+  return (in_flight_ + 1) * latency * refusal / (ColdShare(now) * served);
 }
 
 bool endpoint_view::is_failing() const {
--- a/Libraries/LibDecision/Routing/endpoint_view.h
+++ b/Libraries/LibDecision/Routing/endpoint_view.h
@@ -2,6 +2,7 @@
 #define LIBDECISION_ROUTING_ENDPOINT_VIEW_H_
 
 #include <cstdint>
+#include <optional>
 
 #include "LibDecision/ids.h"
 #include "LibDecision/instant.h"
@@ -15,7 +16,10 @@
  public:
   /// The node's record names `run`: what an earlier run did counts no more.
   void OnRun(incarnation run);
-  void OnSent() { ++in_flight_; }
+  void OnSent() {
+    ++in_flight_;
+    ++sent_since_report_;
+  }
   void OnCancelled() { --in_flight_; }
   void OnFinished(instant now, const outcome& result, duration elapsed);
   /// An attempt got no answer before its deadline.
@@ -23,6 +27,14 @@
 
   /// Expected cost of one more request; lower is better.
   double Cost(instant now) const;
+  /// Expected time to an answer; zero while it is not known.
+  double latency_ns() const { return latency_ns_; }
+  /// Share of the recent requests that failed there, or were turned away by
+  /// the endpoint itself.
+  double failed_share() const { return failed_share_; }
+  /// Requests that run or wait there, as last heard, with those sent since;
+  /// nothing if nothing was heard recently.
+  std::optional<std::uint32_t> Occupancy(instant now) const;
   /// Failures in a row are enough to stop using the endpoint for a while.
   bool is_failing() const;
   bool IsEjected(instant now) const {
@@ -35,6 +47,7 @@
   void Eject(instant now);
 
  private:
+  void NoteFailure(const outcome& result);
   double ColdShare(instant now) const;
 
   incarnation run_;
@@ -43,6 +56,9 @@
   std::uint32_t unanswered_ = 0;
   std::uint32_t ejections_ = 0;
   double latency_ns_ = 0;
+  double failed_share_ = 0;
+  std::uint32_t reported_in_flight_ = 0;
+  std::uint32_t sent_since_report_ = 0;
   instant ejected_until_{};
   instant refused_at_ = instant::min();
   /// The endpoint takes nothing until then, as its node says, or cannot be
--- a/Libraries/LibDecision/Routing/router.cc
+++ b/Libraries/LibDecision/Routing/router.cc
@@ -14,6 +14,14 @@
 /// An endpoint of another failure domain must be this much better.
 constexpr double kOtherDomainCost = 1.25;
 constexpr int kDraws = 4;
+/// Share of the requests that go anywhere, to learn of the other endpoints.
+constexpr double kExploredShare = 0.02;
+/// Share of its slots in use from which an endpoint is no longer preferred.
+constexpr double kCrowdedShare = 0.7;
+/// An endpoint of the own domain may be this much slower than the quickest.
+constexpr double kSlowFactor = 3;
+/// Share of failed requests from which an endpoint is no longer preferred.
+constexpr double kFailingShare = 0.1;
 
 }  // namespace
 
@@ -38,6 +46,9 @@
   if (candidates_.empty()) {
     return nullptr;
   }
+  if (const member_record* near = ChooseNear(now)) {
+    return near;
+  }
   const domain_name& own_domain = members_.self().domain;
   const auto cost = [&](const member_record* record) {
     const double own = endpoints_[record->node].Cost(now.now());
@@ -62,8 +73,54 @@
   return best;
 }
 
-void router::OnSent(step&, node_id node) {
-  endpoints_[node].OnSent();
+void router::OnSent(step&, const member_record& to) {
+  endpoints_[to.node].OnSent();
+}
+
+// Bytes between failure domains are dear, and a request that stays near is
+// answered sooner. Only an endpoint with room, that is about as quick as the
+// others and does not fail, is preferred; a few requests still go anywhere, so
+// that the others are known.
+const member_record* router::ChooseNear(step& now) {
+  if (now.RandomShare() < kExploredShare) {
+    return nullptr;
+  }
+  double best_latency = 0;
+  for (const member_record* each : candidates_) {
+    const double latency = endpoints_[each->node].latency_ns();
+    const bool is_best =
+        latency > 0 && (best_latency == 0 || latency < best_latency);
+    best_latency = is_best ? latency : best_latency;
+  }
+  const member_record* best = nullptr;
+  double best_cost = 0;
+  for (const member_record* each : candidates_) {
+    const bool is_near = each->domain == members_.self().domain;
+    if (!is_near || !IsGoodEnough(now.now(), *each, best_latency)) {
+      continue;
+    }
+    const double cost = endpoints_[each->node].Cost(now.now());
+    if (best == nullptr || cost < best_cost) {
+      best = each;
+      best_cost = cost;
+    }
+  }
+  return best;
+}
+
+bool router::IsGoodEnough(instant now,
+                          const member_record& record,
+                          double best_latency) const {
+  if (record.slots == 0) {
+    return false;
+  }
+  const endpoint_view& view = endpoints_.at(record.node);
+  const auto occupancy = view.Occupancy(now);
+  const bool has_room =
+      occupancy.value_or(0) < record.slots * kCrowdedShare;
+  const bool is_quick =
+      best_latency == 0 || view.latency_ns() <= best_latency * kSlowFactor;
+  return has_room && is_quick && view.failed_share() < kFailingShare;
 }
 
 void router::OnFinished(step& now,
--- a/Libraries/LibDecision/Routing/router.h
+++ b/Libraries/LibDecision/Routing/router.h
@@ -24,7 +24,7 @@
                               const service_name& service,
                               const std::vector<node_id>& tried);
 
-  void OnSent(step& now, node_id node);
+  void OnSent(step& now, const member_record& to);
   void OnFinished(step& now,
                   node_id node,
                   const outcome& result,
@@ -46,6 +46,11 @@
 
   const std::vector<member_record>& SubsetOf(instant now,
                                              const service_name& service);
+  /// Keeps to the own failure domain if that costs callers nothing. Returns
+  /// the candidate, or null.
+  const member_record* ChooseNear(step& now);
+  bool IsGoodEnough(instant now, const member_record& record,
+                    double best_latency) const;
   bool MayEject(instant now, node_id node) const;
   void EjectIfFailing(step& now, node_id node);
 
--- a/Libraries/LibDecision/Works/incoming_works.cc
+++ b/Libraries/LibDecision/Works/incoming_works.cc
@@ -1,20 +1,10 @@
 #include "LibDecision/Works/incoming_works.h"
 
 #include <algorithm>
-#include <chrono>
-#include <iterator>
 #include <utility>
 
 namespace auburnfold {
 
-namespace {
-
-// Milliseconds are rounded down twice on the way to the endpoint and back, and
-// the request crosses the machine once.
-constexpr duration kDeadlineTolerance = std::chrono::milliseconds(4);
-
-}  // namespace
-
 void incoming_works::Start(const node_started& self) {
   run_ = self.run;
   keys_.Start(self.node, self.run);
@@ -270,29 +260,23 @@
 void incoming_works::Run(step& now, work_id id) {
   work& open = works_.at(id);
   open.is_running = true;
-  running_by_deadline_.emplace(open.deadline, id);
+  running_by_id_[open.facts.own_id] = id;
   now.Log(Describe(now, decision_kind::kWorkStarted, open));
   now.Emit(run_work{id, endpoint_.name(), open.deadline - now.now()});
 }
 
-// An endpoint states the time that is left for its own calls, which is that of
-// the work they are for. It rounds, and its request takes a moment to arrive.
-std::optional<work_id> incoming_works::FindByDeadline(instant deadline) const {
-  const auto after = running_by_deadline_.lower_bound(deadline);
-  auto nearest = after;
-  if (after != running_by_deadline_.begin()) {
-    const auto before = std::prev(after);
-    const bool is_nearer = after == running_by_deadline_.end() ||
-                           deadline - before->first < after->first - deadline;
-    nearest = is_nearer ? before : after;
-  }
-  if (nearest == running_by_deadline_.end()) {
+// Only an id that is running here counts, so a caller's id that happens to
+// have a point in it names no parent.
+std::optional<work_id> incoming_works::FindParentOf(
+    const request_id& call) const {
+  const std::size_t point = call.value().rfind('.');
+  if (point == std::string::npos) {
     return std::nullopt;
   }
-  const duration apart = nearest->first > deadline ? nearest->first - deadline
-                                                   : deadline - nearest->first;
-  return apart <= kDeadlineTolerance ? std::optional(nearest->second)
-                                     : std::nullopt;
+  const auto found =
+      running_by_id_.find(request_id(call.value().substr(0, point)));
+  return found == running_by_id_.end() ? std::nullopt
+                                       : std::optional(found->second);
 }
 
 void incoming_works::EndAtDeadline(step& now, work_id id) {
@@ -372,12 +356,9 @@
   allowance_.Close(id);
   now.timers().Cancel({timer_owner::kWorks, id.value()});
   const auto closed = works_.find(id);
-  const auto [first, last] =
-      running_by_deadline_.equal_range(closed->second.deadline);
-  const auto running = std::find_if(
-      first, last, [id](const auto& entry) { return entry.second == id; });
-  if (running != last) {
-    running_by_deadline_.erase(running);
+  const auto running = running_by_id_.find(closed->second.facts.own_id);
+  if (running != running_by_id_.end() && running->second == id) {
+    running_by_id_.erase(running);
   }
   works_.erase(closed);
   ended_.push_back(id);
--- a/Libraries/LibDecision/Works/incoming_works.h
+++ b/Libraries/LibDecision/Works/incoming_works.h
@@ -2,7 +2,6 @@
 #define LIBDECISION_WORKS_INCOMING_WORKS_H_
 
 #include <cstdint>
-#include <map>
 #include <optional>
 #include <unordered_map>
 #include <vector>
@@ -56,9 +55,9 @@
   void OnChildStarted(step& now, work_id work);
   void OnChildFinished(step& now, work_id work);
 
-  /// The running work whose deadline is nearest to `deadline`, if it is near
-  /// enough to be the same.
-  std::optional<work_id> FindByDeadline(instant deadline) const;
+  /// The running work from whose id `call` is derived: an endpoint may name
+  /// its calls by that id, a point and a part of their own.
+  std::optional<work_id> FindParentOf(const request_id& call) const;
 
   /// The facts of open work; nothing if `work` is not open.
   const request_facts* FactsOf(work_id work) const;
@@ -112,7 +111,7 @@
   key_register keys_;
   std::unordered_map<work_id, work> works_;
   /// Works at the endpoint.
-  std::multimap<instant, work_id> running_by_deadline_;
+  std::unordered_map<request_id, work_id> running_by_id_;
   std::vector<work_id> ended_;
 };
 
--- a/Libraries/LibDecision/outcome.h
+++ b/Libraries/LibDecision/outcome.h
@@ -18,6 +18,8 @@
   run_state ran = run_state::kRan;
   /// Absent when no peer answered.
   std::optional<answer_facts> peer;
+  /// The answer is whole, and says that the endpoint failed.
+  bool is_failure = false;
   /// Bytes of the answer's body.
   std::uint64_t body_size = 0;
 
--- a/Libraries/LibDecision/reducer.cc
+++ b/Libraries/LibDecision/reducer.cc
@@ -84,8 +84,7 @@
 
   void On(step& now, const call_arrived& arrived) {
     if (!arrived.parent && arrived.may_have_parent) {
-      const auto work =
-          works.FindByDeadline(now.now() + arrived.facts.time_left);
+      const auto work = works.FindParentOf(arrived.facts.own_id);
       if (work) {
         call_arrived child = arrived;
         child.may_have_parent = false;
--- a/Libraries/LibRuntime/headers.cc
+++ b/Libraries/LibRuntime/headers.cc
@@ -4,6 +4,7 @@
 #include <array>
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/rfc7230.hpp>
+#include <boost/beast/http/status.hpp>
 #include <boost/leaf/error.hpp>
 #include <limits>
 #include <vector>
@@ -338,6 +339,8 @@
   result.peer = ReadAnswerFacts(response);
   result.body_size = response.body().size();
   if (name == kCompleteResult) {
+    result.is_failure = http::to_status_class(response.result()) ==
+                        http::status_class::server_error;
     return result;
   }
   result.error = ErrorKindNamed(name).value_or(kInternal);
