Registry: Tell restarted nodes the view of their peers, and keep endpoints served through a stop

Cause: with the store silent, restarted nodes knew no routes, and callers' view of the old run had them refuse all work; a watch begun after a failure hung beyond the store's return; a stop spun on a timer and never ended. Change: works are taken whatever run the sender believes in; a node without a view asks the senders of its work; a listing follows each failure; stops have their own grace and limit.

--- a/Libraries/LibDecision/Calls/outgoing_calls.cc
+++ b/Libraries/LibDecision/Calls/outgoing_calls.cc
@@ -67,7 +67,7 @@
                       : kSoonRetryAfter);
   }
   const bool is_stop_known =
-      stopping_since_ && now.now() - *stopping_since_ >= kLeavingGrace;
+      stopping_since_ && now.now() - *stopping_since_ >= options_.stop_grace;
   if (is_stop_known && !arrived.parent) {
     return Refuse(now, arrived.call, error_kind::kNodeStopping,
                   kSoonRetryAfter);
--- a/Libraries/LibDecision/Registry/registry.cc
+++ b/Libraries/LibDecision/Registry/registry.cc
@@ -71,6 +71,18 @@
   own_.Publish(now, self);
 }
 
+void registry::OnToldBy(step& now, const std::vector<member_record>& known) {
+  if (watch_.is_listed()) {
+    return;
+  }
+  for (const member_record& record : known) {
+    const bool is_other = record.node != members_.self().node;
+    if (is_other && members_.Find(record.node) == nullptr) {
+      members_.Replace(now, record);
+    }
+  }
+}
+
 bool registry::IsSilent(instant now, instant lapsed, instant answered) {
   return now - lapsed >= kLapseGrace && now - answered >= kAnswerMemory;
 }
--- a/Libraries/LibDecision/Registry/registry.h
+++ b/Libraries/LibDecision/Registry/registry.h
@@ -45,6 +45,9 @@
     WatchLapsed(now);
   }
 
+  /// Takes the members that another node knows, while none were listed here.
+  void OnToldBy(step& now, const std::vector<member_record>& known);
+
   /// The records of the others are known.
   bool is_listed() const { return watch_.is_listed(); }
   /// The key-value service does not answer.
--- a/Libraries/LibDecision/Routes/route_feed.cc
+++ b/Libraries/LibDecision/Routes/route_feed.cc
@@ -30,9 +30,17 @@
   }
   for (const store_entry& entry : change->entries) {
     if (entry.key == key_ && !entry.is_removed) {
+      value_ = entry.value;
       now.Emit(decode_routes{entry.value});
     }
   }
 }
 
+void route_feed::OnToldBy(step& now, const std::string& value) {
+  if (value_.empty() && !value.empty()) {
+    value_ = value;
+    now.Emit(decode_routes{value});
+  }
+}
+
 }  // namespace auburnfold
--- a/Libraries/LibDecision/Routes/route_feed.h
+++ b/Libraries/LibDecision/Routes/route_feed.h
@@ -18,12 +18,19 @@
   void OnStoreAnswered(step& now, const store_answered& answer);
   void OnTimer(step& now) { watch_.OnTimer(now); }
 
+  /// Has the value that another node has read decoded, unless one was read
+  /// here.
+  void OnToldBy(step& now, const std::string& value);
+
+  /// The value that was read last; empty if none was.
+  const std::string& value() const { return value_; }
   /// When the key-value service last answered.
   instant heard_at() const { return watch_.heard_at(); }
   bool is_store_missing() const { return watch_.is_failing(); }
 
  private:
   std::string key_;
+  std::string value_;
   prefix_watch watch_;
 };
 
--- a/Libraries/LibDecision/Store/prefix_watch.cc
+++ b/Libraries/LibDecision/Store/prefix_watch.cc
@@ -12,8 +12,8 @@
 // Doubled with each failure; small enough that a node is in touch again well
 // within two seconds of the service's return.
 constexpr duration kFirstRetryDelay = milliseconds(100);
-constexpr duration kLongestRetryDelay = milliseconds(800);
-constexpr std::uint32_t kMostDoublings = 3;
+constexpr duration kLongestRetryDelay = milliseconds(400);
+constexpr std::uint32_t kMostDoublings = 2;
 
 duration RetryDelay(step& now, std::uint32_t failures) {
   const std::uint32_t doublings = std::min(failures, kMostDoublings);
@@ -83,7 +83,7 @@
 void prefix_watch::OnListed(step& now, const store_result& result) {
   list_call_.reset();
   if (result.status != store_status::kDone) {
-    return OnFailed(now, true);
+    return OnFailed(now, false);
   }
   listed_at_ = now.now();
   revision_ = result.revision;
@@ -112,13 +112,14 @@
   Watch(now);
 }
 
-// A lost history is no failure of the service: the listing follows at once.
-void prefix_watch::OnFailed(step& now, bool must_list) {
-  const bool is_first = failures_ == 0;
-  must_list_ = must_list_ || must_list;
+// A listing is answered at once or not at all, so it shows sooner than a watch
+// that the service is back. A lost history is no failure of the service: the
+// listing follows without a pause.
+void prefix_watch::OnFailed(step& now, bool is_history_gone) {
+  must_list_ = true;
   now.Count(counter::kStoreFailures);
   ++failures_;
-  if (must_list && is_first && revision_) {
+  if (is_history_gone && failures_ == 1) {
     return List(now);
   }
   now.timers().Subscribe({options_.owner},
--- a/Libraries/LibDecision/Store/prefix_watch.h
+++ b/Libraries/LibDecision/Store/prefix_watch.h
@@ -60,7 +60,7 @@
   void Watch(step& now);
   void OnListed(step& now, const store_result& result);
   void OnWatched(step& now, const store_result& result);
-  void OnFailed(step& now, bool must_list);
+  void OnFailed(step& now, bool is_history_gone);
   void OnAnswered(step& now);
 
   prefix_watch_options options_;
--- a/Libraries/LibDecision/Works/incoming_works.cc
+++ b/Libraries/LibDecision/Works/incoming_works.cc
@@ -38,11 +38,14 @@
 }
 
 // A sender that names another run has an old view: its choice of this node,
-// and what it believes to be beside it, may be wrong.
+// and what it believes to be beside it, may be wrong. Where nodes learn of each
+// other from the registry alone, a view stays old as long as that is away, and
+// the endpoint's own name tells whether it is still the same.
 std::optional<error_kind> incoming_works::RefusalFor(
     instant now,
     const work_arrived& arrived) const {
-  const bool is_run_stated = arrived.expected_run != incarnation();
+  const bool is_run_stated =
+      checks_run_ && arrived.expected_run != incarnation();
   if (is_run_stated && arrived.expected_run != run_) {
     return error_kind::kEndpointUnreachable;
   }
@@ -184,7 +187,7 @@
 }
 
 bool incoming_works::is_stop_grace_over(instant now) const {
-  return stopping_since_ && now - *stopping_since_ >= leaving_grace_;
+  return stopping_since_ && now - *stopping_since_ >= stop_grace_;
 }
 
 void incoming_works::CutAll(step& now) {
--- a/Libraries/LibDecision/Works/incoming_works.h
+++ b/Libraries/LibDecision/Works/incoming_works.h
@@ -29,7 +29,8 @@
       : rows_(rows),
         allowance_(allowance),
         pressure_(pressure),
-        leaving_grace_(options.leaving_grace),
+        stop_grace_(options.stop_grace),
+        checks_run_(options.discovery == discovery_choice::kGossip),
         endpoint_(options.leaving_grace),
         admission_(options.limit) {}
 
@@ -103,7 +104,8 @@
   const table& rows_;
   retry_allowance& allowance_;
   const pressure_memory& pressure_;
-  duration leaving_grace_;
+  duration stop_grace_;
+  bool checks_run_;
   incarnation run_;
   std::optional<instant> stopping_since_;
   own_endpoint endpoint_;
--- a/Libraries/LibDecision/effect.h
+++ b/Libraries/LibDecision/effect.h
@@ -15,6 +15,7 @@
 #include "LibDecision/ids.h"
 #include "LibDecision/instant.h"
 #include "LibDecision/peer_message.h"
+#include "LibDecision/peer_view.h"
 #include "LibDecision/request_facts.h"
 #include "LibDecision/store_call.h"
 
@@ -132,6 +133,17 @@
   store_request request;
 };
 
+/// Ask the node at `to` for its view. Answer with `view_received` if it comes.
+struct ask_view {
+  node_address to;
+};
+
+/// Answer another node's question for the view.
+struct give_view {
+  view_call_id call;
+  peer_view view;
+};
+
 /// Read routes from the value of the route key. Answer with `routes_decoded`.
 struct decode_routes {
   std::string value;
@@ -187,6 +199,8 @@
                             keep_neighbours,
                             call_store,
                             decode_routes,
+                            ask_view,
+                            give_view,
                             answer_admin,
                             wake_at,
                             add_count,
--- a/Libraries/LibDecision/event.h
+++ b/Libraries/LibDecision/event.h
@@ -13,6 +13,7 @@
 #include "LibDecision/instant.h"
 #include "LibDecision/outcome.h"
 #include "LibDecision/peer_message.h"
+#include "LibDecision/peer_view.h"
 #include "LibDecision/request_facts.h"
 #include "LibDecision/store_call.h"
 
@@ -78,6 +79,8 @@
 struct work_arrived {
   work_id work;
   node_id from;
+  /// Where `from` listens for other nodes; `host` is empty if not known.
+  node_address from_address;
   request_facts facts;
   /// The incarnation of this node that the sender believes in.
   incarnation expected_run;
@@ -154,6 +157,16 @@
   std::optional<route_config> config;
 };
 
+/// Another node asks for this node's view.
+struct view_asked {
+  view_call_id call;
+};
+
+/// Another node has told its view.
+struct view_received {
+  peer_view view;
+};
+
 /// Someone uses the administration API of this node.
 struct admin_requested {
   admin_call_id call;
@@ -176,6 +189,8 @@
                                    message_received,
                                    store_answered,
                                    routes_decoded,
+                                   view_asked,
+                                   view_received,
                                    admin_requested>;
 
 /// Something that happened to the node, with the time and the randomness that
--- a/Libraries/LibDecision/ids.h
+++ b/Libraries/LibDecision/ids.h
@@ -21,6 +21,8 @@
 using store_call_id = strong_value<struct store_call_tag, std::uint64_t>;
 /// A request to the administration API; unique within the process.
 using admin_call_id = strong_value<struct admin_call_tag, std::uint64_t>;
+/// Another node's question for this node's view; unique within the process.
+using view_call_id = strong_value<struct view_call_tag, std::uint64_t>;
 /// A key-value watch; unique within the process.
 using watch_id = strong_value<struct watch_tag, std::uint64_t>;
 
--- a/Libraries/LibDecision/node_options.h
+++ b/Libraries/LibDecision/node_options.h
@@ -49,8 +49,13 @@
   settings_choice settings = settings_choice::kTable;
   /// The key that holds the routes, for `settings_choice::kRoutes`.
   std::string route_key;
-  /// New work is taken for this long after a leave was announced.
+  /// New work is taken for this long after the endpoint said that it leaves.
   duration leaving_grace = kLeavingGrace;
+  /// New work and new calls are taken for this long after a stop was asked
+  /// for, since senders and callers hear of it only then.
+  duration stop_grace = kLeavingGrace;
+  /// Longest time that a stop waits for what runs.
+  duration stop_limit = std::chrono::seconds(25);
   /// Calls are refused early that a deeper service would refuse.
   bool refuses_early = true;
 };
--- a/Libraries/LibDecision/reducer.cc
+++ b/Libraries/LibDecision/reducer.cc
@@ -1,6 +1,7 @@
 #include "LibDecision/reducer.h"
 
 #include <algorithm>
+#include <chrono>
 #include <optional>
 #include <variant>
 
@@ -20,8 +21,8 @@
 
 namespace {
 
-/// Longest time that a planned stop waits for what runs.
-constexpr duration kStopLimit = std::chrono::seconds(25);
+/// A node without a view asks another one after this time.
+constexpr duration kViewInterval = std::chrono::milliseconds(300);
 
 // Keys of the timers of a planned stop.
 constexpr std::uint64_t kStopLimitKey = 0;
@@ -45,6 +46,7 @@
   incoming_works works{rows, allowance, pressure, options};
   bool is_stopped = false;
   bool is_store_away = false;
+  std::optional<instant> view_asked_at;
   std::optional<instant> wake;
 
   void On(step& now, const node_started& self) {
@@ -75,9 +77,9 @@
     calls.OnStopRequested(now);
     works.OnStopRequested(now);
     now.timers().Subscribe({timer_owner::kStop, kStopLimitKey},
-                           now.now() + kStopLimit);
+                           now.now() + options.stop_limit);
     now.timers().Subscribe({timer_owner::kStop, kStopGraceKey},
-                           now.now() + kLeavingGrace);
+                           now.now() + options.stop_grace);
   }
 
   void On(step&, const time_passed&) {}
@@ -119,6 +121,9 @@
   }
 
   void On(step& now, const work_arrived& arrived) {
+    if (options.discovery == discovery_choice::kRegistry) {
+      AskSenderForView(now, arrived);
+    }
     works.OnArrived(now, arrived);
   }
 
@@ -200,6 +205,32 @@
     }
   }
 
+  void On(step& now, const view_asked& asked) {
+    peer_view view{.routes = feed.value()};
+    for (const auto& [node, record] : members.list().members()) {
+      view.members.push_back(record);
+    }
+    now.Emit(give_view{asked.call, std::move(view)});
+  }
+
+  void On(step& now, const view_received& received) {
+    feed.OnToldBy(now, received.view.routes);
+    nodes.OnToldBy(now, received.view.members);
+  }
+
+  // A node that was started while the key-value service is away knows nobody.
+  // The others still know it, and whoever sends it work can tell it the rest.
+  void AskSenderForView(step& now, const work_arrived& arrived) {
+    const bool is_informed = routes.version() && nodes.is_listed();
+    const bool is_asked = view_asked_at &&
+                          now.now() - *view_asked_at < kViewInterval;
+    if (is_informed || is_asked || arrived.from_address.host.empty()) {
+      return;
+    }
+    view_asked_at = now.now();
+    now.Emit(ask_view{arrived.from_address});
+  }
+
   void NoteStore(step& now, const store_answered& answer) {
     const bool is_away = answer.result.status == store_status::kUnavailable ||
                          answer.result.status == store_status::kUnknown;
--- a/Libraries/LibRuntime/node_runtime.cc
+++ b/Libraries/LibRuntime/node_runtime.cc
@@ -7,6 +7,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/leaf/error.hpp>
 #include <boost/leaf/handle_errors.hpp>
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -22,6 +23,7 @@
 #include "LibRuntime/node_identity.h"
 #include "LibRuntime/node_metrics.h"
 #include "LibRuntime/own_dialect.h"
+#include "LibRuntime/view_side.h"
 #include "LibRuntime/work_side.h"
 
 namespace auburnfold {
@@ -31,6 +33,8 @@
 using session_pointer = std::shared_ptr<server_session>;
 
 constexpr std::chrono::seconds kSweepInterval{1};
+// An answer that is still being relayed at the end is waited for.
+constexpr std::chrono::milliseconds kLingerInterval{50};
 constexpr std::string_view kKeysTarget = "/auburnfold/v1/keys";
 
 // Microseconds, so that a restart within the same millisecond is a later run.
@@ -81,6 +85,8 @@
     metrics.Count(effect.which, effect.amount);
   }
   void On(const decode_routes& effect);
+  void On(const ask_view& effect) { views.Execute(effect); }
+  void On(const give_view& effect) { views.Execute(effect); }
   void On(const log_change& effect);
   void On(const log_decision& effect) { decisions.Write(effect.record); }
   void On(const stop_process& effect);
@@ -114,6 +120,7 @@
   event_sink sink;
   work_side works;
   call_side calls;
+  view_side views;
   admin_side admin;
   control_channel control;
   http_listener call_listener;
@@ -166,6 +173,10 @@
           [this] { return connection_id(next_connection++); },
           sink,
           metrics),
+      views(
+          io,
+          [this] { return connection_id(next_connection++); },
+          sink),
       admin(sink, [this] { return MetricsText(); }),
       control(
           io,
@@ -181,6 +192,9 @@
       peer_listener(io,
                     HandlersFor([this](const session_pointer& session,
                                        http_request read) {
+                      if (view_side::IsQuestion(read)) {
+                        return views.OnAsked(session);
+                      }
                       last_request = std::chrono::steady_clock::now();
                       works.OnWork(session, std::move(read));
                     })),
@@ -345,7 +359,8 @@
   if (is_quiet && calls.open_count() == 0 && works.open_count() == 0) {
     return Finish();
   }
-  linger_timer.expires_at(quiet_at);
+  linger_timer.expires_at(
+      std::max(quiet_at, std::chrono::steady_clock::now() + kLingerInterval));
   linger_timer.async_wait([this](error_code error) {
     if (!error) {
       FinishIfQuiet();
--- a/Libraries/LibRuntime/server_session.cc
+++ b/Libraries/LibRuntime/server_session.cc
@@ -54,6 +54,12 @@
   Answer(std::move(response));
 }
 
+std::string server_session::peer_host() const {
+  error_code error;
+  const tcp::endpoint peer = socket_.remote_endpoint(error);
+  return error ? std::string() : peer.address().to_string();
+}
+
 void server_session::Close() {
   error_code ignored;
   socket_.close(ignored);
--- a/Libraries/LibRuntime/server_session.h
+++ b/Libraries/LibRuntime/server_session.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string>
 
 #include "LibDecision/error_kind.h"
 #include "LibRuntime/http_types.h"
@@ -47,6 +48,8 @@
   /// Closes the connection if it has been without progress until `now`.
   void CloseIfStale(clock::time_point now);
 
+  /// The IP number of the other side; empty if it has gone.
+  std::string peer_host() const;
   bool is_open() const { return socket_.is_open(); }
   /// A request has been read and its answer is not yet written.
   bool is_busy() const { return is_busy_; }
--- /dev/null
+++ b/Libraries/LibRuntime/view_side.cc
@@ -0,0 +1,69 @@
+#include "LibRuntime/view_side.h"
+
+#include <boost/asio/ip/address.hpp>
+#include <string_view>
+#include <utility>
+
+#include "LibRuntime/answers.h"
+#include "LibRuntime/view_codec.h"
+#include "LibWire/header_names.h"
+
+namespace auburnfold {
+
+namespace {
+
+constexpr std::string_view kViewTarget = "/auburnfold/v1/view";
+
+}  // namespace
+
+view_side::view_side(asio::io_context& io,
+                     connection_pool::id_source next_connection,
+                     event_sink sink)
+    : io_(io),
+      next_connection_(std::move(next_connection)),
+      sink_(std::move(sink)) {}
+
+bool view_side::IsQuestion(const http_request& request) {
+  // Forwarded requests say who forwards them.
+  return request.target() == kViewTarget &&
+         request.find(kFromHeader) == request.end();
+}
+
+void view_side::OnAsked(const std::shared_ptr<server_session>& session) {
+  const view_call_id call(next_call_++);
+  waiting_.emplace(call, session);
+  sink_(view_asked{call});
+}
+
+void view_side::Execute(const ask_view& asked) {
+  error_code error;
+  const asio::ip::address host = asio::ip::make_address(asked.to.host, error);
+  if (error) {
+    return;
+  }
+  pool_ = std::make_unique<connection_pool>(
+      io_, tcp::endpoint(host, asked.to.peer_port), next_connection_,
+      [](connection_id) {});
+  client_request question;
+  question.message = http_request_view(http::verb::get, kViewTarget, kHttp11);
+  question.message.set(http::field::host, asked.to.host);
+  question.on_finished = [this](const client_result& result) {
+    const bool is_told =
+        !result.error && result.response.result() == http::status::ok;
+    auto view = is_told ? DecodeView(result.response.body()) : std::nullopt;
+    if (view) {
+      sink_(view_received{*std::move(view)});
+    }
+  };
+  pool_->Send(std::move(question));
+}
+
+void view_side::Execute(const give_view& given) {
+  const auto session = waiting_.extract(given.call);
+  if (session) {
+    session.mapped()->Answer(MakeTextAnswer(http::status::ok, "text/plain",
+                                            EncodeView(given.view)));
+  }
+}
+
+}  // namespace auburnfold
--- /dev/null
+++ b/Libraries/LibRuntime/view_side.h
@@ -0,0 +1,41 @@
+#ifndef LIBRUNTIME_VIEW_SIDE_H_
+#define LIBRUNTIME_VIEW_SIDE_H_
+
+#include <memory>
+#include <unordered_map>
+
+#include "LibDecision/effect.h"
+#include "LibRuntime/connection_pool.h"
+#include "LibRuntime/event_sink.h"
+#include "LibRuntime/http_types.h"
+#include "LibRuntime/server_session.h"
+
+namespace auburnfold {
+
+/// Asks other nodes for their view, and answers those that ask.
+class view_side {
+ public:
+  view_side(asio::io_context& io,
+            connection_pool::id_source next_connection,
+            event_sink sink);
+
+  /// Whether a request at the peer port asks for the view.
+  static bool IsQuestion(const http_request& request);
+  void OnAsked(const std::shared_ptr<server_session>& session);
+
+  void Execute(const ask_view& asked);
+  void Execute(const give_view& given);
+
+ private:
+  asio::io_context& io_;
+  connection_pool::id_source next_connection_;
+  event_sink sink_;
+  std::uint64_t next_call_ = 1;
+  std::unordered_map<view_call_id, std::shared_ptr<server_session>> waiting_;
+  /// Each question has a pool of its own, which ends with the next one.
+  std::unique_ptr<connection_pool> pool_;
+};
+
+}  // namespace auburnfold
+
+#endif  // LIBRUNTIME_VIEW_SIDE_H_
--- a/Libraries/LibRuntime/work_side.cc
+++ b/Libraries/LibRuntime/work_side.cc
@@ -57,7 +57,13 @@
   open.facts = facts;
   open.arrived = clock::now();
   session->WatchCaller([this, id] { OnSenderGone(id); });
-  sink_(work_arrived{id, from, std::move(facts), expected_run});
+  // All nodes listen for each other at the same port.
+  sink_(work_arrived{id,
+                     from,
+                     {.host = session->peer_host(),
+                      .peer_port = self_.address.peer_port},
+                     std::move(facts),
+                     expected_run});
 }
 
 void work_side::OnSenderGone(work_id work) {
--- a/Services/auburnfold-node/main.cc
+++ b/Services/auburnfold-node/main.cc
@@ -114,16 +114,23 @@
 }
 
 /// Where the platform keeps the routes, nodes find each other there too.
-node_options PlatformOptions() {
+node_options PlatformOptions(const node_settings& settings) {
   // Callers hear of a leaving endpoint from its record within a store call, or
   // from its node's refusal.
   constexpr std::chrono::milliseconds kPlatformLeavingGrace{300};
+  // Callers ask once a second whether the node is ready, and go elsewhere
+  // after two answers that it is not.
+  constexpr std::chrono::milliseconds kPlatformStopGrace{2400};
+  // A request that still runs then has had most of the time of grace.
+  constexpr int kStopLimitPercent = 87;
   return {.limit = limit_choice::kAnnounced,
           .retries = retry_choice::kArrivals,
           .discovery = discovery_choice::kRegistry,
           .settings = settings_choice::kRoutes,
           .route_key = std::string(platform::kRoutesKey),
-          .leaving_grace = kPlatformLeavingGrace};
+          .leaving_grace = kPlatformLeavingGrace,
+          .stop_grace = kPlatformStopGrace,
+          .stop_limit = settings.stop_limit * kStopLimitPercent / 100};
 }
 
 std::unique_ptr<node_runtime> MakeNode(boost::asio::io_context& io,
@@ -134,7 +141,7 @@
   auto node = std::make_unique<node_runtime>(
       io, settings,
       any_wire_dialect(platform::platform_dialect(settings.service)),
-      PlatformOptions());
+      PlatformOptions(settings));
   node->SetRouteDecoder(
       [](const std::string& value) { return platform::ReadRoutes(value); });
   return node;
--- a/Tests/LibDecision/router_test.cc
+++ b/Tests/LibDecision/router_test.cc
@@ -45,7 +45,7 @@
     if (!error) {
       result.peer = answer_facts();
     }
-    router_.OnSent(now, node_id(node));
+    router_.OnSent(now, *members_.Find(node_id(node)));
     router_.OnFinished(now, node_id(node), result, elapsed);
   }
 
@@ -60,7 +60,7 @@
   instant now_{};
   timer_service timers_;
   table rows_;
-  membership members_{rows_};
+  membership members_{rows_, discovery_choice::kGossip};
   router router_{members_};
   std::uint64_t entropy_ = 0;
 };
--- a/Tests/Scenarios/scenario_runner.cc
+++ b/Tests/Scenarios/scenario_runner.cc
@@ -34,10 +34,14 @@
       {"ours", "", {}},
       {"static-limit",
        "baseline_static_limit_",
-       {limit_choice::kFixed, retry_choice::kThreeTries, false}},
+       {.limit = limit_choice::kFixed,
+        .retries = retry_choice::kThreeTries,
+        .refuses_early = false}},
       {"no-control",
        "baseline_no_control_",
-       {limit_choice::kUnlimited, retry_choice::kThreeTries, false}},
+       {.limit = limit_choice::kUnlimited,
+        .retries = retry_choice::kThreeTries,
+        .refuses_early = false}},
   };
   return kPolicies;
 }
--- a/Tests/LibPlatform/store_client_test.cc
+++ b/Tests/platform/store_client_test.cc
@@ -1,4 +1,4 @@
-#include "LibPlatform/store_client.h"
+#include "platform/store_client.h"
 
 #include <gtest/gtest.h>
 
@@ -7,7 +7,7 @@
 #include <optional>
 #include <string>
 
-namespace auburnfold {
+namespace auburnfold::platform {
 namespace {
 
 namespace asio = boost::asio;
@@ -37,7 +37,7 @@
     store_client client(
         context_.get_executor(),
         {.host = "127.0.0.1", .port = acceptor_.local_endpoint().port()},
-        {.answer = answer_timeout(), .watch = answer_timeout()});
+        {.answer = answer_timeout()});
     std::optional<store_result> result;
     client.Call(std::move(request),
                 [&result](const store_result& got) { result = got; });
@@ -70,22 +70,27 @@
 
 class a_write : public a_store {};
 
-TEST_F(a_write, IsSentWithItsKeyEncodedAndTheExpectedRevision) {
-  answer_ =
-      Answer("200 OK", R"({"key":"table/a b/c","value":"new","revision":5})");
+TEST_F(a_write, IsSentUnderItsConditionAndWithItsLease) {
+  answer_ = Answer("200 OK", R"({"revision":5})");
   Serve();
-  const store_result result = Call(kWrite);
+  store_compare_and_swap write = kWrite;
+  write.lease = store_lease(77);
+  const store_result result = Call(write);
   EXPECT_EQ(received_.substr(0, received_.find('\r')),
-            "PUT /v1/kv?key=table%2Fa%20b%2Fc&expected=4 HTTP/1.1");
+            "POST /kv-txn HTTP/1.1");
+  EXPECT_EQ(received_.substr(received_.find("\r\n\r\n") + 4),
+            R"({"expect":[{"key":"table/a b/c","revision":4}],)"
+            R"("writes":[{"key":"table/a b/c","value":"bmV3","lease":77}],)"
+            R"("remove":[]})");
   EXPECT_EQ(result.status, store_status::kDone);
   ASSERT_EQ(result.entries.size(), 1U);
   EXPECT_EQ(result.entries[0].revision, store_revision(5));
+  EXPECT_EQ(result.entries[0].value, "new");
 }
 
 TEST_F(a_write, ThatMeetsAnotherRevisionIsToldTheCurrentEntry) {
-  answer_ = Answer(
-      "409 Conflict",
-      R"({"entries":[{"key":"k","value":"theirs","revision":9}],"revision":9})");
+  answer_ = Answer("412 Precondition Failed",
+                   R"({"items":[{"key":"k","value":"dGhlaXJz","revision":9}]})");
   Serve();
   const store_result result = Call(kWrite);
   EXPECT_EQ(result.status, store_status::kConflict);
@@ -93,6 +98,18 @@
   EXPECT_EQ(result.entries[0].value, "theirs");
 }
 
+TEST_F(a_write, UnderALeaseThatHasEndedHasNoEffect) {
+  answer_ = Answer("404 Not Found", "{}");
+  Serve();
+  EXPECT_EQ(Call(kWrite).status, store_status::kNoLease);
+}
+
+TEST_F(a_write, ThatTheStoreTurnsAwayHasNoEffect) {
+  answer_ = Answer("503 Service Unavailable", "");
+  Serve();
+  EXPECT_EQ(Call(kWrite).status, store_status::kUnavailable);
+}
+
 TEST_F(a_write, IsUnknownIfTheConnectionClosesBeforeTheAnswer) {
   Serve();
   EXPECT_EQ(Call(kWrite).status, store_status::kUnknown);
@@ -134,30 +151,63 @@
 
 TEST_F(a_read, GetsEveryEntryAndTheRevision) {
   answer_ = Answer("200 OK",
-                   R"({"entries":[{"key":"a","value":"1","revision":2},)"
-                   R"({"key":"b","value":"2","revision":3}],"revision":7})");
+                   R"({"items":[{"key":"a","value":"MQ==","revision":2},)"
+                   R"({"key":"b","value":"","revision":3}],)"
+                   R"("hasMore":false,"asOf":7})");
   Serve();
   const store_result result = Call(store_list{"table/"});
   EXPECT_EQ(result.status, store_status::kDone);
-  EXPECT_EQ(result.entries.size(), 2U);
+  ASSERT_EQ(result.entries.size(), 2U);
+  EXPECT_EQ(result.entries[0].value, "1");
+  EXPECT_EQ(result.entries[1].value, "");
   EXPECT_EQ(result.revision, store_revision(7));
 }
 
-TEST_F(a_read, IsUnavailableIfItsAnswerIsLostOrMakesNoSense) {
-  answer_ = Answer("200 OK", R"({"entries":[{"key":1}]})");
+TEST_F(a_read, LeavesOutWhatAnotherWriterLeftInAnotherForm) {
+  answer_ = Answer("200 OK",
+                   R"({"items":[{"key":1},{"key":"a","value":"%","revision":1},)"
+                   R"({"key":"b","value":"Mg==","revision":3}],"asOf":7})");
+  Serve();
+  const store_result result = Call(store_list{"table/"});
+  ASSERT_EQ(result.entries.size(), 1U);
+  EXPECT_EQ(result.entries[0].key, "b");
+}
+
+TEST_F(a_read, OfAnAbsentKeyFindsNothing) {
+  answer_ = Answer("404 Not Found", "{}");
+  Serve();
+  const store_result result = Call(store_get{"k"});
+  EXPECT_EQ(result.status, store_status::kDone);
+  EXPECT_TRUE(result.entries.empty());
+}
+
+TEST_F(a_read, IsUnavailableIfItsAnswerMakesNoSense) {
+  answer_ = Answer("200 OK", R"({"items":7})");
   Serve();
-  EXPECT_EQ(Call(store_get{"k"}).status, store_status::kUnavailable);
+  EXPECT_EQ(Call(store_list{"k"}).status, store_status::kUnavailable);
 }
 
 class a_watch : public a_store {};
 
-TEST_F(a_watch, ThatSeesNoChangeEndsWithTheRevisionItStartedAfter) {
-  is_silent_ = true;
+TEST_F(a_watch, ShowsWhatWasWrittenAndWhatWasRemoved) {
+  answer_ = Answer("200 OK",
+                   R"({"events":[{"key":"a","value":"MQ==","revision":8},)"
+                   R"({"key":"b","revision":9,"deleted":true}],"asOf":9})");
   Serve();
   const store_result result = Call(store_watch{"table/", store_revision(6)});
-  EXPECT_EQ(result.status, store_status::kDone);
-  EXPECT_TRUE(result.entries.empty());
-  EXPECT_EQ(result.revision, store_revision(6));
+  EXPECT_EQ(received_.substr(0, received_.find('\r')),
+            "GET /kv-watch?prefix=table%2F&after=6&waitMs=10000 HTTP/1.1");
+  ASSERT_EQ(result.entries.size(), 2U);
+  EXPECT_FALSE(result.entries[0].is_removed);
+  EXPECT_TRUE(result.entries[1].is_removed);
+  EXPECT_EQ(result.revision, store_revision(9));
+}
+
+TEST_F(a_watch, IsToldThatItsHistoryIsGone) {
+  answer_ = Answer("410 Gone", "{}");
+  Serve();
+  EXPECT_EQ(Call(store_watch{"table/", store_revision(6)}).status,
+            store_status::kHistoryGone);
 }
 
 TEST_F(a_watch, IsUnavailableIfTheStoreClosesIt) {
@@ -166,5 +216,25 @@
             store_status::kUnavailable);
 }
 
+class a_lease : public a_store {};
+
+TEST_F(a_lease, IsGrantedForTheTimeThatTheStoreSays) {
+  answer_ = Answer("200 OK", R"({"lease":77120,"ttlS":3.5})");
+  Serve();
+  const store_result result =
+      Call(store_grant_lease{std::chrono::milliseconds(3000)});
+  EXPECT_EQ(received_.substr(0, received_.find('\r')),
+            "POST /kv-lease HTTP/1.1");
+  EXPECT_EQ(result.lease, store_lease(77120));
+  EXPECT_EQ(result.time_to_live, std::chrono::milliseconds(3500));
+}
+
+TEST_F(a_lease, ThatHasEndedIsNotRenewed) {
+  answer_ = Answer("404 Not Found", "{}");
+  Serve();
+  EXPECT_EQ(Call(store_renew_lease{store_lease(5)}).status,
+            store_status::kNoLease);
+}
+
 }  // namespace
-}  // namespace auburnfold
+}  // namespace auburnfold::platform
