Tests: Cover routes, the registry, the announced limit and the store's calls

Cause: the new modules had no tests that need no bench. Change: tests that play the key-value service to one node, and tests of routes, limit and wire form.

--- /dev/null
+++ b/Tests/LibDecision/registry_test.cc
@@ -0,0 +1,331 @@
+#include <gtest/gtest.h>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "LibDecision/Registry/member_codec.h"
+#include "LibDecision/reducer.h"
+
+namespace auburnfold {
+namespace {
+
+using namespace std::chrono_literals;
+
+/// One node with a registry, and the key-value service as the test plays it.
+class a_node : public testing::Test {
+ protected:
+  a_node()
+      : node_({.discovery = discovery_choice::kRegistry,
+               .settings = settings_choice::kRoutes,
+               .route_key = "routes"}) {
+    Happen(node_started{.node = node_id(1),
+                        .run = incarnation(5),
+                        .address = {.host = "10.0.0.1", .peer_port = 80},
+                        .domain = domain_name("d1")});
+  }
+
+  effects Happen(event_content content) {
+    now_ += 1ms;
+    effects made = Reduce(node_, {now_, ++entropy_, std::move(content)});
+    for (const effect& each : made) {
+      if (const auto* call = std::get_if<call_store>(&each)) {
+        calls_.push_back(*call);
+      }
+      if (const auto* decode = std::get_if<decode_routes>(&each)) {
+        decoded_ = decode->value;
+      }
+    }
+    return made;
+  }
+
+  effects Pass(duration time) {
+    effects all;
+    for (const instant end = now_ + time; now_ < end; now_ += 20ms) {
+      for (effect& each : Happen(time_passed{})) {
+        all.push_back(std::move(each));
+      }
+    }
+    return all;
+  }
+
+  /// The oldest call of this kind that was not answered.
+  template <class request>
+  std::optional<request> Next(std::string_view about = {}) {
+    for (auto each = calls_.begin(); each != calls_.end(); ++each) {
+      const auto* wanted = std::get_if<request>(&each->request);
+      if (wanted != nullptr && IsAbout(*wanted, about)) {
+        const request found = *wanted;
+        answering_ = each->call;
+        calls_.erase(each);
+        return found;
+      }
+    }
+    return std::nullopt;
+  }
+
+  template <class request>
+  static bool IsAbout(const request& asked, std::string_view about) {
+    if constexpr (requires { asked.prefix; }) {
+      return about.empty() || asked.prefix == about;
+    }
+    return true;
+  }
+
+  effects Answer(store_result result) {
+    return Happen(store_answered{answering_, std::move(result)});
+  }
+
+  void AnswerLists(std::vector<store_entry> members = {}) {
+    ASSERT_TRUE(Next<store_list>(kRegistryPrefix));
+    Answer({.entries = std::move(members), .revision = store_revision(10)});
+    ASSERT_TRUE(Next<store_list>("routes"));
+    Answer({.revision = store_revision(10)});
+  }
+
+  void ReportEndpoint(endpoint_state state = endpoint_state::kReady) {
+    Happen(endpoint_reported{.service = service_name("lots"),
+                             .state = state,
+                             .run = incarnation(3),
+                             .slots = 18});
+  }
+
+  void Register() {
+    ASSERT_TRUE(Next<store_grant_lease>());
+    Answer({.lease = store_lease(77), .time_to_live = 9s});
+    const auto write = Next<store_compare_and_swap>();
+    ASSERT_TRUE(write);
+    EXPECT_EQ(write->lease, store_lease(77));
+    Answer({.entries = {{write->key, write->value, store_revision(11)}},
+            .revision = store_revision(11)});
+  }
+
+  static member_record Other() {
+    return {.node = node_id(2),
+            .run = incarnation(4),
+            .address = {.host = "10.0.0.2", .peer_port = 80},
+            .domain = domain_name("d2"),
+            .service = service_name("lots"),
+            .slots = 18};
+  }
+
+  static store_entry EntryOf(const member_record& record,
+                             std::uint64_t revision) {
+    return {MemberKey(record.node), EncodeMember(record),
+            store_revision(revision)};
+  }
+
+  /// The state in which the node holds another one.
+  std::optional<member_state> StateOf(node_id node) {
+    const effects made =
+        Happen(admin_requested{admin_call_id(1), read_members{}});
+    for (const effect& each : made) {
+      const auto* answer = std::get_if<answer_admin>(&each);
+      if (answer == nullptr) {
+        continue;
+      }
+      for (const member_record& record : answer->result.members) {
+        if (record.node == node) {
+          return record.state;
+        }
+      }
+    }
+    return std::nullopt;
+  }
+
+  node_state node_;
+  instant now_{};
+  std::uint64_t entropy_ = 0;
+  std::vector<call_store> calls_;
+  store_call_id answering_;
+  std::string decoded_;
+};
+
+class its_own_record : public a_node {};
+
+TEST_F(its_own_record, IsWrittenUnderALeaseOnceItsEndpointIsKnown) {
+  AnswerLists();
+  EXPECT_FALSE(Next<store_grant_lease>());
+  ReportEndpoint();
+  Register();
+}
+
+TEST_F(its_own_record, IsRenewedAndNotWrittenAgain) {
+  AnswerLists();
+  ReportEndpoint();
+  Register();
+  Pass(4s);
+  EXPECT_TRUE(Next<store_renew_lease>());
+  EXPECT_FALSE(Next<store_compare_and_swap>());
+}
+
+TEST_F(its_own_record, SaysAtOnceThatTheEndpointLeaves) {
+  AnswerLists();
+  ReportEndpoint();
+  Register();
+  ReportEndpoint(endpoint_state::kLeaving);
+  const auto write = Next<store_compare_and_swap>();
+  ASSERT_TRUE(write);
+  EXPECT_EQ(write->expected, store_revision(11));
+  EXPECT_EQ(DecodeMember(write->key, write->value)->state,
+            member_state::kLeaving);
+}
+
+TEST_F(its_own_record, IsWrittenAgainUnderANewLeaseIfTheLeaseHasEnded) {
+  AnswerLists();
+  ReportEndpoint();
+  Register();
+  Pass(4s);
+  ASSERT_TRUE(Next<store_renew_lease>());
+  Answer({.status = store_status::kNoLease});
+  Register();
+}
+
+TEST_F(its_own_record, IsWrittenAgainIfAWatchShowsThatItHasGone) {
+  AnswerLists();
+  ReportEndpoint();
+  Register();
+  ASSERT_TRUE(Next<store_watch>(kRegistryPrefix));
+  Answer({.entries = {{.key = MemberKey(node_id(1)),
+                       .revision = store_revision(12),
+                       .is_removed = true}},
+          .revision = store_revision(12)});
+  EXPECT_TRUE(Next<store_compare_and_swap>());
+}
+
+TEST_F(its_own_record, OverwritesThatOfAnEarlierRunAfterAConflict) {
+  AnswerLists();
+  ReportEndpoint();
+  ASSERT_TRUE(Next<store_grant_lease>());
+  Answer({.lease = store_lease(77), .time_to_live = 9s});
+  ASSERT_TRUE(Next<store_compare_and_swap>());
+  Answer({.status = store_status::kConflict,
+          .entries = {{MemberKey(node_id(1)), "old", store_revision(9)}}});
+  const auto again = Next<store_compare_and_swap>();
+  ASSERT_TRUE(again);
+  EXPECT_EQ(again->expected, store_revision(9));
+}
+
+TEST_F(its_own_record, ComesBackWithinTwoSecondsOfTheServicesReturn) {
+  AnswerLists();
+  ReportEndpoint();
+  Register();
+  Pass(4s);
+  for (int i = 0; i < 10; ++i) {
+    ASSERT_TRUE(Next<store_renew_lease>());
+    Answer({.status = store_status::kUnavailable});
+    ReportEndpoint();
+    Pass(1s);
+  }
+  ASSERT_TRUE(Next<store_renew_lease>());
+  Answer({.status = store_status::kNoLease});
+  Register();
+}
+
+class another_node : public a_node {};
+
+TEST_F(another_node, IsKnownFromTheFirstListing) {
+  AnswerLists({EntryOf(Other(), 9)});
+  EXPECT_EQ(StateOf(node_id(2)), member_state::kReady);
+}
+
+TEST_F(another_node, ThatSaidThatItLeavesIsGoneWithItsRecord) {
+  member_record leaving = Other();
+  leaving.state = member_state::kLeaving;
+  AnswerLists({EntryOf(leaving, 9)});
+  ASSERT_TRUE(Next<store_watch>(kRegistryPrefix));
+  Answer({.entries = {{.key = MemberKey(node_id(2)),
+                       .revision = store_revision(12),
+                       .is_removed = true}},
+          .revision = store_revision(12)});
+  EXPECT_EQ(StateOf(node_id(2)), member_state::kGone);
+}
+
+TEST_F(another_node, WhoseRecordLapsesIsGoneOnlyAfterItHadTimeToReturn) {
+  AnswerLists({EntryOf(Other(), 9)});
+  ASSERT_TRUE(Next<store_watch>(kRegistryPrefix));
+  Answer({.entries = {{.key = MemberKey(node_id(2)),
+                       .revision = store_revision(12),
+                       .is_removed = true}},
+          .revision = store_revision(12)});
+  Pass(2s);
+  EXPECT_EQ(StateOf(node_id(2)), member_state::kReady);
+  Pass(4s);
+  EXPECT_EQ(StateOf(node_id(2)), member_state::kGone);
+}
+
+TEST_F(another_node, StaysWhileTheServiceIsAway) {
+  AnswerLists({EntryOf(Other(), 9)});
+  for (int i = 0; i < 20; ++i) {
+    if (Next<store_watch>(kRegistryPrefix) ||
+        Next<store_list>(kRegistryPrefix)) {
+      Answer({.status = store_status::kUnavailable});
+    }
+    Pass(1s);
+  }
+  EXPECT_EQ(StateOf(node_id(2)), member_state::kReady);
+}
+
+TEST_F(another_node, IsLearnedFromThePeerThatSendsWorkWhileTheServiceIsAway) {
+  const effects made =
+      Happen(work_arrived{.work = work_id(1),
+                          .from = node_id(2),
+                          .from_address = {.host = "10.0.0.2",
+                                           .peer_port = 80}});
+  bool is_asked = false;
+  for (const effect& each : made) {
+    is_asked = is_asked || std::holds_alternative<ask_view>(each);
+  }
+  EXPECT_TRUE(is_asked);
+  Happen(view_received{{.routes = "told", .members = {Other()}}});
+  EXPECT_EQ(decoded_, "told");
+  EXPECT_EQ(StateOf(node_id(2)), member_state::kReady);
+}
+
+class the_watch : public a_node {};
+
+TEST_F(the_watch, IsFollowedByAListingIfItsHistoryIsGone) {
+  AnswerLists();
+  ASSERT_TRUE(Next<store_watch>("routes"));
+  Answer({.status = store_status::kHistoryGone});
+  EXPECT_TRUE(Next<store_list>("routes"));
+}
+
+TEST_F(the_watch, IsFollowedByAListingIfItFails) {
+  AnswerLists();
+  ASSERT_TRUE(Next<store_watch>("routes"));
+  Answer({.status = store_status::kUnavailable});
+  Pass(1s);
+  EXPECT_FALSE(Next<store_watch>("routes"));
+  EXPECT_TRUE(Next<store_list>("routes"));
+}
+
+TEST_F(the_watch, ThatHeardNothingBeginsWhereItBegan) {
+  AnswerLists();
+  ASSERT_TRUE(Next<store_watch>("routes"));
+  Answer({.revision = store_revision(50)});
+  EXPECT_EQ(Next<store_watch>("routes")->after, store_revision(10));
+}
+
+class a_record : public testing::Test {};
+
+TEST_F(a_record, IsReadAsItWasWritten) {
+  member_record record{.node = node_id(7),
+                       .run = incarnation(8),
+                       .version = 9,
+                       .state = member_state::kLeaving,
+                       .address = {.host = "10.0.0.7", .peer_port = 81},
+                       .domain = domain_name("d"),
+                       .service = service_name("s"),
+                       .slots = 12};
+  EXPECT_EQ(DecodeMember(MemberKey(record.node), EncodeMember(record)), record);
+}
+
+TEST_F(a_record, OfAnotherWriterNamesNobody) {
+  EXPECT_FALSE(DecodeMember("auburnfold/nodes/7", "nonsense"));
+  EXPECT_FALSE(DecodeMember("auburnfold/nodes/x", "auburnfold-node-1 "));
+  EXPECT_FALSE(DecodeMember("auburnfold/nodes/7", "auburnfold-node-1 1 2 9 "));
+}
+
+}  // namespace
+}  // namespace auburnfold
