--- a/Tests/StandIns/key_value_model.cc
+++ b/Tests/StandIns/key_value_model.cc
@@ -28,6 +28,18 @@
   return entries;
 }
 
+std::vector<key_value_entry> key_value_model::Removed(
+    const std::string& prefix,
+    std::uint64_t after) const {
+  std::vector<key_value_entry> removed;
+  for (const auto& [key, revision] : content_.removed) {
+    if (key.starts_with(prefix) && revision > after) {
+      removed.push_back({key, "", revision});
+    }
+  }
+  return removed;
+}
+
 write_result key_value_model::Put(const std::string& key,
                                   std::string value,
                                   std::uint64_t expected,
@@ -44,6 +56,7 @@
   }
   const std::uint64_t revision = ++content_.revision;
   content_.values[key] = {value, revision, lease};
+  content_.removed.erase(key);
   return key_value_entry{key, std::move(value), revision};
 }
 
@@ -76,7 +89,7 @@
     }
   }
   for (const std::string& key : vanished) {
-    ++content_.revision;
+    content_.removed[key] = ++content_.revision;
     content_.values.erase(key);
   }
   for (const std::uint64_t lease : lapsed) {
@@ -85,6 +98,20 @@
   return vanished;
 }
 
+bool key_value_model::EndLease(instant now, std::uint64_t lease) {
+  const auto found = leases_.find(lease);
+  if (found == leases_.end()) {
+    return false;
+  }
+  found->second.lapses_at = now;
+  return true;
+}
+
+duration key_value_model::TimeToLive(std::uint64_t lease) const {
+  const auto found = leases_.find(lease);
+  return found == leases_.end() ? duration::zero() : found->second.ttl;
+}
+
 std::optional<instant> key_value_model::next_lapse() const {
   std::optional<instant> next;
   for (const auto& [lease, state] : leases_) {
--- a/Tests/StandIns/key_value_model.h
+++ b/Tests/StandIns/key_value_model.h
@@ -41,6 +41,9 @@
   /// Every entry whose key starts with `prefix` and is newer than `after`.
   std::vector<key_value_entry> List(const std::string& prefix,
                                     std::uint64_t after = 0) const;
+  /// Keys under `prefix` that vanished after `after` and are still absent.
+  std::vector<key_value_entry> Removed(const std::string& prefix,
+                                       std::uint64_t after) const;
   /// Writes if the key's revision is `expected`; 0 means absent. The key
   /// vanishes with `lease`, if one is given.
   write_result Put(const std::string& key,
@@ -53,6 +56,8 @@
   bool RenewLease(instant now, std::uint64_t lease);
   /// Removes lapsed leases with their keys; the keys that vanished.
   std::vector<std::string> LapseLeases(instant now);
+  /// Has the lease lapse now; false if it has lapsed before.
+  bool EndLease(instant now, std::uint64_t lease);
   /// When the next lease lapses unless it is renewed.
   std::optional<instant> next_lapse() const;
 
@@ -61,6 +66,8 @@
   /// Goes back to a snapshot, revisions included; false if there is none.
   bool RestoreSnapshot(const std::string& name);
 
+  /// How long a lease lives after each renewal; zero if there is no such one.
+  duration TimeToLive(std::uint64_t lease) const;
   std::uint64_t revision() const { return content_.revision; }
 
  private:
@@ -75,6 +82,8 @@
   };
   struct content {
     std::map<std::string, stored_value> values;
+    /// Revisions by which keys vanished.
+    std::map<std::string, std::uint64_t> removed;
     std::uint64_t revision = 0;
   };
 
--- a/Tests/StandIns/store_calls.h
+++ b/Tests/StandIns/store_calls.h
@@ -18,16 +18,20 @@
   kWatch,
   kCreateLease,
   kRenewLease,
+  kEndLease,
 };
 
-/// A parsed call of the key-value service.
+/// A parsed call of the key-value service. A change concerns one key.
+/// FIXME: The service itself takes changes of up to 32 keys.
 struct store_call {
   store_call_kind kind = store_call_kind::kGet;
   std::string key;
   std::string prefix;
   std::uint64_t expected = 0;
   std::uint64_t after = 0;
-  std::uint64_t ttl_ms = 0;
+  /// Longest wait of a watch.
+  std::uint64_t wait_ms = 0;
+  double ttl_s = 0;
   std::optional<std::uint64_t> lease;
   std::string value;
 };
@@ -43,7 +47,7 @@
 
  private:
   static constexpr std::size_t kKinds =
-      static_cast<std::size_t>(store_call_kind::kRenewLease) + 1;
+      static_cast<std::size_t>(store_call_kind::kEndLease) + 1;
 
   std::array<std::uint64_t, kKinds> counts_{};
 };
--- a/Tests/StandIns/store_process.cc
+++ b/Tests/StandIns/store_process.cc
@@ -8,6 +8,7 @@
 #include <utility>
 #include <vector>
 
+#include "LibWire/base64.h"
 #include "StandIns/answers.h"
 
 namespace auburnfold {
@@ -25,18 +26,35 @@
 }
 
 boost::json::object EntryJson(const key_value_entry& entry) {
+  return {{"key", entry.key},
+          {"value", ToBase64(entry.value)},
+          {"revision", entry.revision}};
+}
+
+boost::json::object RemovedJson(const key_value_entry& entry) {
   return {
-      {"key", entry.key}, {"value", entry.value}, {"revision", entry.revision}};
+      {"key", entry.key}, {"revision", entry.revision}, {"deleted", true}};
+}
+
+boost::json::array EntriesJson(const std::vector<key_value_entry>& entries) {
+  boost::json::array list;
+  for (const key_value_entry& entry : entries) {
+    list.push_back(EntryJson(entry));
+  }
+  return list;
 }
 
 http_response WriteAnswer(const write_result& result) {
   if (const auto* entry = std::get_if<key_value_entry>(&result)) {
-    return JsonAnswer(http::status::ok, EntryJson(*entry));
+    return JsonAnswer(http::status::ok, {{"revision", entry->revision}});
   }
   if (const auto* conflict = std::get_if<key_value_conflict>(&result)) {
-    return JsonAnswer(http::status::conflict,
-                      conflict->current ? EntryJson(*conflict->current)
-                                        : boost::json::object{});
+    boost::json::array items;
+    if (conflict->current) {
+      items.push_back(EntryJson(*conflict->current));
+    }
+    return JsonAnswer(http::status::precondition_failed,
+                      {{"items", std::move(items)}});
   }
   if (std::holds_alternative<lease_lapsed>(result)) {
     return ErrorAnswer(http::status::not_found, "lease has lapsed");
@@ -44,6 +62,10 @@
   return ErrorAnswer(http::status::payload_too_large, "value above 1 MiB");
 }
 
+double Seconds(duration length) {
+  return std::chrono::duration<double>(length).count();
+}
+
 }  // namespace
 
 store_process::store_process(boost::asio::io_context& context,
@@ -139,24 +161,32 @@
                           store_call call) {
   switch (call.kind) {
     case store_call_kind::kGet: {
-      std::vector<key_value_entry> found;
-      if (auto entry = model_.Get(call.key)) {
-        found.push_back(std::move(*entry));
+      const auto entry = model_.Get(call.key);
+      if (!entry) {
+        return session->Answer(
+            ErrorAnswer(http::status::not_found, "no such key"));
       }
-      return session->Answer(Entries(found));
+      boost::json::object item = EntryJson(*entry);
+      item["asOf"] = model_.revision();
+      return session->Answer(JsonAnswer(http::status::ok, std::move(item)));
     }
     case store_call_kind::kList:
-      return session->Answer(Entries(model_.List(call.prefix)));
+      return session->Answer(
+          JsonAnswer(http::status::ok,
+                     {{"items", EntriesJson(model_.List(call.prefix))},
+                      {"hasMore", false},
+                      {"asOf", model_.revision()}}));
     case store_call_kind::kPut:
       return ServePut(session, std::move(call));
     case store_call_kind::kWatch:
       return ServeWatch(session, call);
     case store_call_kind::kCreateLease: {
-      const std::uint64_t lease =
-          model_.CreateLease(Now(), std::chrono::milliseconds(call.ttl_ms));
+      const auto ttl = std::chrono::duration_cast<duration>(
+          std::chrono::duration<double>(call.ttl_s));
+      const std::uint64_t lease = model_.CreateLease(Now(), ttl);
       LapseLeases();
-      return session->Answer(
-          JsonAnswer(http::status::created, {{"lease", lease}}));
+      return session->Answer(JsonAnswer(
+          http::status::ok, {{"lease", lease}, {"ttlS", call.ttl_s}}));
     }
     case store_call_kind::kRenewLease:
       if (!model_.RenewLease(Now(), *call.lease)) {
@@ -164,7 +194,15 @@
             ErrorAnswer(http::status::not_found, "lease has lapsed"));
       }
       return session->Answer(
-          JsonAnswer(http::status::ok, {{"lease", *call.lease}}));
+          JsonAnswer(http::status::ok,
+                     {{"ttlS", Seconds(model_.TimeToLive(*call.lease))}}));
+    case store_call_kind::kEndLease:
+      if (!model_.EndLease(Now(), *call.lease)) {
+        return session->Answer(
+            ErrorAnswer(http::status::not_found, "lease has lapsed"));
+      }
+      LapseLeases();
+      return session->Answer(JsonAnswer(http::status::ok, {}));
   }
 }
 
@@ -184,15 +222,36 @@
 
 void store_process::ServeWatch(const http_session::pointer& session,
                                const store_call& call) {
-  const std::vector<key_value_entry> newer =
-      model_.List(call.prefix, call.after);
-  if (!newer.empty()) {
-    return session->Answer(Entries(newer));
+  boost::json::array events = EventsAfter(call.prefix, call.after);
+  if (!events.empty()) {
+    return AnswerWatch(session, std::move(events));
   }
-  watches_[session.get()] = {session, call.prefix, call.after};
+  const auto timer = std::make_shared<boost::asio::steady_timer>(
+      context_, std::chrono::milliseconds(call.wait_ms));
+  watches_[session.get()] = {session, call.prefix, call.after, timer};
+  timer->async_wait([this, timer, session](boost::system::error_code error) {
+    if (!error && watches_.erase(session.get()) > 0) {
+      AnswerWatch(session, {});
+    }
+  });
+}
+
+void store_process::AnswerWatch(const http_session::pointer& session,
+                                boost::json::array events) {
+  session->Answer(JsonAnswer(
+      http::status::ok,
+      {{"events", std::move(events)}, {"asOf", model_.revision()}}));
+}
+
+boost::json::array store_process::EventsAfter(const std::string& prefix,
+                                              std::uint64_t after) const {
+  boost::json::array events = EntriesJson(model_.List(prefix, after));
+  for (const key_value_entry& entry : model_.Removed(prefix, after)) {
+    events.push_back(RemovedJson(entry));
+  }
+  return events;
 }
 
-// A key that vanished wakes its watches too; it is then among no entries.
 void store_process::WakeWatches(const std::string& changed) {
   std::vector<waiting_watch> woken;
   for (const auto& [key, watch] : watches_) {
@@ -202,7 +261,8 @@
   }
   for (const waiting_watch& watch : woken) {
     watches_.erase(watch.session.get());
-    watch.session->Answer(Entries(model_.List(watch.prefix, watch.after)));
+    watch.timer->cancel();
+    AnswerWatch(watch.session, EventsAfter(watch.prefix, watch.after));
   }
 }
 
@@ -222,14 +282,4 @@
   });
 }
 
-http_response store_process::Entries(
-    const std::vector<key_value_entry>& entries) const {
-  boost::json::array list;
-  for (const key_value_entry& entry : entries) {
-    list.push_back(EntryJson(entry));
-  }
-  return JsonAnswer(http::status::ok,
-                    {{"entries", list}, {"revision", model_.revision()}});
-}
-
 }  // namespace auburnfold
--- a/Tests/StandIns/store_process.h
+++ b/Tests/StandIns/store_process.h
@@ -4,6 +4,8 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/json/array.hpp>
+#include <memory>
 #include <unordered_map>
 
 #include "StandIns/http_server.h"
@@ -26,6 +28,7 @@
     http_session::pointer session;
     std::string prefix;
     std::uint64_t after = 0;
+    std::shared_ptr<boost::asio::steady_timer> timer;
   };
 
   void OnRequest(const http_session::pointer& session,
@@ -39,7 +42,10 @@
   void ServeWatch(const http_session::pointer& session, const store_call& call);
   void WakeWatches(const std::string& changed);
   void LapseLeases();
-  http_response Entries(const std::vector<key_value_entry>& entries) const;
+  void AnswerWatch(const http_session::pointer& session,
+                   boost::json::array events);
+  boost::json::array EventsAfter(const std::string& prefix,
+                                 std::uint64_t after) const;
 
   boost::asio::io_context& context_;
   key_value_model model_;
