Calls: Share retries over all levels, and give up only what can go elsewhere

A lost attempt kept the whole allowance, so idempotent work was never retried after one. Repeats above cost shares below. Change: repeats are marked down the tree and spend the share of the service called; the last retries are kept for important classes; failures caused below are not retried above; attempts are abandoned only where another may follow.

--- a/Libraries/LibDecision/Admission/admission.cc
+++ b/Libraries/LibDecision/Admission/admission.cc
@@ -22,7 +22,8 @@
 /// Share of the limit that the highest priority may use on top.
 constexpr std::uint32_t kReservedPart = 4;
 
-std::variant<adaptive_limit, announced_limit, fixed_limit> Make(limit_choice choice) {
+std::variant<adaptive_limit, announced_limit, fixed_limit> Make(
+    limit_choice choice) {
   switch (choice) {
     case limit_choice::kAdaptive:
       return adaptive_limit();
@@ -206,9 +207,8 @@
     return false;
   }
   endpoint_occupancy counted = occupancy_;
-  const bool may_go_over =
-      std::visit([](const auto& limit) { return limit.lets_important_over(); },
-                 limit_);
+  const bool may_go_over = std::visit(
+      [](const auto& limit) { return limit.lets_important_over(); }, limit_);
   if (may_go_over && priority == kHighestPriority) {
     const std::uint32_t reserved = 1 + limit() / kReservedPart;
     counted.active -= std::min(counted.active, reserved);
--- a/Libraries/LibDecision/Calls/outgoing_calls.cc
+++ b/Libraries/LibDecision/Calls/outgoing_calls.cc
@@ -19,6 +19,14 @@
 // time of a hop.
 constexpr std::uint16_t kMostUnseenAttempts = 3;
 
+/// An attempt whose connection has gone silent.
+constexpr outcome kLost{error_kind::kAnswerLost, run_state::kUnknown};
+
+// Of the priority that is refused last, or the next one.
+bool IsImportant(const request_facts& facts) {
+  return facts.priority.value_or(0) + 1 >= kHighestPriority;
+}
+
 // The endpoint turned the request away, or nobody knows what became of it.
 bool MayHaveArrived(const outcome& result) {
   return result.ran != run_state::kNotRun ||
@@ -54,6 +62,7 @@
   open.deadline = now.now() + std::min(facts.time_left, row.longest_deadline);
   if (parent != nullptr) {
     open.facts.priority = parent->priority;
+    open.facts.is_repeat = parent->is_repeat;
     open.parent_class = parent->request_class;
     children_.emplace(*arrived.parent, arrived.call);
   } else if (!open.facts.priority) {
@@ -89,7 +98,7 @@
                   RetryAfterFor(now, open, error_kind::kOverloaded));
   }
   retry_share_.OnFirstAttempt();
-  service_shares_.OnFirstAttempt(facts.service);
+  service_shares_.OnFirstAttempt(facts.service, facts.is_repeat);
   now.Log(Describe(now, decision_kind::kCallRouted, open));
   Send(now, arrived.call, open);
 }
@@ -195,6 +204,7 @@
     return Send(now, id, open);
   }
   if (result.is_whole()) {
+    open.is_served = !result.is_failure;
     now.Log(Describe(now, decision_kind::kCallAnswered, open));
     now.Emit(relay_answer{id, finished.attempt, open.allowance});
     return Close(now, id);
@@ -204,7 +214,9 @@
   failed.ran = result.ran;
   failed.age = now.now() - open.attempt_started;
   now.Log(std::move(failed));
-  if (!MayHaveArrived(result)) {
+  if (MayHaveArrived(result)) {
+    open.has_arrived = true;
+  } else {
     ++open.unseen_attempts;
   }
   open.has_run = open.has_run || result.ran == run_state::kRan;
@@ -228,26 +240,31 @@
 bool outgoing_calls::IsWorthAnother(step& now,
                                     call& open,
                                     const outcome& result) {
-  const bool may_run_again = result.is_failure && open.is_idempotent &&
+  const bool is_own_failure =
+      result.is_failure && result.peer && !result.peer->has_failed_below;
+  const bool may_run_again = is_own_failure && open.is_idempotent &&
                              options_.retries == retry_choice::kArrivals &&
                              open.deadline > now.now();
   if (!may_run_again) {
     return false;
   }
   open.has_run = true;
+  open.has_arrived = true;
   const outcome failed{error_kind::kAnswerLost, run_state::kRan};
   return HasRetryLeft(now, open, failed);
 }
 
 // What a lost answer carried stays spent, and no answer brings back more than
-// its attempt carried.
+// its attempt carried. Where each service has a share of its own, that bounds
+// what was spent below, and a lost answer costs one retry like any other.
 void outgoing_calls::TakeBackAllowance(call& open,
                                        const outcome& result) const {
-  if (result.peer) {
-    const std::uint16_t left =
-        std::min(result.peer->allowance_left, open.carried);
-    open.allowance = static_cast<std::uint16_t>(open.allowance + left);
-  }
+  const std::uint16_t unknown =
+      options_.retries == retry_choice::kArrivals ? open.carried : 0;
+  const std::uint16_t left =
+      result.peer ? std::min(result.peer->allowance_left, open.carried)
+                  : unknown;
+  open.allowance = static_cast<std::uint16_t>(open.allowance + left);
   open.carried = 0;
 }
 
@@ -265,7 +282,12 @@
 }
 
 void outgoing_calls::OnConnectionTimer(step& now) {
-  for (const attempt_id lost : connections_.OnTimer(now)) {
+  const auto may_abandon = [this, &now](attempt_id attempt) {
+    const call& open = calls_.at(attempts_.at(attempt));
+    return options_.retries != retry_choice::kArrivals ||
+           (open.allowance + open.carried > 0 && MayRetry(now, open, kLost));
+  };
+  for (const attempt_id lost : connections_.OnTimer(now, may_abandon)) {
     OnAttemptLost(now, lost);
   }
 }
@@ -278,11 +300,12 @@
   call& open = calls_.at(id);
   open.attempt.reset();
   open.may_have_run = true;
-  open.carried = 0;
+  open.has_arrived = true;
+  TakeBackAllowance(open, kLost);
   router_.OnCancelled(now, open.tried.back());
   now.Emit(cancel_attempt{attempt});
   now.Log(Describe(now, decision_kind::kConnectionDropped, open));
-  RetryOrRefuse(now, id, open, {error_kind::kAnswerLost, run_state::kUnknown});
+  RetryOrRefuse(now, id, open, kLost);
 }
 
 void outgoing_calls::CutAll(step& now) {
@@ -321,6 +344,7 @@
   router_.OnSent(now, *chosen);
   request_facts facts = open.facts;
   facts.time_left = open.deadline - now.now();
+  facts.is_repeat = facts.is_repeat || open.has_arrived;
   // What travels with the attempt is spent until its answer brings it back.
   open.carried = std::exchange(open.allowance, std::uint16_t{0});
   facts.allowance = open.carried;
@@ -412,13 +436,13 @@
     const auto [first, last] = children_.equal_range(*open.parent);
     children_.erase(std::find_if(
         first, last, [id](const auto& child) { return child.second == id; }));
-    ended_children_.push_back(*open.parent);
+    ended_children_.push_back({*open.parent, !open.is_served});
   }
   now.timers().Cancel({timer_owner::kCalls, id.value()});
   calls_.erase(found);
 }
 
-std::vector<work_id> outgoing_calls::TakeEndedChildren() {
+std::vector<ended_child> outgoing_calls::TakeEndedChildren() {
   return std::exchange(ended_children_, {});
 }
 
@@ -467,9 +491,10 @@
     now.Count(counter::kRetriesDeniedByPressure);
     return false;
   }
-  const bool has_share = options_.retries == retry_choice::kArrivals
-                             ? service_shares_.TryTake(open.facts.service)
-                             : retry_share_.TryTake();
+  const bool has_share =
+      options_.retries == retry_choice::kArrivals
+          ? service_shares_.TryTake(open.facts.service, IsImportant(open.facts))
+          : retry_share_.TryTake();
   if (!has_share) {
     now.Count(counter::kRetriesDeniedByNodeShare);
     return false;
--- a/Libraries/LibDecision/Calls/outgoing_calls.h
+++ b/Libraries/LibDecision/Calls/outgoing_calls.h
@@ -15,6 +15,7 @@
 #include "LibDecision/Routes/route_table.h"
 #include "LibDecision/Routing/router.h"
 #include "LibDecision/Table/table.h"
+#include "LibDecision/ended_child.h"
 #include "LibDecision/event.h"
 #include "LibDecision/node_options.h"
 #include "LibDecision/step.h"
@@ -61,8 +62,8 @@
   /// Ends every call made for `parent`, whose caller has gone.
   void CancelChildrenOf(step& now, work_id parent);
 
-  /// Parents of the calls that ended since the last time, once for each call.
-  std::vector<work_id> TakeEndedChildren();
+  /// The calls of works that ended since the last time.
+  std::vector<ended_child> TakeEndedChildren();
 
   std::size_t open_count() const { return calls_.size(); }
   /// When the node beside an endpoint last answered.
@@ -87,6 +88,10 @@
     bool may_have_run = false;
     /// An earlier attempt certainly ran.
     bool has_run = false;
+    /// An endpoint saw it, or may have.
+    bool has_arrived = false;
+    /// An endpoint's answer was useful.
+    bool is_served = false;
     /// Attempts that certainly reached no endpoint.
     std::uint16_t unseen_attempts = 0;
     instant arrived;
@@ -140,7 +145,7 @@
   call_map calls_;
   std::unordered_map<attempt_id, call_id> attempts_;
   std::unordered_multimap<work_id, call_id> children_;
-  std::vector<work_id> ended_children_;
+  std::vector<ended_child> ended_children_;
   std::uint64_t next_attempt_ = 1;
   std::optional<instant> stopping_since_;
 };
--- a/Libraries/LibDecision/Connections/connection_monitor.cc
+++ b/Libraries/LibDecision/Connections/connection_monitor.cc
@@ -99,14 +99,16 @@
   Forget(id);
 }
 
-std::vector<attempt_id> connection_monitor::OnTimer(step& now) {
+std::vector<attempt_id> connection_monitor::OnTimer(
+    step& now,
+    const std::function<bool(attempt_id)>& may_abandon) {
   next_look_.reset();
   std::vector<attempt_id> lost;
   for (const auto& [attempt, open] : attempts_) {
     if (!IsOverdue(now.now(), open)) {
       continue;
     }
-    if (IsSilent(open)) {
+    if (IsSilent(open) && may_abandon(attempt)) {
       lost.push_back(attempt);
     }
     CloseIdle(now, open.peer, open.sent);
--- a/Libraries/LibDecision/Connections/connection_monitor.h
+++ b/Libraries/LibDecision/Connections/connection_monitor.h
@@ -2,6 +2,7 @@
 #define LIBDECISION_CONNECTIONS_CONNECTION_MONITOR_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <unordered_map>
@@ -34,8 +35,12 @@
   /// The attempt is about to be given up, as the caller's deadline has passed.
   void OnDeadline(step& now, attempt_id attempt);
   void OnClosed(connection_id connection);
-  /// Closes silent connections and returns the attempts lost with them.
-  std::vector<attempt_id> OnTimer(step& now);
+  /// Closes silent connections and returns the attempts lost with them. An
+  /// attempt that `may_abandon` does not allow to be lost goes on: whoever
+  /// cannot ask elsewhere only loses by not waiting.
+  std::vector<attempt_id> OnTimer(
+      step& now,
+      const std::function<bool(attempt_id)>& may_abandon);
 
   std::size_t connection_count() const { return connections_.size(); }
 
--- a/Libraries/LibDecision/Registry/registration.cc
+++ b/Libraries/LibDecision/Registry/registration.cc
@@ -104,9 +104,9 @@
   }
   if (written_ != wanted_) {
     writing_ = wanted_;
-    return Call(now, stage::kWriting,
-                store_compare_and_swap{MemberKey(node_), wanted_, revision_,
-                                       *lease_});
+    return Call(
+        now, stage::kWriting,
+        store_compare_and_swap{MemberKey(node_), wanted_, revision_, *lease_});
   }
   if (now.now() >= renew_at_) {
     return Call(now, stage::kRenewing, store_renew_lease{*lease_});
--- a/Libraries/LibDecision/Retries/retry_share.cc
+++ b/Libraries/LibDecision/Retries/retry_share.cc
@@ -6,12 +6,15 @@
 
 namespace {
 
-// A service bears 0.2 arrivals beyond the first of each request. Repeats made
-// up to three calls above it come on top of its own, so a fourth is left for
-// each.
-constexpr double kServiceRetriesPerAttempt = 0.05;
+// A service bears 0.2 arrivals beyond the first of each request; the rest is
+// left for requests that cross the ends of the window in which they count.
+constexpr double kServiceRetriesPerAttempt = 0.15;
 // Of the 48 that a service bears on top, shared by about sixteen nodes.
-constexpr double kMostServiceRetries = 2;
+constexpr double kMostServiceRetries = 4;
+/// What is less important may not use the last retries.
+constexpr double kKeptForImportant = 2;
+/// Repeats that were not this node's choice are remembered up to here.
+constexpr double kDeepestDebt = -100;
 
 }  // namespace
 
@@ -27,19 +30,24 @@
   return true;
 }
 
-void service_retry_shares::OnFirstAttempt(const service_name& service) {
-  ShareOf(service).OnFirstAttempt();
+void service_retry_shares::OnFirstAttempt(const service_name& service,
+                                          bool is_repeat) {
+  double& tokens =
+      tokens_.try_emplace(service, kMostServiceRetries).first->second;
+  const double earned = is_repeat ? -1 : kServiceRetriesPerAttempt;
+  tokens = std::clamp(tokens + earned, kDeepestDebt, kMostServiceRetries);
 }
 
-bool service_retry_shares::TryTake(const service_name& service) {
-  return ShareOf(service).TryTake();
-}
-
-retry_share& service_retry_shares::ShareOf(const service_name& service) {
-  return shares_
-      .try_emplace(service, kServiceRetriesPerAttempt, kMostServiceRetries,
-                   kMostServiceRetries)
-      .first->second;
+bool service_retry_shares::TryTake(const service_name& service,
+                                   bool is_important) {
+  double& tokens =
+      tokens_.try_emplace(service, kMostServiceRetries).first->second;
+  const double needed = is_important ? 1 : 1 + kKeptForImportant;
+  if (tokens < needed) {
+    return false;
+  }
+  tokens -= 1;
+  return true;
 }
 
 }  // namespace auburnfold
--- a/Libraries/LibDecision/Retries/retry_share.h
+++ b/Libraries/LibDecision/Retries/retry_share.h
@@ -33,17 +33,22 @@
   double tokens_;
 };
 
-/// A share for each service. All nodes together stay within the retries that a
+/// A share for each service. All nodes together stay within the repeats that a
 /// service can bear, whatever each of them does, since each keeps to its own.
+///
+/// Answers faults deep in a call graph: a run that is itself a repeat repeats
+/// all its calls, and those count against the share of the service called. So
+/// one share holds at every level, however many levels repeat.
 class service_retry_shares {
  public:
-  void OnFirstAttempt(const service_name& service);
-  bool TryTake(const service_name& service);
+  /// A request goes to `service` for the first time.
+  void OnFirstAttempt(const service_name& service, bool is_repeat);
+  /// Takes one retry. When few are left they are kept for what is important.
+  bool TryTake(const service_name& service, bool is_important);
 
  private:
-  retry_share& ShareOf(const service_name& service);
-
-  std::unordered_map<service_name, retry_share> shares_;
+  /// Retries that may be made at once, by service.
+  std::unordered_map<service_name, double> tokens_;
 };
 
 }  // namespace auburnfold
--- a/Libraries/LibDecision/Routes/route.h
+++ b/Libraries/LibDecision/Routes/route.h
@@ -11,8 +11,7 @@
 namespace auburnfold {
 
 /// Names one state of the routes; a later state has a higher one.
-using route_version =
-    strong_value<struct route_version_tag, std::uint64_t>;
+using route_version = strong_value<struct route_version_tag, std::uint64_t>;
 
 /// One of the services that share the requests of a route.
 struct weighted_service {
--- a/Libraries/LibDecision/Routes/route_table.cc
+++ b/Libraries/LibDecision/Routes/route_table.cc
@@ -68,10 +68,9 @@
     return matched.services.front().service;
   }
   std::vector<host_route>& routes = hosts_.at(HostKey(matched.host));
-  const auto found =
-      std::find_if(routes.begin(), routes.end(), [&](const host_route& each) {
-        return &each.content == &matched;
-      });
+  const auto found = std::find_if(
+      routes.begin(), routes.end(),
+      [&](const host_route& each) { return &each.content == &matched; });
   std::int64_t round = 0;
   std::size_t next = 0;
   for (std::size_t i = 0; i < matched.services.size(); ++i) {
--- a/Libraries/LibDecision/Routing/router.cc
+++ b/Libraries/LibDecision/Routing/router.cc
@@ -116,8 +116,7 @@
   }
   const endpoint_view& view = endpoints_.at(record.node);
   const auto occupancy = view.Occupancy(now);
-  const bool has_room =
-      occupancy.value_or(0) < record.slots * kCrowdedShare;
+  const bool has_room = occupancy.value_or(0) < record.slots * kCrowdedShare;
   const bool is_quick =
       best_latency == 0 || view.latency_ns() <= best_latency * kSlowFactor;
   return has_room && is_quick && view.failed_share() < kFailingShare;
--- a/Libraries/LibDecision/Routing/router.h
+++ b/Libraries/LibDecision/Routing/router.h
@@ -49,7 +49,8 @@
   /// Keeps to the own failure domain if that costs callers nothing. Returns
   /// the candidate, or null.
   const member_record* ChooseNear(step& now);
-  bool IsGoodEnough(instant now, const member_record& record,
+  bool IsGoodEnough(instant now,
+                    const member_record& record,
                     double best_latency) const;
   bool MayEject(instant now, node_id node) const;
   void EjectIfFailing(step& now, node_id node);
--- a/Libraries/LibDecision/Store/prefix_watch.cc
+++ b/Libraries/LibDecision/Store/prefix_watch.cc
@@ -75,9 +75,8 @@
   }
   watch_call_ = numbers_.Next();
   now.Count(counter::kStoreCalls);
-  now.Emit(
-      call_store{*watch_call_, store_watch{options_.prefix, *revision_,
-                                           options_.longest_wait}});
+  now.Emit(call_store{*watch_call_, store_watch{options_.prefix, *revision_,
+                                                options_.longest_wait}});
 }
 
 void prefix_watch::OnListed(step& now, const store_result& result) {
--- a/Libraries/LibDecision/Works/incoming_works.cc
+++ b/Libraries/LibDecision/Works/incoming_works.cc
@@ -230,12 +230,14 @@
   }
 }
 
-void incoming_works::OnChildFinished(step&, work_id id) {
+void incoming_works::OnChildFinished(step&, const ended_child& child) {
+  const work_id id = child.parent;
   const auto found = works_.find(id);
   if (found == works_.end()) {
     return;
   }
   work& open = found->second;
+  open.has_failed_child = open.has_failed_child || child.is_failed;
   if (--open.open_children == 0) {
     admission_.OnResumed(id);
   }
@@ -352,6 +354,7 @@
   facts.level = std::max(
       facts.level, pressure_.DeepLevelFor(now.now(), open.facts.request_class));
   facts.allowance_left = allowance;
+  facts.has_failed_below = open.has_failed_child;
   return facts;
 }
 
--- a/Libraries/LibDecision/Works/incoming_works.h
+++ b/Libraries/LibDecision/Works/incoming_works.h
@@ -12,6 +12,7 @@
 #include "LibDecision/Retries/retry_allowance.h"
 #include "LibDecision/Table/table.h"
 #include "LibDecision/Works/own_endpoint.h"
+#include "LibDecision/ended_child.h"
 #include "LibDecision/event.h"
 #include "LibDecision/node_options.h"
 #include "LibDecision/step.h"
@@ -54,7 +55,7 @@
 
   /// A deeper call of `work` began or ended; meanwhile it needs no slot.
   void OnChildStarted(step& now, work_id work);
-  void OnChildFinished(step& now, work_id work);
+  void OnChildFinished(step& now, const ended_child& child);
 
   /// The running work from whose id `call` is derived: an endpoint may name
   /// its calls by that id, a point and a part of their own.
@@ -79,6 +80,8 @@
     /// The key in `facts` is recorded as in progress for this work.
     bool holds_key = false;
     std::uint32_t open_children = 0;
+    /// A deeper call ended without the endpoint's whole answer.
+    bool has_failed_child = false;
   };
 
   std::optional<error_kind> RefusalFor(instant now,
--- a/Libraries/LibDecision/Works/own_endpoint.cc
+++ b/Libraries/LibDecision/Works/own_endpoint.cc
@@ -51,9 +51,9 @@
 // A farewell that names another endpoint, or an earlier run, is an old one.
 report_effect own_endpoint::OnFarewell(step& now,
                                        const endpoint_reported& report) {
-  const bool is_own = report_ && report.name == report_->name &&
-                      (report.run == incarnation() ||
-                       report.run == report_->run);
+  const bool is_own =
+      report_ && report.name == report_->name &&
+      (report.run == incarnation() || report.run == report_->run);
   if (!is_own) {
     return report_effect::kIgnored;
   }
--- a/Libraries/LibDecision/answer_facts.h
+++ b/Libraries/LibDecision/answer_facts.h
@@ -19,6 +19,9 @@
   /// Delay after which the answering node expects to admit again; zero if it
   /// admits now.
   duration retry_after{};
+  /// A call that the endpoint made for the request failed, so its failure is
+  /// not its own.
+  bool has_failed_below = false;
   /// The endpoint started recently and takes a reduced share.
   bool is_cold = false;
 };
--- a/Libraries/LibDecision/reducer.cc
+++ b/Libraries/LibDecision/reducer.cc
@@ -50,8 +50,8 @@
   std::optional<instant> wake;
 
   void On(step& now, const node_started& self) {
-    now.Log({.kind = decision_kind::kStarted, .node = self.node,
-             .run = self.run});
+    now.Log(
+        {.kind = decision_kind::kStarted, .node = self.node, .run = self.run});
     members.Start(now, self);
     switch (options.discovery) {
       case discovery_choice::kGossip:
@@ -222,8 +222,8 @@
   // The others still know it, and whoever sends it work can tell it the rest.
   void AskSenderForView(step& now, const work_arrived& arrived) {
     const bool is_informed = routes.version() && nodes.is_listed();
-    const bool is_asked = view_asked_at &&
-                          now.now() - *view_asked_at < kViewInterval;
+    const bool is_asked =
+        view_asked_at && now.now() - *view_asked_at < kViewInterval;
     if (is_informed || is_asked || arrived.from_address.host.empty()) {
       return;
     }
@@ -292,8 +292,8 @@
   }
 
   void ResumeParents(step& now) {
-    for (const work_id parent : calls.TakeEndedChildren()) {
-      works.OnChildFinished(now, parent);
+    for (const ended_child& child : calls.TakeEndedChildren()) {
+      works.OnChildFinished(now, child);
     }
   }
 
--- a/Libraries/LibDecision/request_facts.h
+++ b/Libraries/LibDecision/request_facts.h
@@ -31,6 +31,9 @@
   std::uint16_t allowance = 0;
   /// 1 for the client's first send, higher for its own resends.
   std::uint16_t client_attempt = 1;
+  /// An earlier attempt at it, or at what it was made for, may have run: all
+  /// that it causes comes on top of what callers asked for.
+  bool is_repeat = false;
   /// Hops from the entry; 0 at the entry itself.
   std::uint16_t depth = 0;
   /// Priority of the root request, 0 lowest to 7 highest; unset at the entry,
--- a/Libraries/LibRuntime/call_side.cc
+++ b/Libraries/LibRuntime/call_side.cc
@@ -53,8 +53,8 @@
       },
       [&](const request_error& error) {
         metrics_.CountError(error.kind);
-        session->Answer(dialect_.MakeError(
-            {.kind = error.kind, .reason = error.reason}));
+        session->Answer(
+            dialect_.MakeError({.kind = error.kind, .reason = error.reason}));
       },
       [&] { session->Close(); });
 }
@@ -165,11 +165,10 @@
   if (call == calls_.end()) {
     return;
   }
-  Answer(refused.call,
-         dialect_.MakeError({.kind = refused.kind,
-                             .ran = refused.ran,
-                             .retry_after = refused.retry_after,
-                             .request = call->second.id}));
+  Answer(refused.call, dialect_.MakeError({.kind = refused.kind,
+                                           .ran = refused.ran,
+                                           .retry_after = refused.retry_after,
+                                           .request = call->second.id}));
 }
 
 void call_side::Answer(call_id call, http_response response) {
--- a/Libraries/LibRuntime/client_connection.cc
+++ b/Libraries/LibRuntime/client_connection.cc
@@ -205,11 +205,11 @@
     const char* first = stated.data() + at + kTimeout.size();
     std::from_chars(first, stated.data() + stated.size(), seconds);
   }
-  const auto limit = seconds > 0 ? std::min<std::chrono::milliseconds>(
-                                       kIdleLimit, std::chrono::seconds(
-                                                       seconds)) /
-                                       kStatedIdlePart
-                                 : std::chrono::milliseconds(kIdleLimit);
+  const auto limit = seconds > 0
+                         ? std::min<std::chrono::milliseconds>(
+                               kIdleLimit, std::chrono::seconds(seconds)) /
+                               kStatedIdlePart
+                         : std::chrono::milliseconds(kIdleLimit);
   return clock::now() + limit;
 }
 
--- a/Libraries/LibRuntime/decision_log.cc
+++ b/Libraries/LibRuntime/decision_log.cc
@@ -105,8 +105,7 @@
 }  // namespace
 
 void decision_log::Write(const decision_record& record) {
-  const bool is_sampled =
-      StableHash(record.root.value()) % kSampleOneIn == 0;
+  const bool is_sampled = StableHash(record.root.value()) % kSampleOneIn == 0;
   if (IsRoutine(record.kind) && !is_sampled) {
     return;
   }
--- a/Libraries/LibRuntime/decision_loop.cc
+++ b/Libraries/LibRuntime/decision_loop.cc
@@ -8,7 +8,9 @@
 decision_loop::decision_loop(const node_options& options,
                              executor execute,
                              finisher finish)
-    : state_(options), execute_(std::move(execute)), finish_(std::move(finish)) {
+    : state_(options),
+      execute_(std::move(execute)),
+      finish_(std::move(finish)) {
   std::random_device device;
   std::seed_seq seed{device(), device(), device(), device()};
   random_.seed(seed);
--- a/Libraries/LibRuntime/decision_loop.h
+++ b/Libraries/LibRuntime/decision_loop.h
@@ -18,9 +18,7 @@
 
   /// `execute` is called for each effect, `finish` once all effects of an
   /// event are executed.
-  decision_loop(const node_options& options,
-                executor execute,
-                finisher finish);
+  decision_loop(const node_options& options, executor execute, finisher finish);
 
   /// An event given while another is worked on waits for it to end.
   void Feed(event_content content);
--- a/Libraries/LibRuntime/headers.cc
+++ b/Libraries/LibRuntime/headers.cc
@@ -170,6 +170,7 @@
   facts.own_id = own_id.empty() ? facts.root : request_id(std::string(own_id));
   facts.objective = std::chrono::milliseconds(
       NumberOrZero<std::uint32_t>(headers, kObjectiveHeader));
+  facts.is_repeat = !ValueOf(headers, kRepeatHeader).empty();
   if (ValueOf(headers, kKeyedHeader).empty()) {
     facts.key.reset();
   }
@@ -220,6 +221,7 @@
   facts.in_flight = NumberOrZero<std::uint32_t>(headers, kInFlightHeader);
   facts.retry_after = std::chrono::milliseconds(
       NumberOrZero<std::uint32_t>(headers, kRetryAfterMsHeader));
+  facts.has_failed_below = !ValueOf(headers, kFailedBelowHeader).empty();
   facts.is_cold = ValueOf(headers, kColdHeader) == "1";
   return facts;
 }
@@ -298,6 +300,9 @@
   if (facts.key) {
     headers.set(kKeyedHeader, "1");
   }
+  if (facts.is_repeat) {
+    headers.set(kRepeatHeader, "1");
+  }
   if (facts.priority) {
     Set(headers, kPriorityHeader, *facts.priority);
   }
@@ -324,6 +329,9 @@
   if (facts.retry_after > duration::zero()) {
     Set(headers, kRetryAfterMsHeader, MillisecondsRoundedUp(facts.retry_after));
   }
+  if (facts.has_failed_below) {
+    headers.set(kFailedBelowHeader, "1");
+  }
   if (facts.is_cold) {
     headers.set(kColdHeader, "1");
   }
--- a/Libraries/LibRuntime/node_runtime.cc
+++ b/Libraries/LibRuntime/node_runtime.cc
@@ -3,11 +3,11 @@
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
 
+#include <algorithm>
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/leaf/error.hpp>
 #include <boost/leaf/handle_errors.hpp>
-#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -155,8 +155,10 @@
            {from.host, from.peer_port, from.control_port},
            from.domain},
       metrics(from.label_limit),
-      loop(options, [this](effect& one) { Execute(one); },
-           [this](const event_content& content) { OnHandled(content); }),
+      loop(
+          options,
+          [this](effect& one) { Execute(one); },
+          [this](const event_content& content) { OnHandled(content); }),
       sink([this](event_content content) { loop.Feed(std::move(content)); }),
       works(
           io,
@@ -434,8 +436,8 @@
       },
       [&](const request_error& error) {
         metrics.CountError(error.kind);
-        session->Answer(dialect.MakeError(
-            {.kind = error.kind, .reason = error.reason}));
+        session->Answer(
+            dialect.MakeError({.kind = error.kind, .reason = error.reason}));
       },
       [&] { session->Close(); });
 }
@@ -449,10 +451,8 @@
                            const node_settings& settings,
                            any_wire_dialect dialect,
                            const node_options& options)
-    : parts_(std::make_unique<parts>(io,
-                                     settings,
-                                     std::move(dialect),
-                                     options)) {}
+    : parts_(
+          std::make_unique<parts>(io, settings, std::move(dialect), options)) {}
 node_runtime::~node_runtime() = default;
 
 void node_runtime::SetStoreCaller(store_caller caller) {
--- a/Libraries/LibRuntime/view_codec.cc
+++ b/Libraries/LibRuntime/view_codec.cc
@@ -19,8 +19,7 @@
 }
 
 std::optional<peer_view> DecodeView(std::string_view text) {
-  const std::size_t end =
-      text.starts_with('\n') ? 0 : text.find("\n\n");
+  const std::size_t end = text.starts_with('\n') ? 0 : text.find("\n\n");
   if (end == std::string_view::npos) {
     return std::nullopt;
   }
--- a/Libraries/LibRuntime/view_side.cc
+++ b/Libraries/LibRuntime/view_side.cc
@@ -61,8 +61,8 @@
 void view_side::Execute(const give_view& given) {
   const auto session = waiting_.extract(given.call);
   if (session) {
-    session.mapped()->Answer(MakeTextAnswer(http::status::ok, "text/plain",
-                                            EncodeView(given.view)));
+    session.mapped()->Answer(
+        MakeTextAnswer(http::status::ok, "text/plain", EncodeView(given.view)));
   }
 }
 
--- a/Libraries/LibRuntime/wire_dialect.h
+++ b/Libraries/LibRuntime/wire_dialect.h
@@ -59,9 +59,7 @@
                                 const caller_error& error,
                                 const request_id& request_name) {
   /// Reads a caller's request. Fails with `request_error`.
-  {
-    dialect.ReadCaller(request)
-    } -> std::same_as<leaf::result<caller_request>>;
+  { dialect.ReadCaller(request) } -> std::same_as<leaf::result<caller_request>>;
   /// Adds what an endpoint is to know of where a request began.
   { dialect.MarkOrigin(headers) } -> std::same_as<void>;
   /// Adds what an endpoint is to know about a request.
--- a/Libraries/LibRuntime/work_side.cc
+++ b/Libraries/LibRuntime/work_side.cc
@@ -58,12 +58,12 @@
   open.arrived = clock::now();
   session->WatchCaller([this, id] { OnSenderGone(id); });
   // All nodes listen for each other at the same port.
-  sink_(work_arrived{id,
-                     from,
-                     {.host = session->peer_host(),
-                      .peer_port = self_.address.peer_port},
-                     std::move(facts),
-                     expected_run});
+  sink_(work_arrived{
+      id,
+      from,
+      {.host = session->peer_host(), .peer_port = self_.address.peer_port},
+      std::move(facts),
+      expected_run});
 }
 
 void work_side::OnSenderGone(work_id work) {
@@ -113,9 +113,8 @@
   out.message.version(kHttp11);
   out.message.body() = {request->body().data(), request->body().size()};
   dialect_.WriteToEndpoint(
-      out.message,
-      {open.facts, run.time_left, run.endpoint,
-       parent_token{self_.node, self_.run, run.work}.Text()});
+      out.message, {open.facts, run.time_left, run.endpoint,
+                    parent_token{self_.node, self_.run, run.work}.Text()});
   out.echoed_header = dialect_.echoed_header();
   if (!out.echoed_header.empty()) {
     out.echoed_value = std::string(out.message[out.echoed_header]);
--- a/Libraries/LibWire/base64.cc
+++ b/Libraries/LibWire/base64.cc
@@ -14,10 +14,8 @@
 
 using encoder = iterators::base64_from_binary<
     iterators::transform_width<const char*, 6, 8>>;
-using decoder =
-    iterators::transform_width<iterators::binary_from_base64<const char*>,
-                               8,
-                               6>;
+using decoder = iterators::
+    transform_width<iterators::binary_from_base64<const char*>, 8, 6>;
 
 constexpr std::size_t kGroupBytes = 3;
 constexpr std::size_t kGroupCharacters = 4;
@@ -30,8 +28,7 @@
 }  // namespace
 
 std::string ToBase64(std::string_view bytes) {
-  std::string text(encoder(bytes.data()),
-                   encoder(bytes.data() + bytes.size()));
+  std::string text(encoder(bytes.data()), encoder(bytes.data() + bytes.size()));
   const std::size_t over = bytes.size() % kGroupBytes;
   text.append(over == 0 ? 0 : kGroupBytes - over, '=');
   return text;
@@ -43,9 +40,9 @@
   }
   const std::size_t digits = text.find_last_not_of('=') + 1;
   const std::size_t padding = text.size() - digits;
-  const bool is_whole = padding < kGroupBytes &&
-                        std::all_of(text.begin(), text.begin() + digits,
-                                    IsBase64Character);
+  const bool is_whole =
+      padding < kGroupBytes &&
+      std::all_of(text.begin(), text.begin() + digits, IsBase64Character);
   if (!is_whole) {
     return std::nullopt;
   }
--- a/Libraries/LibWire/header_names.h
+++ b/Libraries/LibWire/header_names.h
@@ -29,6 +29,11 @@
     "Auburnfold-Expected-Run";
 inline constexpr std::string_view kAllowanceHeader = "Auburnfold-Allowance";
 inline constexpr std::string_view kDepthHeader = "Auburnfold-Depth";
+/// An earlier attempt may have run.
+inline constexpr std::string_view kRepeatHeader = "Auburnfold-Repeat";
+/// A call that the endpoint made for the request failed.
+inline constexpr std::string_view kFailedBelowHeader =
+    "Auburnfold-Failed-Below";
 inline constexpr std::string_view kPriorityHeader = "Auburnfold-Priority";
 inline constexpr std::string_view kPurposeHeader = "Auburnfold-Purpose";
 inline constexpr std::string_view kLevelHeader = "Auburnfold-Level";
--- a/Tests/LibDecision/announced_limit_test.cc
+++ b/Tests/LibDecision/announced_limit_test.cc
@@ -8,8 +8,8 @@
 class an_announced_limit : public testing::Test {
  protected:
   void Refuse(std::uint32_t running) {
-    limit_.OnSample(instant(), {.occupancy = {running, running},
-                                .is_refused = true});
+    limit_.OnSample(instant(),
+                    {.occupancy = {running, running}, .is_refused = true});
   }
   void Answer(int times) {
     for (int i = 0; i < times; ++i) {
--- a/Tests/LibDecision/connections_test.cc
+++ b/Tests/LibDecision/connections_test.cc
@@ -35,7 +35,8 @@
 
   std::vector<attempt_id> Look() {
     step now(now_, 1, timers_);
-    std::vector<attempt_id> lost = monitor_.OnTimer(now);
+    std::vector<attempt_id> lost =
+        monitor_.OnTimer(now, [this](attempt_id) { return may_abandon_; });
     closed_.clear();
     for (const effect& each : now.TakeEffects()) {
       if (const auto* close = std::get_if<close_connection>(&each)) {
@@ -48,6 +49,7 @@
   timer_service timers_;
   instant now_{};
   connection_monitor monitor_;
+  bool may_abandon_ = true;
   std::vector<connection_id> closed_;
 };
 
@@ -67,6 +69,14 @@
   EXPECT_EQ(closed_, std::vector{connection_id(7)});
 }
 
+TEST_F(a_silent_connection, IsKeptForARequestThatCannotGoElsewhere) {
+  may_abandon_ = false;
+  now_ += 200ms;
+  Exchange(2, 8);
+  now_ += 200ms;
+  EXPECT_TRUE(Look().empty());
+}
+
 TEST_F(a_silent_connection, IsKeptWhileNobodyAnswers) {
   now_ += 1s;
   EXPECT_TRUE(Look().empty());
--- a/Tests/LibDecision/control_fleet.cc
+++ b/Tests/LibDecision/control_fleet.cc
@@ -45,8 +45,8 @@
   node& started = *nodes_[index];
   started.timers = timer_service();
   started.rows = std::make_unique<table>();
-  started.members = std::make_unique<membership>(
-      *started.rows, discovery_choice::kGossip);
+  started.members =
+      std::make_unique<membership>(*started.rows, discovery_choice::kGossip);
   started.is_running = true;
   started.is_paused = false;
   started.wake.reset();
--- a/Tests/LibDecision/registry_test.cc
+++ b/Tests/LibDecision/registry_test.cc
@@ -267,11 +267,10 @@
 }
 
 TEST_F(another_node, IsLearnedFromThePeerThatSendsWorkWhileTheServiceIsAway) {
-  const effects made =
-      Happen(work_arrived{.work = work_id(1),
-                          .from = node_id(2),
-                          .from_address = {.host = "10.0.0.2",
-                                           .peer_port = 80}});
+  const effects made = Happen(
+      work_arrived{.work = work_id(1),
+                   .from = node_id(2),
+                   .from_address = {.host = "10.0.0.2", .peer_port = 80}});
   bool is_asked = false;
   for (const effect& each : made) {
     is_asked = is_asked || std::holds_alternative<ask_view>(each);
--- a/Tests/LibDecision/routes_test.cc
+++ b/Tests/LibDecision/routes_test.cc
@@ -20,8 +20,8 @@
 class a_route_table : public testing::Test {
  protected:
   void Take(std::uint64_t version, std::vector<route> routes) {
-    taken_ = table_.Take(
-        instant(), {.version = route_version(version), .routes = routes});
+    taken_ = table_.Take(instant(),
+                         {.version = route_version(version), .routes = routes});
   }
 
   std::string Matched(std::string_view host, std::string_view path) const {
@@ -79,9 +79,8 @@
 
 TEST_F(weighted_services, GetTheirSharesOverFewRequests) {
   route split = MakeRoute("split", "/a/", "x");
-  split.services = {{service_name("x"), 90},
-                    {service_name("y"), 10},
-                    {service_name("z"), 0}};
+  split.services = {
+      {service_name("x"), 90}, {service_name("y"), 10}, {service_name("z"), 0}};
   Take(1, {split});
   const route* found = table_.Match("lots.example", "/a/");
   std::map<std::string, int> shares;
--- a/Tests/StandIns/store_calls.cc
+++ b/Tests/StandIns/store_calls.cc
@@ -17,8 +17,7 @@
 namespace {
 
 constexpr std::array<const char*, 7> kNames = {
-    "get",          "list",        "put",      "watch",
-    "create_lease", "renew_lease", "end_lease"};
+    "get", "list", "put", "watch", "create_lease", "renew_lease", "end_lease"};
 
 constexpr std::string_view kRenewPath = "/kv-keep/";
 constexpr std::string_view kEndPath = "/kv-lease-end/";
@@ -96,13 +95,12 @@
   call.key = boost::json::value_to<std::string>(written->at("key"));
   call.expected =
       boost::json::value_to<std::uint64_t>(expected->at("revision"));
-  const auto lease =
-      boost::json::value_to<std::uint64_t>(written->at("lease"));
+  const auto lease = boost::json::value_to<std::uint64_t>(written->at("lease"));
   if (lease != 0) {
     call.lease = lease;
   }
-  const auto value = FromBase64(
-      boost::json::value_to<std::string>(written->at("value")));
+  const auto value =
+      FromBase64(boost::json::value_to<std::string>(written->at("value")));
   if (!value || expected->at("key") != written->at("key")) {
     return std::nullopt;
   }
--- a/Tests/StandIns/store_process.cc
+++ b/Tests/StandIns/store_process.cc
@@ -32,8 +32,7 @@
 }
 
 boost::json::object RemovedJson(const key_value_entry& entry) {
-  return {
-      {"key", entry.key}, {"revision", entry.revision}, {"deleted", true}};
+  return {{"key", entry.key}, {"revision", entry.revision}, {"deleted", true}};
 }
 
 boost::json::array EntriesJson(const std::vector<key_value_entry>& entries) {
@@ -171,11 +170,10 @@
       return session->Answer(JsonAnswer(http::status::ok, std::move(item)));
     }
     case store_call_kind::kList:
-      return session->Answer(
-          JsonAnswer(http::status::ok,
-                     {{"items", EntriesJson(model_.List(call.prefix))},
-                      {"hasMore", false},
-                      {"asOf", model_.revision()}}));
+      return session->Answer(JsonAnswer(
+          http::status::ok, {{"items", EntriesJson(model_.List(call.prefix))},
+                             {"hasMore", false},
+                             {"asOf", model_.revision()}}));
     case store_call_kind::kPut:
       return ServePut(session, std::move(call));
     case store_call_kind::kWatch:
@@ -238,9 +236,8 @@
 
 void store_process::AnswerWatch(const http_session::pointer& session,
                                 boost::json::array events) {
-  session->Answer(JsonAnswer(
-      http::status::ok,
-      {{"events", std::move(events)}, {"asOf", model_.revision()}}));
+  session->Answer(JsonAnswer(http::status::ok, {{"events", std::move(events)},
+                                                {"asOf", model_.revision()}}));
 }
 
 boost::json::array store_process::EventsAfter(const std::string& prefix,
--- a/Tests/platform/store_client_test.cc
+++ b/Tests/platform/store_client_test.cc
@@ -76,8 +76,7 @@
   store_compare_and_swap write = kWrite;
   write.lease = store_lease(77);
   const store_result result = Call(write);
-  EXPECT_EQ(received_.substr(0, received_.find('\r')),
-            "POST /kv-txn HTTP/1.1");
+  EXPECT_EQ(received_.substr(0, received_.find('\r')), "POST /kv-txn HTTP/1.1");
   EXPECT_EQ(received_.substr(received_.find("\r\n\r\n") + 4),
             R"({"expect":[{"key":"table/a b/c","revision":4}],)"
             R"("writes":[{"key":"table/a b/c","value":"bmV3","lease":77}],)"
@@ -89,8 +88,9 @@
 }
 
 TEST_F(a_write, ThatMeetsAnotherRevisionIsToldTheCurrentEntry) {
-  answer_ = Answer("412 Precondition Failed",
-                   R"({"items":[{"key":"k","value":"dGhlaXJz","revision":9}]})");
+  answer_ =
+      Answer("412 Precondition Failed",
+             R"({"items":[{"key":"k","value":"dGhlaXJz","revision":9}]})");
   Serve();
   const store_result result = Call(kWrite);
   EXPECT_EQ(result.status, store_status::kConflict);
@@ -150,10 +150,10 @@
 class a_read : public a_store {};
 
 TEST_F(a_read, GetsEveryEntryAndTheRevision) {
-  answer_ = Answer("200 OK",
-                   R"({"items":[{"key":"a","value":"MQ==","revision":2},)"
-                   R"({"key":"b","value":"","revision":3}],)"
-                   R"("hasMore":false,"asOf":7})");
+  answer_ =
+      Answer("200 OK", R"({"items":[{"key":"a","value":"MQ==","revision":2},)"
+                       R"({"key":"b","value":"","revision":3}],)"
+                       R"("hasMore":false,"asOf":7})");
   Serve();
   const store_result result = Call(store_list{"table/"});
   EXPECT_EQ(result.status, store_status::kDone);
@@ -164,9 +164,9 @@
 }
 
 TEST_F(a_read, LeavesOutWhatAnotherWriterLeftInAnotherForm) {
-  answer_ = Answer("200 OK",
-                   R"({"items":[{"key":1},{"key":"a","value":"%","revision":1},)"
-                   R"({"key":"b","value":"Mg==","revision":3}],"asOf":7})");
+  answer_ = Answer(
+      "200 OK", R"({"items":[{"key":1},{"key":"a","value":"%","revision":1},)"
+                R"({"key":"b","value":"Mg==","revision":3}],"asOf":7})");
   Serve();
   const store_result result = Call(store_list{"table/"});
   ASSERT_EQ(result.entries.size(), 1U);
@@ -190,9 +190,9 @@
 class a_watch : public a_store {};
 
 TEST_F(a_watch, ShowsWhatWasWrittenAndWhatWasRemoved) {
-  answer_ = Answer("200 OK",
-                   R"({"events":[{"key":"a","value":"MQ==","revision":8},)"
-                   R"({"key":"b","revision":9,"deleted":true}],"asOf":9})");
+  answer_ =
+      Answer("200 OK", R"({"events":[{"key":"a","value":"MQ==","revision":8},)"
+                       R"({"key":"b","revision":9,"deleted":true}],"asOf":9})");
   Serve();
   const store_result result = Call(store_watch{"table/", store_revision(6)});
   EXPECT_EQ(received_.substr(0, received_.find('\r')),
--- a/Utilities/auburnfold-bench/decision_bench.cc
+++ b/Utilities/auburnfold-bench/decision_bench.cc
@@ -41,11 +41,11 @@
     }
     Happen(attempt_sent{sent->attempt, connection_id(1)});
     const work_id work(calls_);
-    const auto run = Find<run_work>(Happen(
-        work_arrived{.work = work,
-                     .from = node_id(1),
-                     .facts = sent->facts,
-                     .expected_run = sent->expected_run}));
+    const auto run = Find<run_work>(
+        Happen(work_arrived{.work = work,
+                            .from = node_id(1),
+                            .facts = sent->facts,
+                            .expected_run = sent->expected_run}));
     if (!run) {
       return false;
     }
--- a/Utilities/auburnfold/main.cc
+++ b/Utilities/auburnfold/main.cc
@@ -8,6 +8,7 @@
 #include <boost/json.hpp>
 #include <chrono>
 #include <cstdlib>
+#include <fstream>
 #include <iostream>
 #include <optional>
 #include <random>
@@ -15,6 +16,8 @@
 #include <utility>
 #include <vector>
 
+#include "auburnfold/log_story.h"
+
 namespace auburnfold {
 
 namespace {
@@ -52,7 +55,9 @@
   TCLAP::CmdLine line(
       "Shows and changes the table, and nodes. Commands: table show; "
       "table history|delete SERVICE CLASS; table set SERVICE CLASS JSON; "
-      "table rollback SERVICE CLASS VERSION; nodes; drain on|off; status. The "
+      "table rollback SERVICE CLASS VERSION; nodes; drain on|off; status; "
+      "explain REQUEST-ID [FILE...] and summary [FILE...], which read the "
+      "nodes' logs from files or standard input. The "
       "token is read from AUBURNFOLD_TOKEN. Exit codes: 0 done, 1 refused, 64 "
       "wrong usage, 69 no answer.",
       ' ', AUBURNFOLD_VERSION);
@@ -186,7 +191,55 @@
   return json::serialize(answer) + "\n";
 }
 
+/// Lets `reader` read the named logs, or standard input if none is named.
+template <class log_reader>
+bool ReadLogs(const std::vector<std::string>& files, log_reader& reader) {
+  if (files.empty()) {
+    reader.Read(std::cin);
+  }
+  for (const std::string& file : files) {
+    std::ifstream log(file);
+    if (!log) {
+      std::cerr << file << ": cannot be read\n";
+      return false;
+    }
+    reader.Read(log);
+  }
+  if (reader.unread_lines() > 0) {
+    std::cerr << reader.unread_lines() << " lines could not be read\n";
+  }
+  return true;
+}
+
+int Explain(const std::vector<std::string>& words) {
+  log_story story(words[1]);
+  if (!ReadLogs({words.begin() + 2, words.end()}, story)) {
+    return EX_NOINPUT;
+  }
+  if (story.is_empty()) {
+    std::cerr << "no line tells of " << words[1] << "\n";
+    return EXIT_FAILURE;
+  }
+  story.Write(std::cout);
+  return EX_OK;
+}
+
+int Summarize(const std::vector<std::string>& words) {
+  log_summary summary;
+  if (!ReadLogs({words.begin() + 1, words.end()}, summary)) {
+    return EX_NOINPUT;
+  }
+  summary.Write(std::cout);
+  return EX_OK;
+}
+
 int Run(const options& chosen) {
+  if (chosen.words.size() > 1 && chosen.words[0] == "explain") {
+    return Explain(chosen.words);
+  }
+  if (!chosen.words.empty() && chosen.words[0] == "summary") {
+    return Summarize(chosen.words);
+  }
   const auto call = CallFor(chosen.words);
   if (!call) {
     std::cerr << "no such command; see --help\n";
