--- a/Libraries/LibDecision/Calls/outgoing_calls.cc
+++ b/Libraries/LibDecision/Calls/outgoing_calls.cc
@@ -141,6 +141,11 @@
   }
   if (open.parent) {
     pressure_.OnDeepCall(now.now(), open.parent_class, CalledBy(open));
+    // What ran for it would be lost: it may wait at the endpoint, while fewer
+    // new requests are let in.
+    if (!options_.refuses_running_early) {
+      return false;
+    }
   }
   const std::uint16_t level = pressure_.LevelFor(now.now(), CalledBy(open));
   const rank position =
--- a/Libraries/LibDecision/Routes/route.h
+++ b/Libraries/LibDecision/Routes/route.h
@@ -43,7 +43,7 @@
 /// What a caller may send, and how long it may take.
 struct caller_limits {
   std::uint32_t header_bytes = 16 * 1024;
-  std::uint64_t body_bytes = 1024 * 1024;
+  std::uint64_t body_bytes = std::uint64_t{1024} * 1024;
   /// Longest time for the headers of a request.
   duration header_wait = std::chrono::seconds(10);
   /// Longest time without a request on an open connection.
--- a/Libraries/LibDecision/node_options.h
+++ b/Libraries/LibDecision/node_options.h
@@ -58,6 +58,8 @@
   duration stop_limit = std::chrono::seconds(25);
   /// Calls are refused early that a deeper service would refuse.
   bool refuses_early = true;
+  /// Also those that work which already runs has made.
+  bool refuses_running_early = true;
 };
 
 }  // namespace auburnfold
--- a/Libraries/LibRuntime/headers.cc
+++ b/Libraries/LibRuntime/headers.cc
@@ -201,7 +201,9 @@
                         duration time_left) {
   headers.set(kServiceHeader, facts.service.value());
   headers.set(kClassHeader, facts.request_class.value());
-  headers.set(kTenantHeader, facts.tenant.value());
+  if (facts.tenant.value() != kDefaultTenant) {
+    headers.set(kTenantHeader, facts.tenant.value());
+  }
   headers.set(kRequestIdHeader, facts.root.value());
   // Rounded down: a hop must never believe in more time than there is.
   Set(headers, kTimeoutHeader,
@@ -290,7 +292,9 @@
   headers.set(kFromHeader, ToHexadecimal(from.value()));
   Set(headers, kExpectedRunHeader, expected_run.value());
   Set(headers, kAllowanceHeader, facts.allowance);
-  Set(headers, kDepthHeader, facts.depth);
+  if (facts.depth > 0) {
+    Set(headers, kDepthHeader, facts.depth);
+  }
   if (facts.own_id != facts.root && !facts.own_id.value().empty()) {
     headers.set(kOwnIdHeader, facts.own_id.value());
   }
@@ -323,9 +327,16 @@
 }
 
 void WriteAnswerFacts(http::fields& headers, const answer_facts& facts) {
-  Set(headers, kLevelHeader, facts.level);
-  Set(headers, kAllowanceLeftHeader, facts.allowance_left);
-  Set(headers, kInFlightHeader, facts.in_flight);
+  // What is zero is not sent: bytes between failure domains are dear.
+  if (facts.level > 0) {
+    Set(headers, kLevelHeader, facts.level);
+  }
+  if (facts.allowance_left > 0) {
+    Set(headers, kAllowanceLeftHeader, facts.allowance_left);
+  }
+  if (facts.in_flight > 0) {
+    Set(headers, kInFlightHeader, facts.in_flight);
+  }
   if (facts.retry_after > duration::zero()) {
     Set(headers, kRetryAfterMsHeader, MillisecondsRoundedUp(facts.retry_after));
   }
--- a/Libraries/LibRuntime/work_side.cc
+++ b/Libraries/LibRuntime/work_side.cc
@@ -151,7 +151,7 @@
   }
   http_response response = std::move(found->second.response);
   StripHeaders(response);
-  MarkWhole(response, found->second.facts.root);
+  response.set(kResultHeader, kCompleteResult);
   metrics_.ObserveWork(found->second.facts.request_class,
                        clock::now() - found->second.arrived);
   Answer(relayed.work, std::move(response), relayed.facts);
--- a/Services/auburnfold-node/main.cc
+++ b/Services/auburnfold-node/main.cc
@@ -130,7 +130,8 @@
           .route_key = std::string(platform::kRoutesKey),
           .leaving_grace = kPlatformLeavingGrace,
           .stop_grace = kPlatformStopGrace,
-          .stop_limit = settings.stop_limit * kStopLimitPercent / 100};
+          .stop_limit = settings.stop_limit * kStopLimitPercent / 100,
+          .refuses_running_early = false};
 }
 
 std::unique_ptr<node_runtime> MakeNode(boost::asio::io_context& io,
--- a/Tests/LibDecision/routes_test.cc
+++ b/Tests/LibDecision/routes_test.cc
@@ -19,7 +19,7 @@
 
 class a_route_table : public testing::Test {
  protected:
-  void Take(std::uint64_t version, std::vector<route> routes) {
+  void Take(std::uint64_t version, const std::vector<route>& routes) {
     taken_ = table_.Take(instant(),
                          {.version = route_version(version), .routes = routes});
   }
--- a/Tests/StandIns/store_process.cc
+++ b/Tests/StandIns/store_process.cc
@@ -220,9 +220,9 @@
 
 void store_process::ServeWatch(const http_session::pointer& session,
                                const store_call& call) {
-  boost::json::array events = EventsAfter(call.prefix, call.after);
+  const boost::json::array events = EventsAfter(call.prefix, call.after);
   if (!events.empty()) {
-    return AnswerWatch(session, std::move(events));
+    return AnswerWatch(session, events);
   }
   const auto timer = std::make_shared<boost::asio::steady_timer>(
       context_, std::chrono::milliseconds(call.wait_ms));
--- a/Tests/StandIns/store_process.h
+++ b/Tests/StandIns/store_process.h
@@ -43,7 +43,7 @@
   void WakeWatches(const std::string& changed);
   void LapseLeases();
   void AnswerWatch(const http_session::pointer& session,
-                   boost::json::array events);
+                   const boost::json::array& events);
   boost::json::array EventsAfter(const std::string& prefix,
                                  std::uint64_t after) const;
 
