--- a/Tests/StandIns/store_process.cc
+++ b/Tests/StandIns/store_process.cc
@@ -235,9 +235,9 @@
 }
 
 void store_process::AnswerWatch(const http_session::pointer& session,
-                                boost::json::array events) {
-  session->Answer(JsonAnswer(http::status::ok, {{"events", std::move(events)},
-                                                {"asOf", model_.revision()}}));
+                                const boost::json::array& events) {
+  session->Answer(JsonAnswer(
+      http::status::ok, {{"events", events}, {"asOf", model_.revision()}}));
 }
 
 boost::json::array store_process::EventsAfter(const std::string& prefix,
