Runtime: Keep the product's own interface as its tests state it

Change: whether a connection may end an answer is the dialect's; foreign keys are marked instead of own ones; the router draws only where slots are announced; a stopping node on the platform ends before the platform's limit.

--- a/Libraries/LibDecision/Routing/router.cc
+++ b/Libraries/LibDecision/Routing/router.cc
@@ -82,7 +82,12 @@
 // others and does not fail, is preferred; a few requests still go anywhere, so
 // that the others are known.
 const member_record* router::ChooseNear(step& now) {
-  if (now.RandomShare() < kExploredShare) {
+  const bool is_any_near = std::any_of(
+      candidates_.begin(), candidates_.end(),
+      [this](const member_record* each) {
+        return each->slots > 0 && each->domain == members_.self().domain;
+      });
+  if (!is_any_near || now.RandomShare() < kExploredShare) {
     return nullptr;
   }
   double best_latency = 0;
--- a/Libraries/LibDecision/Works/own_endpoint.cc
+++ b/Libraries/LibDecision/Works/own_endpoint.cc
@@ -91,7 +91,7 @@
     return error_kind::kNoEndpoint;
   }
   if (now < unreachable_until_) {
-    return error_kind::kNoEndpoint;
+    return error_kind::kEndpointUnreachable;
   }
   if (leaving_since_ && now - *leaving_since_ >= leaving_grace_) {
     return error_kind::kEndpointLeaving;
--- a/Libraries/LibRuntime/client_connection.cc
+++ b/Libraries/LibRuntime/client_connection.cc
@@ -247,6 +247,7 @@
 // length, but only if the other side ended it in order.
 void client_connection::EndByPeer(error_code error) {
   const bool may_end_answer = state_ == state::kBusy &&
+                              request_.may_end_with_connection &&
                               error == asio::error::eof && parser_->got_some();
   if (may_end_answer) {
     error_code ending;
--- a/Libraries/LibRuntime/client_request.h
+++ b/Libraries/LibRuntime/client_request.h
@@ -29,6 +29,8 @@
   /// another answer belongs to another request.
   std::string_view echoed_header;
   std::string echoed_value;
+  /// An answer without a length ends with its connection.
+  bool may_end_with_connection = false;
   /// Keeps what `message`'s body points to.
   std::shared_ptr<const void> body_owner;
   /// Called right before the first byte is written.
--- a/Libraries/LibRuntime/headers.cc
+++ b/Libraries/LibRuntime/headers.cc
@@ -171,7 +171,7 @@
   facts.objective = std::chrono::milliseconds(
       NumberOrZero<std::uint32_t>(headers, kObjectiveHeader));
   facts.is_repeat = !ValueOf(headers, kRepeatHeader).empty();
-  if (ValueOf(headers, kKeyedHeader).empty()) {
+  if (!ValueOf(headers, kForeignKeyHeader).empty()) {
     facts.key.reset();
   }
   const std::string_view purpose = ValueOf(headers, kPurposeHeader);
@@ -201,9 +201,7 @@
                         duration time_left) {
   headers.set(kServiceHeader, facts.service.value());
   headers.set(kClassHeader, facts.request_class.value());
-  if (facts.tenant.value() != kDefaultTenant) {
-    headers.set(kTenantHeader, facts.tenant.value());
-  }
+  headers.set(kTenantHeader, facts.tenant.value());
   headers.set(kRequestIdHeader, facts.root.value());
   // Rounded down: a hop must never believe in more time than there is.
   Set(headers, kTimeoutHeader,
@@ -292,17 +290,15 @@
   headers.set(kFromHeader, ToHexadecimal(from.value()));
   Set(headers, kExpectedRunHeader, expected_run.value());
   Set(headers, kAllowanceHeader, facts.allowance);
-  if (facts.depth > 0) {
-    Set(headers, kDepthHeader, facts.depth);
-  }
+  Set(headers, kDepthHeader, facts.depth);
   if (facts.own_id != facts.root && !facts.own_id.value().empty()) {
     headers.set(kOwnIdHeader, facts.own_id.value());
   }
   if (facts.objective > duration::zero()) {
     Set(headers, kObjectiveHeader, MillisecondsRoundedUp(facts.objective));
   }
-  if (facts.key) {
-    headers.set(kKeyedHeader, "1");
+  if (!facts.key && !ValueOf(headers, kKeyHeader).empty()) {
+    headers.set(kForeignKeyHeader, "1");
   }
   if (facts.is_repeat) {
     headers.set(kRepeatHeader, "1");
--- a/Libraries/LibRuntime/own_dialect.h
+++ b/Libraries/LibRuntime/own_dialect.h
@@ -16,6 +16,7 @@
   void WriteToEndpoint(http::fields& headers,
                        const endpoint_hand_over& hand_over) const;
   std::string_view echoed_header() const { return {}; }
+  bool lets_connection_end_answer() const { return false; }
   outcome ReadEndpointAnswer(const http_response& response) const;
   void MarkWhole(http_response& response, const request_id& request) const;
   http_response MakeError(const caller_error& error) const;
--- a/Libraries/LibRuntime/wire_dialect.h
+++ b/Libraries/LibRuntime/wire_dialect.h
@@ -66,6 +66,9 @@
   { dialect.WriteToEndpoint(headers, hand_over) } -> std::same_as<void>;
   /// The header that an answer repeats from its request; empty if none does.
   { dialect.echoed_header() } -> std::same_as<std::string_view>;
+  /// An answer without a length ends with its connection, if that ends in
+  /// order; otherwise such an answer counts as truncated.
+  { dialect.lets_connection_end_answer() } -> std::same_as<bool>;
   /// What an endpoint's whole answer says about the request.
   { dialect.ReadEndpointAnswer(response) } -> std::same_as<outcome>;
   /// Marks an endpoint's whole answer to a caller.
@@ -96,6 +99,9 @@
     held_->WriteToEndpoint(headers, hand_over);
   }
   std::string_view echoed_header() const { return held_->echoed_header(); }
+  bool lets_connection_end_answer() const {
+    return held_->lets_connection_end_answer();
+  }
   outcome ReadEndpointAnswer(http_response& response) const {
     return held_->ReadEndpointAnswer(response);
   }
@@ -121,6 +127,7 @@
     virtual void WriteToEndpoint(http::fields& headers,
                                  const endpoint_hand_over& hand_over) const = 0;
     virtual std::string_view echoed_header() const = 0;
+    virtual bool lets_connection_end_answer() const = 0;
     virtual outcome ReadEndpointAnswer(http_response& response) const = 0;
     virtual void MarkWhole(http_response& response,
                            const request_id& request) const = 0;
@@ -148,6 +155,9 @@
     std::string_view echoed_header() const override {
       return dialect.echoed_header();
     }
+    bool lets_connection_end_answer() const override {
+      return dialect.lets_connection_end_answer();
+    }
     outcome ReadEndpointAnswer(http_response& response) const override {
       return dialect.ReadEndpointAnswer(response);
     }
--- a/Libraries/LibRuntime/work_side.cc
+++ b/Libraries/LibRuntime/work_side.cc
@@ -115,6 +115,7 @@
   dialect_.WriteToEndpoint(
       out.message, {open.facts, run.time_left, run.endpoint,
                     parent_token{self_.node, self_.run, run.work}.Text()});
+  out.may_end_with_connection = dialect_.lets_connection_end_answer();
   out.echoed_header = dialect_.echoed_header();
   if (!out.echoed_header.empty()) {
     out.echoed_value = std::string(out.message[out.echoed_header]);
--- a/Libraries/LibWire/header_names.h
+++ b/Libraries/LibWire/header_names.h
@@ -15,8 +15,8 @@
 inline constexpr std::string_view kOwnIdHeader = "Auburnfold-Own-Id";
 /// Milliseconds until the answer is worth less.
 inline constexpr std::string_view kObjectiveHeader = "Auburnfold-Objective-Ms";
-/// The idempotency key of a forwarded request is this product's own.
-inline constexpr std::string_view kKeyedHeader = "Auburnfold-Keyed";
+/// The `Idempotency-Key` of a forwarded request is the endpoint's business.
+inline constexpr std::string_view kForeignKeyHeader = "Auburnfold-Foreign-Key";
 inline constexpr std::string_view kParentHeader = "Auburnfold-Parent";
 inline constexpr std::string_view kAttemptHeader = "Auburnfold-Attempt";
 inline constexpr std::string_view kKeyHeader = "Idempotency-Key";
--- a/Services/auburnfold-node/main.cc
+++ b/Services/auburnfold-node/main.cc
@@ -135,14 +135,18 @@
 }
 
 std::unique_ptr<node_runtime> MakeNode(boost::asio::io_context& io,
-                                       const node_settings& settings) {
+                                       node_settings settings) {
   if (settings.dialect == "own") {
     return std::make_unique<node_runtime>(io, settings);
   }
+  const node_options chosen = PlatformOptions(settings);
+  // The platform kills what is left at its own limit, also where callers still
+  // send requests; the process ends by itself just before.
+  constexpr int kEndPercent = 95;
+  settings.stop_limit = settings.stop_limit * kEndPercent / 100;
   auto node = std::make_unique<node_runtime>(
       io, settings,
-      any_wire_dialect(platform::platform_dialect(settings.service)),
-      PlatformOptions(settings));
+      any_wire_dialect(platform::platform_dialect(settings.service)), chosen);
   node->SetRouteDecoder(
       [](const std::string& value) { return platform::ReadRoutes(value); });
   return node;
