--- a/Libraries/LibDecision/Store/prefix_watch.cc
+++ b/Libraries/LibDecision/Store/prefix_watch.cc
@@ -9,7 +9,7 @@
 
 using std::chrono::milliseconds;
 
-// Doubled with each failure; small enough that a node is in touch again well
+// Doubled with each failure; small enough that a node is up to date again well
 // within two seconds of the service's return.
 constexpr duration kFirstRetryDelay = milliseconds(100);
 constexpr duration kLongestRetryDelay = milliseconds(400);
--- /dev/null
+++ b/Tests/LibRuntime/view_codec_test.cc
@@ -0,0 +1,38 @@
+#include "LibRuntime/view_codec.h"
+
+#include <gtest/gtest.h>
+
+namespace auburnfold {
+namespace {
+
+member_record Member(std::uint64_t node) {
+  return {.node = node_id(node),
+          .run = incarnation(3),
+          .address = {.host = "10.0.0.1", .peer_port = 80},
+          .domain = domain_name("d"),
+          .service = service_name("s"),
+          .slots = 18};
+}
+
+TEST(a_view, IsReadAsItWasWritten) {
+  const peer_view view{.routes = "{\n\n}", .members = {Member(1), Member(2)}};
+  const auto read = DecodeView(EncodeView(view));
+  ASSERT_TRUE(read);
+  EXPECT_EQ(read->routes, view.routes);
+  EXPECT_EQ(read->members, view.members);
+}
+
+TEST(a_view, MayHaveNoMembers) {
+  const auto read = DecodeView(EncodeView({.routes = "{}"}));
+  ASSERT_TRUE(read);
+  EXPECT_EQ(read->routes, "{}");
+  EXPECT_TRUE(read->members.empty());
+}
+
+TEST(a_view, IsRefusedIfItIsMalformed) {
+  EXPECT_FALSE(DecodeView("nonsense"));
+  EXPECT_FALSE(DecodeView("key\tvalue\n\nroutes"));
+}
+
+}  // namespace
+}  // namespace auburnfold
--- /dev/null
+++ b/Tests/platform/platform_dialect_test.cc
@@ -0,0 +1,112 @@
+#include "platform/platform_dialect.h"
+
+#include <gtest/gtest.h>
+
+#include <chrono>
+
+namespace auburnfold::platform {
+namespace {
+
+using namespace std::chrono_literals;
+
+class the_dialect : public testing::Test {
+ protected:
+  platform_dialect dialect_{service_name("own")};
+};
+
+class a_callers_request : public the_dialect {};
+
+TEST_F(a_callers_request, NamesItsIdItsDeadlineAndItsTarget) {
+  http_request request(http::verb::get, "/a/b?c", kHttp11);
+  request.set(http::field::host, "h.example");
+  request.set("X-Request-Id", "id-1");
+  request.set("X-Deadline-Ms", "600");
+  const auto read = dialect_.ReadCaller(request);
+  ASSERT_TRUE(read);
+  EXPECT_EQ(read->facts.own_id, request_id("id-1"));
+  EXPECT_EQ(read->facts.time_left, 600ms);
+  EXPECT_EQ(read->target->host, "h.example");
+  EXPECT_EQ(read->target->path, "/a/b?c");
+}
+
+TEST_F(a_callers_request, IsSentOnWithItsOriginWhateverItSaid) {
+  http::fields headers;
+  headers.set("X-Caller-Service", "forged");
+  dialect_.MarkOrigin(headers);
+  EXPECT_EQ(headers["X-Caller-Service"], "own");
+}
+
+TEST_F(a_callers_request, ReachesTheEndpointWithLessTimeAndItsName) {
+  http::fields headers;
+  headers.set("X-Deadline-Ms", "5000");
+  headers.set("X-Expect-Instance", "forged");
+  const request_facts facts;
+  dialect_.WriteToEndpoint(headers, {facts, 1999999us, endpoint_name(), ""});
+  EXPECT_EQ(headers["X-Deadline-Ms"], "1999");
+  EXPECT_EQ(headers["X-Expect-Instance"], "");
+  const endpoint_name endpoint("i-7");
+  dialect_.WriteToEndpoint(headers, {facts, 2s, endpoint, ""});
+  EXPECT_EQ(headers["X-Expect-Instance"], "i-7");
+}
+
+class an_endpoints_answer : public the_dialect {
+ protected:
+  outcome Read(unsigned status, const char* header = nullptr) {
+    http_response response;
+    response.result(status);
+    if (header != nullptr) {
+      response.set(header, "1");
+    }
+    return dialect_.ReadEndpointAnswer(response);
+  }
+};
+
+TEST_F(an_endpoints_answer, IsWholeWithItsSignature) {
+  EXPECT_TRUE(Read(200, "X-Response-Signature").is_whole());
+}
+
+TEST_F(an_endpoints_answer, IsNoneWithoutItsSignature) {
+  const outcome read = Read(200);
+  EXPECT_EQ(read.error, error_kind::kAnswerTruncated);
+  EXPECT_EQ(read.ran, run_state::kUnknown);
+}
+
+TEST_F(an_endpoints_answer, SaysThatItDidNotRunOnlyInSoManyWords) {
+  EXPECT_EQ(Read(503, "X-Not-Executed").ran, run_state::kNotRun);
+  EXPECT_EQ(Read(503, "X-Not-Executed").error, error_kind::kEndpointBusy);
+  EXPECT_EQ(Read(421).ran, run_state::kNotRun);
+  EXPECT_TRUE(Read(503).is_whole());
+}
+
+TEST_F(an_endpoints_answer, IsAFailureIfTheEndpointFailed) {
+  EXPECT_TRUE(Read(500).is_failure);
+  EXPECT_FALSE(Read(404).is_failure);
+}
+
+class an_error : public the_dialect {
+ protected:
+  unsigned StatusOf(error_kind kind, run_state ran) const {
+    return dialect_.MakeError({.kind = kind, .ran = ran}).result_int();
+  }
+};
+
+// Some statuses promise that the request has not run.
+TEST_F(an_error, MakesNoPromiseUnlessItIsCertain) {
+  EXPECT_EQ(StatusOf(error_kind::kOverloaded, run_state::kNotRun), 503U);
+  EXPECT_EQ(StatusOf(error_kind::kOverloaded, run_state::kUnknown), 502U);
+  EXPECT_EQ(StatusOf(error_kind::kEndpointUnreachable, run_state::kNotRun),
+            503U);
+  EXPECT_EQ(StatusOf(error_kind::kAnswerLost, run_state::kUnknown), 502U);
+  EXPECT_EQ(StatusOf(error_kind::kAnswerTimeout, run_state::kUnknown), 504U);
+  EXPECT_EQ(StatusOf(error_kind::kUnknownRoute, run_state::kNotRun), 404U);
+  EXPECT_EQ(StatusOf(error_kind::kNoRoutes, run_state::kNotRun), 503U);
+}
+
+TEST_F(an_error, SaysWhenToComeBackInFractionsOfASecond) {
+  const http_response made = dialect_.MakeError(
+      {.kind = error_kind::kOverloaded, .retry_after = 93798us});
+  EXPECT_EQ(made["Retry-After"], "0.094");
+}
+
+}  // namespace
+}  // namespace auburnfold::platform
