--- a/Tests/StandIns/store_process.cc
+++ b/Tests/StandIns/store_process.cc
@@ -167,7 +167,7 @@
       }
       boost::json::object item = EntryJson(*entry);
       item["asOf"] = model_.revision();
-      return session->Answer(JsonAnswer(http::status::ok, std::move(item)));
+      return session->Answer(JsonAnswer(http::status::ok, item));
     }
     case store_call_kind::kList:
       return session->Answer(JsonAnswer(
