Store: Compute the delay before another try in one place

Cause: prefix_watch, registration and row_watch each had the same computation with paces of their own. Change: RetryDelay takes the pace; the three paces and the delays stay as they were.

--- a/Libraries/LibDecision/Registry/registration.cc
+++ b/Libraries/LibDecision/Registry/registration.cc
@@ -1,10 +1,10 @@
 #include "LibDecision/Registry/registration.h"
 
-#include <algorithm>
 #include <chrono>
 #include <utility>
 
 #include "LibDecision/Registry/member_codec.h"
+#include "LibDecision/Store/retry_delay.h"
 
 namespace auburnfold {
 
@@ -18,9 +18,7 @@
 constexpr int kRenewalsPerLife = 3;
 // Doubled with each failure. The record is back within two seconds of the
 // service's return.
-constexpr duration kFirstRetryDelay = milliseconds(100);
-constexpr duration kLongestRetryDelay = milliseconds(800);
-constexpr std::uint32_t kMostDoublings = 3;
+constexpr retry_pace kRetryPace{milliseconds(100), milliseconds(800), 3};
 
 }  // namespace
 
@@ -150,12 +148,8 @@
 }
 
 void registration::RetryLater(step& now) {
+  const duration delay = RetryDelay(now, kRetryPace, failures_);
   ++failures_;
-  const std::uint32_t doublings = std::min(failures_ - 1, kMostDoublings);
-  const duration longest =
-      std::min(kFirstRetryDelay * (1U << doublings), kLongestRetryDelay);
-  const auto delay = std::chrono::duration_cast<duration>(
-      longest * (0.5 + now.RandomShare() / 2));
   now.timers().Subscribe({timer_owner::kRegistration}, now.now() + delay);
 }
 
--- a/Libraries/LibDecision/Store/prefix_watch.cc
+++ b/Libraries/LibDecision/Store/prefix_watch.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <chrono>
 
+#include "LibDecision/Store/retry_delay.h"
+
 namespace auburnfold {
 
 namespace {
@@ -11,17 +13,7 @@
 
 // Doubled with each failure; small enough that a node is up to date again well
 // within two seconds of the service's return.
-constexpr duration kFirstRetryDelay = milliseconds(100);
-constexpr duration kLongestRetryDelay = milliseconds(400);
-constexpr std::uint32_t kMostDoublings = 2;
-
-duration RetryDelay(step& now, std::uint32_t failures) {
-  const std::uint32_t doublings = std::min(failures, kMostDoublings);
-  const duration longest =
-      std::min(kFirstRetryDelay * (1U << doublings), kLongestRetryDelay);
-  return std::chrono::duration_cast<duration>(longest *
-                                              (0.5 + now.RandomShare() / 2));
-}
+constexpr retry_pace kRetryPace{milliseconds(100), milliseconds(400), 2};
 
 }  // namespace
 
@@ -122,7 +114,7 @@
     return List(now);
   }
   now.timers().Subscribe({options_.owner},
-                         now.now() + RetryDelay(now, failures_));
+                         now.now() + RetryDelay(now, kRetryPace, failures_));
 }
 
 }  // namespace auburnfold
--- /dev/null
+++ b/Libraries/LibDecision/Store/retry_delay.h
@@ -0,0 +1,33 @@
+#ifndef LIBDECISION_STORE_RETRY_DELAY_H_
+#define LIBDECISION_STORE_RETRY_DELAY_H_
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+
+#include "LibDecision/instant.h"
+#include "LibDecision/step.h"
+
+namespace auburnfold {
+
+/// How the delay before a failed call is tried again grows.
+struct retry_pace {
+  duration first{};
+  duration longest{};
+  std::uint32_t most_doublings = 0;
+};
+
+/// The delay after so many doublings, of which a random half is taken off at
+/// most, so that nodes that failed together do not return together.
+inline duration RetryDelay(step& now,
+                           const retry_pace& pace,
+                           std::uint32_t doublings) {
+  const std::uint32_t counted = std::min(doublings, pace.most_doublings);
+  const duration longest = std::min(pace.first * (1U << counted), pace.longest);
+  return std::chrono::duration_cast<duration>(longest *
+                                              (0.5 + now.RandomShare() / 2));
+}
+
+}  // namespace auburnfold
+
+#endif  // LIBDECISION_STORE_RETRY_DELAY_H_
--- a/Libraries/LibDecision/Table/row_watch.cc
+++ b/Libraries/LibDecision/Table/row_watch.cc
@@ -4,6 +4,8 @@
 #include <chrono>
 #include <unordered_map>
 
+#include "LibDecision/Store/retry_delay.h"
+
 namespace auburnfold {
 
 namespace {
@@ -13,19 +15,9 @@
 
 // A watch does not show that the service lost writes; a list does.
 constexpr duration kListInterval = seconds(30);
-constexpr duration kFirstRetryDelay = milliseconds(500);
-constexpr duration kLongestRetryDelay = seconds(15);
-constexpr std::uint32_t kMostDoublings = 5;
+constexpr retry_pace kRetryPace{milliseconds(500), seconds(15), 5};
 constexpr std::size_t kMostRestoredAtOnce = 64;
 
-duration RetryDelay(step& now, std::uint32_t failures) {
-  const std::uint32_t doublings = std::min(failures, kMostDoublings);
-  const duration longest =
-      std::min(kFirstRetryDelay * (1U << doublings), kLongestRetryDelay);
-  return std::chrono::duration_cast<duration>(longest *
-                                              (0.5 + now.RandomShare() / 2));
-}
-
 }  // namespace
 
 void row_watch::Start(step& now) {
@@ -92,7 +84,7 @@
     now.Count(counter::kStoreFailures);
     ++failures_;
     if (is_watcher_ || !is_listed_) {
-      ListLater(now, RetryDelay(now, failures_));
+      ListLater(now, RetryDelay(now, kRetryPace, failures_));
     }
     return;
   }
@@ -121,7 +113,7 @@
     now.Count(counter::kStoreFailures);
     ++failures_;
     now.timers().Subscribe({timer_owner::kTable, kWatchTimer},
-                           now.now() + RetryDelay(now, failures_));
+                           now.now() + RetryDelay(now, kRetryPace, failures_));
     return;
   }
   failures_ = 0;
