Admission: Take back cuts of the limit that end no refusals

The announced limit took each refusal near the limit for a missing slot, fell to 2, and regained 0.2 % with each answer: the nodes refused most of what the endpoints would have run (3,401 refusals of the endpoints, 10,494 answers 503 to clients).

Change: only refusals of requests that were sent after the last cut count, and where a cut would leave less than half of the announced slots, the limit returns to the announced one and refusals say nothing for 5 s.

--- a/Libraries/LibDecision/Admission/announced_limit.h
+++ b/Libraries/LibDecision/Admission/announced_limit.h
@@ -11,8 +11,9 @@
 ///
 /// Answers a full endpoint: what does not fit waits in front of it, in the
 /// node's order, and not in the endpoint's own queue. An endpoint that turns
-/// requests away near the limit has fewer slots than it says; one that does so
-/// with slots to spare fails for another reason, and the limit stays.
+/// requests away near the limit may have fewer slots than it says, so the limit
+/// is cut as long as that helps. One that does so with slots to spare, or at
+/// half of them as well, fails for another reason, and the limit stays.
 class announced_limit {
  public:
   /// 0 if the endpoint does not say; nothing is held back then.
@@ -29,9 +30,13 @@
   void OnLimited(endpoint_occupancy) {}
 
  private:
+  void OnRefused(instant now, const limit_sample& sample);
+
   std::uint32_t slots_ = 0;
   /// Requests that may run at once, below or at what the slots allow.
   double usable_ = 0;
+  instant cut_at_ = instant::min();
+  instant refusals_ignored_until_ = instant::min();
 };
 static_assert(limit_policy<announced_limit>);
 
--- a/Tests/LibDecision/announced_limit_test.cc
+++ b/Tests/LibDecision/announced_limit_test.cc
@@ -2,22 +2,43 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <chrono>
+
 namespace auburnfold {
 namespace {
 
 class an_announced_limit : public testing::Test {
  protected:
   void Refuse(std::uint32_t running) {
-    limit_.OnSample(instant(),
-                    {.occupancy = {running, running}, .is_refused = true});
+    limit_.OnSample(now_, {.occupancy = {running, running},
+                           .started = now_,
+                           .is_refused = true});
+  }
+  // An endpoint that runs `slots` at once is filled to the limit again and
+  // again, `times` times a millisecond apart.
+  void Fill(std::uint32_t slots, int times) {
+    for (int i = 0; i < times; ++i) {
+      now_ += std::chrono::milliseconds(1);
+      const instant sent = now_;
+      const std::uint32_t running = limit_.limit();
+      for (std::uint32_t each = running; each > slots; --each) {
+        limit_.OnSample(now_ + std::chrono::microseconds(10),
+                        {.occupancy = {each, each},
+                         .started = sent,
+                         .is_refused = true});
+      }
+      Answer(static_cast<int>(std::min(running, slots)) / 10);
+    }
   }
   void Answer(int times) {
     for (int i = 0; i < times; ++i) {
-      limit_.OnSample(instant(), {});
+      limit_.OnSample(now_, {});
     }
   }
 
   announced_limit limit_;
+  instant now_{};
 };
 
 TEST_F(an_announced_limit, HoldsNothingBackWhileNoSlotsAreAnnounced) {
@@ -50,6 +71,27 @@
   EXPECT_EQ(limit_.limit(), 95U);
 }
 
+TEST_F(an_announced_limit, FindsTheSlotsOfAnEndpointThatAnnouncesTooMany) {
+  limit_.SetSlots(100);
+  Fill(60, 500);
+  EXPECT_GE(limit_.limit(), 50U);
+  EXPECT_LE(limit_.limit(), 66U);
+}
+
+// Replays the deepest service of a call chain at full load, half of whose
+// answers are refusals at random for seconds.
+TEST_F(an_announced_limit, StaysUsefulIfRefusalsDoNotEndWithFewerRequests) {
+  limit_.SetSlots(29);
+  std::uint64_t sum = 0;
+  for (int i = 0; i < 2000; ++i) {
+    now_ += std::chrono::milliseconds(1);
+    Refuse(limit_.limit());
+    Answer(1);
+    sum += limit_.limit();
+  }
+  EXPECT_GE(sum / 2000, 25U);
+}
+
 TEST_F(an_announced_limit, ReturnsToTheAnnouncedSlotsWithTheAnswers) {
   limit_.SetSlots(100);
   Refuse(90);
