Retries: Keep what a service bears for its window, over the whole call tree

A node kept at most 4 repeats for each service, though the service bears a fifth of its requests over 10 s, and the calls below one root shared the one repeat that its route allows.

A root request has 32 repeats for its whole tree; the route bounds how many endpoints see one call, and a call that was turned away may go back to one of them.

--- a/Libraries/LibDecision/Calls/outgoing_calls.cc
+++ b/Libraries/LibDecision/Calls/outgoing_calls.cc
@@ -69,6 +69,10 @@
     open.facts.priority = row.priority;
   }
   open.allowance = AllowanceFor(arrived, row);
+  if (options_.retries == retry_choice::kArrivals) {
+    open.history.most_endpoints =
+        static_cast<std::uint16_t>(row.retry_allowance + 1);
+  }
   if (fault) {
     return Refuse(now, arrived.call, *fault,
                   AnswerFor(*fault).when == come_back::kNever
@@ -98,7 +102,7 @@
                   RetryAfterFor(now, open, error_kind::kOverloaded));
   }
   retry_share_.OnFirstAttempt();
-  service_shares_.OnFirstAttempt(facts.service, facts.is_repeat);
+  service_shares_.OnFirstAttempt(now.now(), facts.service, facts.is_repeat);
   now.Log(Describe(now, decision_kind::kCallRouted, open));
   Send(now, arrived.call, open);
 }
@@ -119,16 +123,23 @@
 }
 
 // A resend and a call of an unknown parent get nothing: what their root
-// request may spend was given out before.
+// request may spend was given out before. Where arrivals are counted, the row
+// bounds how many endpoints see one call, and the tree has an allowance of its
+// own.
 std::uint16_t outgoing_calls::AllowanceFor(const call_arrived& arrived,
                                            const row_settings& row) {
-  if (arrived.facts.client_attempt > 1) {
+  const bool counts_arrivals = options_.retries == retry_choice::kArrivals;
+  const bool is_single = counts_arrivals && row.retry_allowance == 0;
+  if (arrived.facts.client_attempt > 1 || is_single) {
     return 0;
   }
   if (arrived.parent) {
     return allowance_.Grant(*arrived.parent);
   }
-  return arrived.has_parent ? 0 : row.retry_allowance;
+  if (arrived.has_parent) {
+    return 0;
+  }
+  return counts_arrivals ? kTreeRetries : row.retry_allowance;
 }
 
 service_class outgoing_calls::CalledBy(const call& open) {
@@ -174,7 +185,7 @@
   }
   call& open = calls_.at(found->second);
   open.is_attempt_sent = true;
-  connections_.OnSent(now, sent.attempt, sent.connection, open.tried.back(),
+  connections_.OnSent(now, sent.attempt, sent.connection, open.history.tried.back(),
                       open.facts.request_class);
 }
 
@@ -200,10 +211,10 @@
   } else {
     connections_.OnGivenUp(finished.attempt);
   }
-  router_.OnFinished(now, open.tried.back(), result,
+  router_.OnFinished(now, open.history.tried.back(), result,
                      now.now() - open.attempt_started);
   TakeBackAllowance(open, result);
-  pressure_.OnAnswer(now.now(), CalledBy(open), open.tried.back(), result);
+  pressure_.OnAnswer(now.now(), CalledBy(open), open.history.tried.back(), result);
   if (result.is_whole() && IsWorthAnother(now, open, result)) {
     now.Count(counter::kRetries);
     return Send(now, id, open);
@@ -221,6 +232,7 @@
   now.Log(std::move(failed));
   if (MayHaveArrived(result)) {
     open.has_arrived = true;
+    open.history.OnSeen();
   } else {
     ++open.unseen_attempts;
   }
@@ -255,6 +267,7 @@
   }
   open.has_run = true;
   open.has_arrived = true;
+  open.history.OnSeen();
   const outcome failed{error_kind::kAnswerLost, run_state::kRan};
   return HasRetryLeft(now, open, failed);
 }
@@ -280,7 +293,7 @@
     return;
   }
   if (found->second.attempt) {
-    router_.OnUnanswered(now, found->second.tried.back());
+    router_.OnUnanswered(now, found->second.history.tried.back());
     connections_.OnDeadline(now, *found->second.attempt);
   }
   Refuse(now, id, error_kind::kAnswerTimeout, duration::zero());
@@ -306,8 +319,9 @@
   open.attempt.reset();
   open.may_have_run = true;
   open.has_arrived = true;
+  open.history.OnSeen();
   TakeBackAllowance(open, kLost);
-  router_.OnCancelled(now, open.tried.back());
+  router_.OnCancelled(now, open.history.tried.back());
   now.Emit(cancel_attempt{attempt});
   now.Log(Describe(now, decision_kind::kConnectionDropped, open));
   RetryOrRefuse(now, id, open, kLost);
@@ -344,7 +358,7 @@
   open.attempt = attempt;
   open.attempt_started = now.now();
   open.is_attempt_sent = false;
-  open.tried.push_back(chosen->node);
+  open.history.tried.push_back(chosen->node);
   attempts_[attempt] = id;
   router_.OnSent(now, *chosen);
   request_facts facts = open.facts;
@@ -378,7 +392,7 @@
     }
   }
   const member_record* chosen =
-      router_.Choose(now, open.facts.service, open.tried);
+      router_.Choose(now, open.facts.service, open.history);
   if (chosen == nullptr) {
     Refuse(now, id, error_kind::kNoEndpoint, kSoonRetryAfter);
   }
@@ -433,7 +447,7 @@
   if (open.attempt) {
     attempts_.erase(*open.attempt);
     connections_.OnGivenUp(*open.attempt);
-    router_.OnCancelled(now, open.tried.back());
+    router_.OnCancelled(now, open.history.tried.back());
     now.Emit(cancel_attempt{*open.attempt});
   }
   if (open.parent) {
@@ -474,7 +488,7 @@
                                   const outcome& result) {
   switch (options_.retries) {
     case retry_choice::kThreeTries:
-      return open.tried.size() < kMostTries;
+      return open.history.tried.size() < kMostTries;
     case retry_choice::kAllowance:
       break;
     case retry_choice::kArrivals:
@@ -498,7 +512,8 @@
   }
   const bool has_share =
       options_.retries == retry_choice::kArrivals
-          ? service_shares_.TryTake(open.facts.service, IsImportant(open.facts))
+          ? service_shares_.TryTake(now.now(), open.facts.service,
+                                    IsImportant(open.facts))
           : retry_share_.TryTake();
   if (!has_share) {
     now.Count(counter::kRetriesDeniedByNodeShare);
@@ -516,15 +531,15 @@
                          .root = open.facts.root,
                          .service = open.facts.service,
                          .request_class = open.facts.request_class};
-  if (!open.tried.empty()) {
-    record.node = open.tried.back();
+  if (!open.history.tried.empty()) {
+    record.node = open.history.tried.back();
   }
   if (routes_.version()) {
     record.routes = routes_.version();
   }
   record.time_left = open.deadline - now.now();
   record.waited = now.now() - open.arrived;
-  record.attempt = static_cast<std::uint32_t>(open.tried.size());
+  record.attempt = static_cast<std::uint32_t>(open.history.tried.size());
   record.priority = open.facts.priority;
   return record;
 }
--- a/Libraries/LibDecision/Calls/outgoing_calls.h
+++ b/Libraries/LibDecision/Calls/outgoing_calls.h
@@ -12,6 +12,7 @@
 #include "LibDecision/Pressure/pressure_memory.h"
 #include "LibDecision/Retries/retry_allowance.h"
 #include "LibDecision/Retries/retry_share.h"
+#include "LibDecision/Retries/service_retry_shares.h"
 #include "LibDecision/Routes/route_table.h"
 #include "LibDecision/Routing/router.h"
 #include "LibDecision/Table/table.h"
@@ -79,7 +80,7 @@
     std::uint16_t allowance = 0;
     /// Retries that travel with the attempt under way.
     std::uint16_t carried = 0;
-    std::vector<node_id> tried;
+    attempt_history history;
     std::optional<attempt_id> attempt;
     instant attempt_started;
     /// Bytes of `attempt` may have left this node.
--- a/Libraries/LibDecision/Routing/router.cc
+++ b/Libraries/LibDecision/Routing/router.cc
@@ -25,24 +25,55 @@
 
 }  // namespace
 
-const member_record* router::Choose(step& now,
-                                    const service_name& service,
-                                    const std::vector<node_id>& tried) {
-  const std::vector<member_record>& subset = SubsetOf(now.now(), service);
-  const auto is_tried = [&tried](const member_record& record) {
-    return std::find(tried.begin(), tried.end(), record.node) != tried.end();
-  };
-  candidates_.clear();
-  for (const member_record& record : subset) {
-    if (!is_tried(record) && !endpoints_[record.node].IsEjected(now.now())) {
-      candidates_.push_back(&record);
-    }
+bool attempt_history::IsTried(node_id node) const {
+  return std::find(tried.begin(), tried.end(), node) != tried.end();
+}
+
+bool attempt_history::IsTriedLast(node_id node) const {
+  return !tried.empty() && tried.back() == node;
+}
+
+bool attempt_history::MayGoTo(node_id node) const {
+  return seen_by.size() < most_endpoints ||
+         std::find(seen_by.begin(), seen_by.end(), node) != seen_by.end();
+}
+
+void attempt_history::OnSeen() {
+  const node_id last = tried.back();
+  if (std::find(seen_by.begin(), seen_by.end(), last) == seen_by.end()) {
+    seen_by.push_back(last);
   }
-  if (candidates_.empty()) {
+}
+
+// What was not tried comes first, then what was not tried last.
+void router::CollectCandidates(instant now,
+                               const std::vector<member_record>& subset,
+                               const attempt_history& history) {
+  const auto collect = [&](const auto& is_wanted) {
     for (const member_record& record : subset) {
-      candidates_.push_back(&record);
+      if (history.MayGoTo(record.node) && is_wanted(record.node)) {
+        candidates_.push_back(&record);
+      }
     }
+    return !candidates_.empty();
+  };
+  candidates_.clear();
+  const bool is_found =
+      collect([&](node_id node) {
+        return !history.IsTried(node) && !endpoints_[node].IsEjected(now);
+      }) ||
+      collect([&](node_id node) {
+        return !history.IsTriedLast(node) && !endpoints_[node].IsEjected(now);
+      });
+  if (!is_found) {
+    collect([](node_id) { return true; });
   }
+}
+
+const member_record* router::Choose(step& now,
+                                    const service_name& service,
+                                    const attempt_history& history) {
+  CollectCandidates(now.now(), SubsetOf(now.now(), service), history);
   if (candidates_.empty()) {
     return nullptr;
   }
--- a/Libraries/LibDecision/Routing/router.h
+++ b/Libraries/LibDecision/Routing/router.h
@@ -1,6 +1,8 @@
 #ifndef LIBDECISION_ROUTING_ROUTER_H_
 #define LIBDECISION_ROUTING_ROUTER_H_
 
+#include <cstdint>
+#include <limits>
 #include <unordered_map>
 #include <vector>
 
@@ -12,17 +14,34 @@
 
 namespace auburnfold {
 
+/// Where earlier attempts of a call went.
+struct attempt_history {
+  /// Nodes that were tried; the last one comes last.
+  std::vector<node_id> tried;
+  /// Nodes whose endpoints saw the call, or may have.
+  std::vector<node_id> seen_by;
+  /// Most endpoints that may see the call; once as many have, it goes only to
+  /// these again.
+  std::uint16_t most_endpoints = std::numeric_limits<std::uint16_t>::max();
+
+  bool IsTried(node_id node) const;
+  bool IsTriedLast(node_id node) const;
+  bool MayGoTo(node_id node) const;
+  /// The endpoint of the last attempt saw the call, or may have.
+  void OnSeen();
+};
+
 /// Chooses the endpoint for each attempt, from this node's own observations.
 class router {
  public:
   explicit router(const membership& members) : members_(members) {}
 
-  /// Chooses an endpoint of `service`, leaving out the nodes in `tried` where
-  /// another remains. Nothing if none is ready. The result is valid until the
-  /// next call.
+  /// Chooses an endpoint of `service`, leaving out the nodes that were tried
+  /// where another remains. Nothing if none is ready. The result is valid until
+  /// the next call.
   const member_record* Choose(step& now,
                               const service_name& service,
-                              const std::vector<node_id>& tried);
+                              const attempt_history& history);
 
   void OnSent(step& now, const member_record& to);
   void OnFinished(step& now,
@@ -46,6 +65,9 @@
 
   const std::vector<member_record>& SubsetOf(instant now,
                                              const service_name& service);
+  void CollectCandidates(instant now,
+                         const std::vector<member_record>& subset,
+                         const attempt_history& history);
   /// Keeps to the own failure domain if that costs callers nothing. Returns
   /// the candidate, or null.
   const member_record* ChooseNear(step& now);
--- a/Libraries/LibDecision/node_options.h
+++ b/Libraries/LibDecision/node_options.h
@@ -12,6 +12,10 @@
 /// nodes hear of it from each other.
 inline constexpr duration kLeavingGrace = std::chrono::milliseconds(1500);
 
+/// Retries of one root request over all its calls. Each level hands on half of
+/// what it has, so one is left for a call that is five levels down.
+inline constexpr std::uint16_t kTreeRetries = 32;
+
 /// How a node bounds the requests that run at its endpoint at once.
 enum class limit_choice : std::uint8_t {
   kAdaptive,   ///< Found from the node's own observations.
@@ -23,8 +27,9 @@
 /// How a node bounds its retries.
 enum class retry_choice : std::uint8_t {
   kAllowance,   ///< An allowance for the whole call tree, and a node's share.
-  kArrivals,    ///< An allowance of arrivals at endpoints; attempts that no
-                ///< endpoint saw are bounded by themselves.
+  kArrivals,    ///< An allowance of arrivals at endpoints for the whole call
+                ///< tree, and a node's share for each service; attempts that
+                ///< no endpoint saw are bounded by themselves.
   kThreeTries,  ///< Baseline: up to three tries at every hop.
 };
 
