Runtime: Take changed settings at SIGHUP and without a signal

Cause: nothing handled SIGHUP, whose default ends the process, and with it the requests that it served; a changed file was taken at the next start only.

Change: the file is read again at SIGHUP and every two seconds. Log level, stop linger and the store's address take effect; other keys are named as waiting for the next start, and a wrong file leaves the old settings in force. Both are one structured line.

--- a/Libraries/LibRuntime/node_runtime.cc
+++ b/Libraries/LibRuntime/node_runtime.cc
@@ -480,6 +480,10 @@
   parts_->Stop();
 }
 
+void node_runtime::SetStopLinger(std::chrono::milliseconds linger) {
+  parts_->settings.stop_linger = linger;
+}
+
 void node_runtime::RequestAdmin(admin_request request,
                                 admin_result_handler on_result) {
   parts_->admin.Request(std::move(request), std::move(on_result));
--- a/Libraries/LibRuntime/node_runtime.h
+++ b/Libraries/LibRuntime/node_runtime.h
@@ -3,6 +3,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/leaf/result.hpp>
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -51,6 +52,9 @@
   /// `on_stopped` is called once the stop is complete.
   void SetStoppedHandler(std::function<void()> on_stopped);
 
+  /// Changes `stop_linger` of the settings.
+  void SetStopLinger(std::chrono::milliseconds linger);
+
   /// Gives the reducer an administration request.
   void RequestAdmin(admin_request request, admin_result_handler on_result);
 
--- /dev/null
+++ b/Libraries/LibRuntime/settings_watch.cc
@@ -0,0 +1,104 @@
+#include "LibRuntime/settings_watch.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/leaf/handle_errors.hpp>
+#include <fstream>
+#include <sstream>
+#include <utility>
+
+namespace auburnfold {
+
+namespace {
+
+// Empty if it cannot be read: it may be just being replaced.
+std::string TextOf(const std::string& file) {
+  std::ifstream stream(file, std::ios::binary);
+  std::ostringstream text;
+  text << stream.rdbuf();
+  return stream ? text.str() : std::string();
+}
+
+void Compare(const node_settings& before,
+             const node_settings& now,
+             settings_change& change) {
+  const auto note = [](bool is_changed, std::string_view key,
+                       std::vector<std::string_view>& keys) {
+    if (is_changed) {
+      keys.push_back(key);
+    }
+  };
+  note(before.log_level != now.log_level, "log_level", change.applied);
+  note(before.stop_linger != now.stop_linger, "stop_linger_ms", change.applied);
+  note(before.store_host != now.store_host ||
+           before.store_port != now.store_port,
+       "store_address", change.applied);
+  std::vector<std::string_view>& later = change.at_next_start;
+  note(before.node != now.node, "node", later);
+  note(before.host != now.host, "host", later);
+  note(before.domain != now.domain, "domain", later);
+  note(before.service != now.service, "service", later);
+  note(before.dialect != now.dialect, "dialect", later);
+  note(before.call_port != now.call_port, "call_port", later);
+  note(before.ready_port != now.ready_port, "ready_port", later);
+  note(before.report_port != now.report_port, "report_port", later);
+  note(before.peer_port != now.peer_port, "peer_port", later);
+  note(before.control_port != now.control_port, "control_port", later);
+  note(before.admin_port != now.admin_port, "admin_port", later);
+  note(before.endpoint_host != now.endpoint_host, "endpoint_host", later);
+  note(before.seeds != now.seeds, "seeds", later);
+  note(before.stop_limit != now.stop_limit, "stop_limit", later);
+  note(before.label_limit != now.label_limit, "label_limit", later);
+  note(before.admin != now.admin, "admin", later);
+}
+
+boost::json::array ListOf(const std::vector<std::string_view>& keys) {
+  boost::json::array list;
+  for (const std::string_view key : keys) {
+    list.emplace_back(key);
+  }
+  return list;
+}
+
+}  // namespace
+
+std::string LineOf(const settings_change& change) {
+  if (change.fault) {
+    return boost::json::serialize(
+        boost::json::object{{"event", "settings_rejected"},
+                            {"key", change.fault->key},
+                            {"reason", change.fault->reason}});
+  }
+  return boost::json::serialize(
+      boost::json::object{{"event", "settings_reloaded"},
+                          {"applied", ListOf(change.applied)},
+                          {"at_next_start", ListOf(change.at_next_start)}});
+}
+
+settings_watch::settings_watch(std::string file, node_settings in_force)
+    : file_(std::move(file)),
+      text_(TextOf(file_)),
+      in_force_(std::move(in_force)) {}
+
+settings_change settings_watch::Check() {
+  settings_change change;
+  std::string text = TextOf(file_);
+  if (text.empty() || text == text_) {
+    return change;
+  }
+  text_ = std::move(text);
+  leaf::try_handle_all(
+      [&]() -> leaf::result<void> {
+        BOOST_LEAF_AUTO(read, ParseNodeSettings(file_, text_));
+        Compare(in_force_, read, change);
+        in_force_ = read;
+        change.taken = std::move(read);
+        return {};
+      },
+      [&](const settings_error& error) { change.fault = error; },
+      [&] { change.fault = settings_error{file_, {}, "cannot be read"}; });
+  return change;
+}
+
+}  // namespace auburnfold
--- a/Services/auburnfold-node/main.cc
+++ b/Services/auburnfold-node/main.cc
@@ -1,5 +1,6 @@
 #include <log4cplus/initializer.h>
 #include <log4cplus/logger.h>
+#include <log4cplus/loggingmacros.h>
 #include <sysexits.h>
 #include <tclap/CmdLine.h>
 #include <unistd.h>
@@ -11,6 +12,7 @@
 #include <chrono>
 #include <csignal>
 #include <cstdlib>
+#include <functional>
 #include <iostream>
 #include <memory>
 #include <optional>
@@ -22,6 +24,7 @@
 #include "LibRuntime/json_layout.h"
 #include "LibRuntime/node_runtime.h"
 #include "LibRuntime/node_settings.h"
+#include "LibRuntime/settings_watch.h"
 #include "platform/platform_dialect.h"
 #include "platform/route_reader.h"
 #include "platform/store_client.h"
@@ -62,19 +65,23 @@
   return chosen;
 }
 
-/// Starts logging and returns the appender, which must be flushed.
-bounded_appender& StartLogging(const std::string& level) {
-  auto* appender = new bounded_appender(STDOUT_FILENO);
-  const log4cplus::SharedAppenderPtr shared(appender);
-  shared->setLayout(std::make_unique<json_layout>());
-  log4cplus::Logger root = log4cplus::Logger::getRoot();
-  root.addAppender(shared);
+void SetLogLevel(const std::string& level) {
   std::string name = level;
   for (char& letter : name) {
     letter =
         static_cast<char>(std::toupper(static_cast<unsigned char>(letter)));
   }
-  root.setLogLevel(log4cplus::getLogLevelManager().fromString(name));
+  log4cplus::Logger::getRoot().setLogLevel(
+      log4cplus::getLogLevelManager().fromString(name));
+}
+
+/// Starts logging and returns the appender, which must be flushed.
+bounded_appender& StartLogging(const std::string& level) {
+  auto* appender = new bounded_appender(STDOUT_FILENO);
+  const log4cplus::SharedAppenderPtr shared(appender);
+  shared->setLayout(std::make_unique<json_layout>());
+  log4cplus::Logger::getRoot().addAppender(shared);
+  SetLogLevel(level);
   return *appender;
 }
 
@@ -152,7 +159,63 @@
   return node;
 }
 
-leaf::result<int> Serve(const node_settings& settings, bounded_appender& log) {
+/// Takes changed settings: at SIGHUP, and regularly, since the file may change
+/// without a signal. Without a handler, SIGHUP would end the process.
+class settings_reload {
+ public:
+  settings_reload(boost::asio::io_context& io,
+                  settings_watch watch,
+                  std::function<void(const node_settings&)> on_taken)
+      : watch_(std::move(watch)),
+        on_taken_(std::move(on_taken)),
+        signals_(io, SIGHUP),
+        timer_(io) {
+    AwaitSignal();
+    AwaitTimer();
+  }
+
+ private:
+  void AwaitSignal() {
+    signals_.async_wait([this](boost::system::error_code error, int) {
+      if (!error) {
+        Check();
+        AwaitSignal();
+      }
+    });
+  }
+
+  void AwaitTimer() {
+    // Reading a kilobyte costs little beside a heartbeat.
+    constexpr std::chrono::seconds kCheckInterval{2};
+    timer_.expires_after(kCheckInterval);
+    timer_.async_wait([this](boost::system::error_code error) {
+      if (!error) {
+        Check();
+        AwaitTimer();
+      }
+    });
+  }
+
+  void Check() {
+    const settings_change change = watch_.Check();
+    if (change.is_any()) {
+      LOG4CPLUS_INFO(log4cplus::Logger::getInstance("auburnfold.settings"),
+                     LineOf(change));
+    }
+    if (change.taken) {
+      on_taken_(*change.taken);
+    }
+  }
+
+  settings_watch watch_;
+  std::function<void(const node_settings&)> on_taken_;
+  boost::asio::signal_set signals_;
+  boost::asio::steady_timer timer_;
+};
+
+leaf::result<int> Serve(const node_settings& settings,
+                        const std::string& settings_file,
+                        bounded_appender& log) {
   BOOST_LEAF_AUTO(rules, ReadAccessRules(settings));
   boost::asio::io_context io(1);
   boost::asio::steady_timer log_timer(io);
@@ -178,6 +241,13 @@
       node.Stop();
     }
   });
+  const settings_reload reload(io, settings_watch(settings_file, settings),
+                               [&node, &store](const node_settings& taken) {
+                                 SetLogLevel(taken.log_level);
+                                 store.SetAddress(
+                                     {taken.store_host, taken.store_port});
+                                 node.SetStopLinger(taken.stop_linger);
+                               });
   node.SetStoppedHandler([&io] { io.stop(); });
   BOOST_LEAF_CHECK(node.Start());
   io.run();
@@ -191,7 +261,8 @@
     std::cout << chosen.settings_file << ": settings are valid\n";
     return EX_OK;
   }
-  return Serve(settings, StartLogging(settings.log_level));
+  return Serve(settings, chosen.settings_file,
+               StartLogging(settings.log_level));
 }
 
 int RunAndReport(const options& chosen) {
--- /dev/null
+++ b/Tests/LibRuntime/settings_watch_test.cc
@@ -0,0 +1,79 @@
+#include "LibRuntime/settings_watch.h"
+
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+#include <string>
+
+namespace auburnfold {
+namespace {
+
+class a_watched_settings_file : public testing::Test {
+ protected:
+  a_watched_settings_file()
+      : file_(std::filesystem::temp_directory_path() /
+              ("auburnfold-settings-" + std::to_string(::getpid()))) {
+    Write(Text("info", 4));
+  }
+  ~a_watched_settings_file() override { std::filesystem::remove(file_); }
+
+  static std::string Text(const std::string& level, int admin_port) {
+    return R"({"host":"10.0.0.1","domain":"a","call_port":1,"peer_port":2,)"
+           R"("control_port":3,"log_level":")" +
+           level + R"(","admin_port":)" + std::to_string(admin_port) + "}";
+  }
+
+  void Write(const std::string& text) const {
+    std::ofstream(file_, std::ios::trunc) << text;
+  }
+
+  settings_watch Watch() const {
+    return {file_, *ParseNodeSettings(file_, Text("info", 4))};
+  }
+
+  std::string file_;
+};
+
+TEST_F(a_watched_settings_file, IsQuietWhileItStaysTheSame) {
+  settings_watch watch = Watch();
+  EXPECT_FALSE(watch.Check().is_any());
+  Write(Text("info", 4));
+  EXPECT_FALSE(watch.Check().is_any());
+}
+
+TEST_F(a_watched_settings_file, TakesWhatCanChangeAndNamesWhatCannot) {
+  settings_watch watch = Watch();
+  Write(Text("warn", 5));
+  const settings_change change = watch.Check();
+  ASSERT_TRUE(change.taken);
+  EXPECT_EQ(change.taken->log_level, "warn");
+  EXPECT_EQ(LineOf(change),
+            R"({"event":"settings_reloaded","applied":["log_level"],)"
+            R"("at_next_start":["admin_port"]})");
+  EXPECT_FALSE(watch.Check().is_any());
+}
+
+TEST_F(a_watched_settings_file, KeepsTheOldSettingsIfTheNewOnesAreWrong) {
+  settings_watch watch = Watch();
+  Write(Text("loud", 4));
+  const settings_change change = watch.Check();
+  EXPECT_FALSE(change.taken);
+  ASSERT_TRUE(change.fault);
+  EXPECT_EQ(change.fault->key, "log_level");
+  EXPECT_FALSE(watch.Check().is_any());
+  Write(Text("debug", 4));
+  EXPECT_TRUE(watch.Check().taken);
+}
+
+TEST_F(a_watched_settings_file, MayBeAwayWhileItIsReplaced) {
+  settings_watch watch = Watch();
+  std::filesystem::remove(file_);
+  EXPECT_FALSE(watch.Check().is_any());
+  Write(Text("warn", 4));
+  EXPECT_TRUE(watch.Check().taken);
+}
+
+}  // namespace
+}  // namespace auburnfold
