Retries: Let the endpoint's node grant repeats, and the best claims first

A request that needs one success had little to spend, since each node that calls seldom earns little, while chains of five calls took what there was at their first call.

Change: a share earned with each first run lies beside the endpoint as well; a refused or lost run may be granted one repeat from it. Both shares earn 0.045, so together with the window before they stay at 0.18. Unimportant classes use the first tenth, first calls of a tree the first fifth, later calls all but the last tenth, single important requests everything. A work's calls carry how many before them were answered.

--- a/Libraries/LibDecision/Calls/outgoing_calls.cc
+++ b/Libraries/LibDecision/Calls/outgoing_calls.cc
@@ -22,11 +22,6 @@
 /// An attempt whose connection has gone silent.
 constexpr outcome kLost{error_kind::kAnswerLost, run_state::kUnknown};
 
-// Of the priority that is refused last, or the next one.
-bool IsImportant(const request_facts& facts) {
-  return facts.priority.value_or(0) + 1 >= kHighestPriority;
-}
-
 // The endpoint turned the request away, or nobody knows what became of it.
 bool MayHaveArrived(const outcome& result) {
   return result.ran != run_state::kNotRun ||
@@ -44,7 +39,7 @@
 
 void outgoing_calls::OnArrived(step& now,
                                const call_arrived& arrived,
-                               const request_facts* parent) {
+                               const calling_work* parent) {
   call& open = calls_[arrived.call];
   open.facts = arrived.facts;
   open.arrived = now.now();
@@ -61,9 +56,10 @@
       row.is_idempotent || facts.purpose == request_purpose::kIssueKey;
   open.deadline = now.now() + std::min(facts.time_left, row.longest_deadline);
   if (parent != nullptr) {
-    open.facts.priority = parent->priority;
-    open.facts.is_repeat = parent->is_repeat;
-    open.parent_class = parent->request_class;
+    open.facts.priority = parent->facts.priority;
+    open.facts.is_repeat = parent->facts.is_repeat;
+    open.facts.answered_siblings = parent->answered_calls;
+    open.parent_class = parent->facts.request_class;
     children_.emplace(*arrived.parent, arrived.call);
   } else if (!open.facts.priority) {
     open.facts.priority = row.priority;
@@ -510,10 +506,11 @@
     now.Count(counter::kRetriesDeniedByPressure);
     return false;
   }
+  const bool is_granted = result.peer && result.peer->grants_retry;
   const bool has_share =
       options_.retries == retry_choice::kArrivals
-          ? service_shares_.TryTake(now.now(), open.facts.service,
-                                    IsImportant(open.facts))
+          ? is_granted || service_shares_.TryTake(now.now(), open.facts.service,
+                                                  ClaimOf(open.facts))
           : retry_share_.TryTake();
   if (!has_share) {
     now.Count(counter::kRetriesDeniedByNodeShare);
--- a/Libraries/LibDecision/Calls/outgoing_calls.h
+++ b/Libraries/LibDecision/Calls/outgoing_calls.h
@@ -23,6 +23,13 @@
 
 namespace auburnfold {
 
+/// The work of the own endpoint that a call is made for.
+struct calling_work {
+  request_facts facts;
+  /// Its calls that brought a useful answer so far.
+  std::uint16_t answered_calls = 0;
+};
+
 /// Calls that this node carries out for outside callers and for its own
 /// endpoint: each becomes one or more attempts at other nodes and ends with
 /// exactly one answer.
@@ -42,10 +49,10 @@
         options_(options),
         router_(members) {}
 
-  /// `parent` holds the facts of the parent work, if the node knows it.
+  /// `parent` is the parent work, if the node knows it.
   void OnArrived(step& now,
                  const call_arrived& arrived,
-                 const request_facts* parent);
+                 const calling_work* parent);
   void OnCancelled(step& now, call_id call);
   void OnSent(step& now, const attempt_sent& sent);
   void OnAttemptFinished(step& now, const attempt_finished& finished);
--- a/Libraries/LibDecision/Retries/service_retry_shares.cc
+++ b/Libraries/LibDecision/Retries/service_retry_shares.cc
@@ -9,17 +9,31 @@
 
 // A service bears 0.2 arrivals beyond the first of each request, counted over
 // 10 s. What is earned lasts as long, so what is spent within such a time was
-// earned in it or in the one before: twice 0.09 at most.
-constexpr double kEarnedPerAttempt = 0.09;
+// earned in it or in the one before. The callers' nodes and the nodes beside the
+// endpoints earn alike: four times 0.045 at most.
+constexpr double kEarnedPerAttempt = 0.045;
 constexpr duration kSlice = std::chrono::seconds(1);
 /// Held by a node that has just started; the service bears 48 on top for about
 /// sixteen nodes, and 105 for seventy-five.
 constexpr double kFirstRetries = 1;
-/// Part of what was earned that only important requests may use.
-constexpr double kKeptForImportant = 0.5;
 /// Repeats that were not this node's choice are remembered up to here.
 constexpr double kDeepestDebt = 100;
 
+/// Part of what was earned that is kept for better claims.
+double KeptFrom(retry_claim claim) {
+  switch (claim) {
+    case retry_claim::kUnimportant:
+      return 0.9;
+    case retry_claim::kFirstCall:
+      return 0.8;
+    case retry_claim::kLaterCall:
+      return 0.1;
+    case retry_claim::kSingle:
+      return 0;
+  }
+  return 0;
+}
+
 }  // namespace
 
 void service_retry_shares::OnFirstAttempt(instant now,
@@ -34,10 +48,9 @@
 
 bool service_retry_shares::TryTake(instant now,
                                    const service_name& service,
-                                   bool is_important) {
+                                   retry_claim claim) {
   share& own = ShareOf(now, service);
-  const double kept = is_important ? 0 : own.earned() * kKeptForImportant;
-  if (own.left() < 1 + kept) {
+  if (own.left() < 1 + own.earned() * KeptFrom(claim)) {
     return false;
   }
   own.Spend(1);
--- a/Libraries/LibDecision/Retries/service_retry_shares.h
+++ b/Libraries/LibDecision/Retries/service_retry_shares.h
@@ -3,8 +3,10 @@
 
 #include <array>
 #include <cstddef>
+#include <cstdint>
 #include <unordered_map>
 
+#include "LibDecision/Retries/retry_claim.h"
 #include "LibDecision/ids.h"
 #include "LibDecision/instant.h"
 
@@ -19,15 +21,18 @@
 /// Faults deep in a call graph: a run that is itself a repeat repeats all its
 /// calls, and those count against the share of the service called, so one
 /// share holds at every level, however many levels repeat.
+///
+/// When little is left it goes where a repeat helps most: a chain of five calls
+/// needs six repeats for one answer where half of the calls are turned away, and
+/// one that fails at its first call has wasted none.
 class service_retry_shares {
  public:
   /// A request goes to `service` for the first time.
   void OnFirstAttempt(instant now,
                       const service_name& service,
                       bool is_repeat);
-  /// Takes one retry. The last half of the share is kept for what is
-  /// important.
-  bool TryTake(instant now, const service_name& service, bool is_important);
+  /// Takes one retry, if what is left is not kept for others.
+  bool TryTake(instant now, const service_name& service, retry_claim claim);
 
  private:
   static constexpr std::size_t kSlices = 10;
--- a/Libraries/LibDecision/Works/incoming_works.cc
+++ b/Libraries/LibDecision/Works/incoming_works.cc
@@ -238,11 +238,17 @@
   }
   work& open = found->second;
   open.has_failed_child = open.has_failed_child || child.is_failed;
+  open.answered_children += child.is_failed ? 0 : 1;
   if (--open.open_children == 0) {
     admission_.OnResumed(id);
   }
 }
 
+std::uint16_t incoming_works::AnsweredCallsOf(work_id id) const {
+  const auto found = works_.find(id);
+  return found == works_.end() ? 0 : found->second.answered_children;
+}
+
 const request_facts* incoming_works::FactsOf(work_id id) const {
   const auto found = works_.find(id);
   return found == works_.end() ? nullptr : &found->second.facts;
@@ -266,6 +272,10 @@
   work& open = works_.at(id);
   open.is_running = true;
   running_by_id_[open.facts.own_id] = id;
+  // A repeat was taken from a share before it was sent.
+  if (counts_arrivals_ && !open.facts.is_repeat) {
+    shares_.OnFirstAttempt(now.now(), open.facts.service, false);
+  }
   now.Log(Describe(now, decision_kind::kWorkStarted, open));
   now.Emit(run_work{id, endpoint_.name(), open.deadline - now.now()});
 }
@@ -320,7 +330,8 @@
   } else if (open.holds_key) {
     keys_.OnFinished(now, *open.facts.key, id, {kind, ran});
   }
-  const answer_facts facts = DescribeAnswer(now, open, allowance_.Close(id));
+  answer_facts facts = DescribeAnswer(now, open, allowance_.Close(id));
+  facts.grants_retry = GrantsRetry(now, open, kind, ran);
   decision_record refused = Describe(now, decision_kind::kWorkRefused, open);
   refused.error = kind;
   refused.ran = ran;
@@ -333,6 +344,24 @@
   Close(now, id);
 }
 
+// All callers share what is earned here, where one that calls seldom has little
+// of its own.
+bool incoming_works::GrantsRetry(step& now,
+                                 const work& open,
+                                 error_kind kind,
+                                 run_state ran) {
+  const bool is_idempotent =
+      rows_.SettingsFor(open.facts.service, open.facts.request_class)
+          .is_idempotent;
+  const bool has_arrived =
+      kind == error_kind::kEndpointBusy ||
+      (kind == error_kind::kAnswerLost && ran == run_state::kUnknown &&
+       is_idempotent);
+  return counts_arrivals_ && has_arrived && !open.is_caller_gone &&
+         open.facts.allowance > 0 && open.deadline > now.now() &&
+         shares_.TryTake(now.now(), open.facts.service, ClaimOf(open.facts));
+}
+
 void incoming_works::IssueKey(step& now, work_id id) {
   const work& open = works_.at(id);
   const std::optional<idempotency_key> key = keys_.Issue(now, open.facts);
--- a/Libraries/LibDecision/Works/incoming_works.h
+++ b/Libraries/LibDecision/Works/incoming_works.h
@@ -10,6 +10,7 @@
 #include "LibDecision/Once/key_register.h"
 #include "LibDecision/Pressure/pressure_memory.h"
 #include "LibDecision/Retries/retry_allowance.h"
+#include "LibDecision/Retries/service_retry_shares.h"
 #include "LibDecision/Table/table.h"
 #include "LibDecision/Works/own_endpoint.h"
 #include "LibDecision/ended_child.h"
@@ -32,6 +33,7 @@
         pressure_(pressure),
         stop_grace_(options.stop_grace),
         checks_run_(options.discovery == discovery_choice::kGossip),
+        counts_arrivals_(options.retries == retry_choice::kArrivals),
         endpoint_(options.leaving_grace),
         admission_(options.limit) {}
 
@@ -61,6 +63,8 @@
   /// its calls by that id, a point and a part of their own.
   std::optional<work_id> FindParentOf(const request_id& call) const;
 
+  /// Calls of open work that brought a useful answer; 0 if it is not open.
+  std::uint16_t AnsweredCallsOf(work_id work) const;
   /// The facts of open work; nothing if `work` is not open.
   const request_facts* FactsOf(work_id work) const;
   std::size_t open_count() const { return works_.size(); }
@@ -80,6 +84,7 @@
     /// The key in `facts` is recorded as in progress for this work.
     bool holds_key = false;
     std::uint32_t open_children = 0;
+    std::uint16_t answered_children = 0;
     /// A deeper call ended without the endpoint's whole answer.
     bool has_failed_child = false;
   };
@@ -94,6 +99,11 @@
   /// Ends running work whose outcome will not become known.
   void GiveUp(step& now, work_id id, error_kind kind);
   void Refuse(step& now, work_id id, error_kind kind, run_state ran);
+  /// Takes one repeat for the caller of refused work, if it can use one.
+  bool GrantsRetry(step& now,
+                   const work& open,
+                   error_kind kind,
+                   run_state ran);
   void IssueKey(step& now, work_id id);
   answer_facts DescribeAnswer(const step& now,
                               const work& open,
@@ -109,10 +119,12 @@
   const pressure_memory& pressure_;
   duration stop_grace_;
   bool checks_run_;
+  bool counts_arrivals_;
   incarnation run_;
   std::optional<instant> stopping_since_;
   own_endpoint endpoint_;
   admission admission_;
+  service_retry_shares shares_;
   key_register keys_;
   std::unordered_map<work_id, work> works_;
   /// Works at the endpoint.
--- a/Libraries/LibDecision/answer_facts.h
+++ b/Libraries/LibDecision/answer_facts.h
@@ -22,6 +22,9 @@
   /// A call that the endpoint made for the request failed, so its failure is
   /// not its own.
   bool has_failed_below = false;
+  /// The caller may send the request once more, at the cost of the answering
+  /// node's share.
+  bool grants_retry = false;
   /// The endpoint started recently and takes a reduced share.
   bool is_cold = false;
 };
--- a/Libraries/LibDecision/reducer.cc
+++ b/Libraries/LibDecision/reducer.cc
@@ -97,17 +97,17 @@
         return On(now, child);
       }
     }
-    const request_facts* parent =
+    const request_facts* above =
         arrived.parent ? works.FactsOf(*arrived.parent) : nullptr;
-    if (parent == nullptr) {
+    if (above == nullptr) {
       call_arrived orphan = arrived;
       orphan.parent.reset();
       return calls.OnArrived(now, orphan, nullptr);
     }
     // The call may end the parent work, and with it the facts.
-    const request_facts facts = *parent;
+    const calling_work parent{*above, works.AnsweredCallsOf(*arrived.parent)};
     works.OnChildStarted(now, *arrived.parent);
-    calls.OnArrived(now, arrived, &facts);
+    calls.OnArrived(now, arrived, &parent);
   }
 
   void On(step& now, const call_cancelled& cancelled) {
--- a/Libraries/LibDecision/request_facts.h
+++ b/Libraries/LibDecision/request_facts.h
@@ -34,6 +34,8 @@
   /// An earlier attempt at it, or at what it was made for, may have run: all
   /// that it causes comes on top of what callers asked for.
   bool is_repeat = false;
+  /// Calls of the same work that brought a useful answer before this one began.
+  std::uint16_t answered_siblings = 0;
   /// Hops from the entry; 0 at the entry itself.
   std::uint16_t depth = 0;
   /// Priority of the root request, 0 lowest to 7 highest; unset at the entry,
--- a/Libraries/LibRuntime/headers.cc
+++ b/Libraries/LibRuntime/headers.cc
@@ -171,6 +171,8 @@
   facts.objective = std::chrono::milliseconds(
       NumberOrZero<std::uint32_t>(headers, kObjectiveHeader));
   facts.is_repeat = !ValueOf(headers, kRepeatHeader).empty();
+  facts.answered_siblings =
+      NumberOrZero<std::uint16_t>(headers, kSiblingsHeader);
   if (!ValueOf(headers, kForeignKeyHeader).empty()) {
     facts.key.reset();
   }
@@ -222,6 +224,7 @@
   facts.retry_after = std::chrono::milliseconds(
       NumberOrZero<std::uint32_t>(headers, kRetryAfterMsHeader));
   facts.has_failed_below = !ValueOf(headers, kFailedBelowHeader).empty();
+  facts.grants_retry = !ValueOf(headers, kGrantHeader).empty();
   facts.is_cold = ValueOf(headers, kColdHeader) == "1";
   return facts;
 }
@@ -303,6 +306,9 @@
   if (facts.is_repeat) {
     headers.set(kRepeatHeader, "1");
   }
+  if (facts.answered_siblings > 0) {
+    Set(headers, kSiblingsHeader, facts.answered_siblings);
+  }
   if (facts.priority) {
     Set(headers, kPriorityHeader, *facts.priority);
   }
@@ -339,6 +345,9 @@
   if (facts.has_failed_below) {
     headers.set(kFailedBelowHeader, "1");
   }
+  if (facts.grants_retry) {
+    headers.set(kGrantHeader, "1");
+  }
   if (facts.is_cold) {
     headers.set(kColdHeader, "1");
   }
--- a/Libraries/LibWire/header_names.h
+++ b/Libraries/LibWire/header_names.h
@@ -31,6 +31,10 @@
 inline constexpr std::string_view kDepthHeader = "Auburnfold-Depth";
 /// An earlier attempt may have run.
 inline constexpr std::string_view kRepeatHeader = "Auburnfold-Repeat";
+/// Calls of the same work that were answered before.
+inline constexpr std::string_view kSiblingsHeader = "Auburnfold-Siblings";
+/// The caller may send the request once more.
+inline constexpr std::string_view kGrantHeader = "Auburnfold-Retry-Granted";
 /// A call that the endpoint made for the request failed.
 inline constexpr std::string_view kFailedBelowHeader =
     "Auburnfold-Failed-Below";
