Store: See changes that come together with one call

Each node watches the registry, each registration woke each watch, and all nodes register within a heartbeat: the calls grow with the square of the nodes.

Change: after a change was seen the next watch begins 500 ms later for members and 250 ms later for routes, so changes in between come with one call.

--- a/Libraries/LibDecision/Registry/registry.cc
+++ b/Libraries/LibDecision/Registry/registry.cc
@@ -15,6 +15,9 @@
 // endpoint from its node as well, so this need not be short.
 constexpr duration kLongestWatch = seconds(8);
 constexpr duration kRelistInterval = seconds(30);
+// Nodes that start together register within a heartbeat of their endpoints, and
+// a caller that knows a change half a second later loses one attempt at most.
+constexpr duration kWatchPause = std::chrono::milliseconds(500);
 // Nodes that live and reach the service are back within two seconds of its
 // return.
 constexpr duration kLapseGrace = std::chrono::milliseconds(2500);
@@ -29,6 +32,7 @@
               .owner = timer_owner::kRegistryWatch,
               .caller = store_caller::kRegistryWatch,
               .longest_wait = kLongestWatch,
+              .pause = kWatchPause,
               .relist_interval = kRelistInterval}) {}
 
 void registry::Start(step& now) {
--- a/Libraries/LibDecision/Routes/route_feed.cc
+++ b/Libraries/LibDecision/Routes/route_feed.cc
@@ -12,6 +12,8 @@
 // silently gone deaf ends in time for that.
 constexpr duration kLongestWatch = std::chrono::seconds(3);
 constexpr duration kRelistInterval = std::chrono::seconds(30);
+// An eighth of the two seconds in which a change must be in force.
+constexpr duration kWatchPause = std::chrono::milliseconds(250);
 
 }  // namespace
 
@@ -21,6 +23,7 @@
               .owner = timer_owner::kRouteWatch,
               .caller = store_caller::kRouteWatch,
               .longest_wait = kLongestWatch,
+              .pause = kWatchPause,
               .relist_interval = kRelistInterval}) {}
 
 void route_feed::OnStoreAnswered(step& now, const store_answered& answer) {
--- a/Libraries/LibDecision/Store/prefix_watch.cc
+++ b/Libraries/LibDecision/Store/prefix_watch.cc
@@ -78,7 +78,7 @@
   }
   listed_at_ = now.now();
   revision_ = result.revision;
-  OnAnswered(now);
+  OnAnswered(now, false);
 }
 
 // A watch that heard nothing says nothing of what it may have missed, so the
@@ -88,18 +88,23 @@
   if (result.status != store_status::kDone) {
     return OnFailed(now, result.status == store_status::kHistoryGone);
   }
-  if (!result.entries.empty()) {
+  const bool has_changes = !result.entries.empty();
+  if (has_changes) {
     revision_ = result.revision;
   }
-  OnAnswered(now);
+  OnAnswered(now, has_changes);
 }
 
-void prefix_watch::OnAnswered(step& now) {
+void prefix_watch::OnAnswered(step& now, bool has_changes) {
   failures_ = 0;
   heard_at_ = now.now();
   if (must_list_ || now.now() - listed_at_ >= options_.relist_interval) {
     return List(now);
   }
+  if (has_changes && options_.pause > duration::zero()) {
+    now.timers().Subscribe({options_.owner}, now.now() + options_.pause);
+    return;
+  }
   Watch(now);
 }
 
--- a/Libraries/LibDecision/Store/prefix_watch.h
+++ b/Libraries/LibDecision/Store/prefix_watch.h
@@ -27,6 +27,10 @@
   /// One watch call waits at most this long. A watch that silently hears
   /// nothing is replaced after it.
   duration longest_wait{};
+  /// Time between a change that was seen and the next watch. Changes that come
+  /// one after the other are then seen together: a change at each of n nodes
+  /// would else cost n * n calls.
+  duration pause{};
   /// What a watch has missed is seen at the latest after this time.
   duration relist_interval{};
 };
@@ -61,7 +65,7 @@
   void OnListed(step& now, const store_result& result);
   void OnWatched(step& now, const store_result& result);
   void OnFailed(step& now, bool is_history_gone);
-  void OnAnswered(step& now);
+  void OnAnswered(step& now, bool has_changes);
 
   prefix_watch_options options_;
   store_call_numbers numbers_;
