Works: Ask a running endpoint how it is when the node starts

Change: the settings name where the endpoint listens and the routes where it tells its health. As soon as the routes are known, a node without a report asks once; a ready answer names the endpoint, which then serves until its report comes. The report of the same endpoint is no replacement, and a farewell in between is believed.

--- a/Libraries/LibDecision/Routes/route.h
+++ b/Libraries/LibDecision/Routes/route.h
@@ -40,6 +40,13 @@
   std::uint8_t priority = 3;
 };
 
+/// A service that operators name.
+struct named_service {
+  service_name name;
+  /// Where its endpoints tell how they are; empty if nowhere.
+  std::string health_path;
+};
+
 /// What a caller may send, and how long it may take.
 struct caller_limits {
   std::uint32_t header_bytes = 16 * 1024;
@@ -54,7 +61,7 @@
 struct route_config {
   route_version version;
   std::vector<route> routes;
-  std::vector<service_name> services;
+  std::vector<named_service> services;
   caller_limits limits;
 };
 
--- a/Libraries/LibDecision/Routes/route_table.cc
+++ b/Libraries/LibDecision/Routes/route_table.cc
@@ -27,12 +27,14 @@
   taken_at_ = now;
   hosts_.clear();
   services_.clear();
-  services_.insert(config.services.begin(), config.services.end());
+  for (const named_service& each : config.services) {
+    services_[each.name] = each.health_path;
+  }
   for (const route& each : config.routes) {
     std::vector<std::int64_t> credits(each.services.size(), 0);
     hosts_[HostKey(each.host)].push_back({each, std::move(credits)});
     for (const weighted_service& part : each.services) {
-      services_.insert(part.service);
+      services_.try_emplace(part.service);
     }
   }
   for (auto& [host, routes] : hosts_) {
@@ -85,4 +87,9 @@
   return matched.services[next].service;
 }
 
+std::string route_table::HealthPathOf(const service_name& service) const {
+  const auto found = services_.find(service);
+  return found == services_.end() ? std::string() : found->second;
+}
+
 }  // namespace auburnfold
--- a/Libraries/LibDecision/Routes/route_table.h
+++ b/Libraries/LibDecision/Routes/route_table.h
@@ -3,7 +3,7 @@
 
 #include <cstdint>
 #include <optional>
-#include <set>
+#include <map>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -31,6 +31,8 @@
   bool has_service(const service_name& service) const {
     return services_.contains(service);
   }
+  /// Where endpoints of `service` tell how they are; empty if nowhere.
+  std::string HealthPathOf(const service_name& service) const;
   /// Unset until the first version is known.
   std::optional<route_version> version() const { return version_; }
   /// When the version in force was taken.
@@ -47,7 +49,8 @@
   instant taken_at_{};
   /// By host in lower case; longest prefix first.
   std::unordered_map<std::string, std::vector<host_route>> hosts_;
-  std::set<service_name> services_;
+  /// With their health paths.
+  std::map<service_name, std::string> services_;
 };
 
 }  // namespace auburnfold
--- a/Libraries/LibDecision/Works/own_endpoint.cc
+++ b/Libraries/LibDecision/Works/own_endpoint.cc
@@ -17,6 +17,10 @@
   if (report.state == endpoint_state::kGone) {
     return OnFarewell(now, report);
   }
+  if (report_ && IsFirstOfAskedOne(report)) {
+    gone_run_ = gone_run_ ? std::optional(report.run) : std::nullopt;
+    report_->run = report.run;
+  }
   const bool is_other_run = report_ && report.run != report_->run;
   if (is_other_run && report.run < report_->run && !is_silent_) {
     return report_effect::kIgnored;
@@ -48,6 +52,12 @@
   return is_same ? report_effect::kTaken : report_effect::kChanged;
 }
 
+// What an endpoint answers when it is asked does not tell its run.
+bool own_endpoint::IsFirstOfAskedOne(const endpoint_reported& report) const {
+  return report_->run == incarnation() && report.run != incarnation() &&
+         !report.name.value().empty() && report.name == report_->name;
+}
+
 // A farewell that names another endpoint, or an earlier run, is an old one.
 report_effect own_endpoint::OnFarewell(step& now,
                                        const endpoint_reported& report) {
--- a/Libraries/LibDecision/Works/own_endpoint.h
+++ b/Libraries/LibDecision/Works/own_endpoint.h
@@ -51,6 +51,7 @@
   const std::optional<endpoint_reported>& report() const { return report_; }
 
  private:
+  bool IsFirstOfAskedOne(const endpoint_reported& report) const;
   report_effect OnFarewell(step& now, const endpoint_reported& report);
   void WatchSilence(step& now);
 
--- a/Libraries/LibDecision/effect.h
+++ b/Libraries/LibDecision/effect.h
@@ -144,6 +144,12 @@
   peer_view view;
 };
 
+/// Ask the endpoint beside this node, at `path`, how it is. Answer with
+/// `endpoint_reported` of no run if it is ready, and not at all otherwise.
+struct ask_endpoint {
+  std::string path;
+};
+
 /// Read routes from the value of the route key. Answer with `routes_decoded`.
 struct decode_routes {
   std::string value;
@@ -198,6 +204,7 @@
                             send_message,
                             keep_neighbours,
                             call_store,
+                            ask_endpoint,
                             decode_routes,
                             ask_view,
                             give_view,
--- a/Libraries/LibDecision/event.h
+++ b/Libraries/LibDecision/event.h
@@ -27,6 +27,8 @@
   domain_name domain;
   /// Control addresses to join through while the key-value service is away.
   std::vector<node_address> seeds;
+  /// Of the endpoint beside the node; empty if only its reports tell.
+  service_name service;
 };
 
 /// The process was asked to stop: nothing new, finish what runs.
--- a/Libraries/LibDecision/reducer.cc
+++ b/Libraries/LibDecision/reducer.cc
@@ -44,6 +44,8 @@
   pressure_memory pressure;
   outgoing_calls calls{rows, routes, members, allowance, pressure, options};
   incoming_works works{rows, allowance, pressure, options};
+  /// Of the endpoint beside this node, as far as the settings say.
+  service_name own_service;
   bool is_stopped = false;
   bool is_store_away = false;
   std::optional<instant> view_asked_at;
@@ -69,6 +71,7 @@
         break;
     }
     works.Start(self);
+    own_service = self.service;
   }
 
   void On(step& now, const stop_requested&) {
@@ -144,6 +147,12 @@
       case report_effect::kTaken:
       case report_effect::kChanged:
       case report_effect::kReplaced:
+        // What an endpoint answers when it is asked tells too little for a
+        // record; its own report follows.
+        if (report.run == incarnation() && report.sequence == 0 &&
+            options.settings == settings_choice::kRoutes) {
+          return;
+        }
         return members.OnEndpointReported(now, *works.endpoint().report());
     }
   }
@@ -188,6 +197,17 @@
     for (const route& each : decoded.config->routes) {
       TakeRows(now, decoded.config->version, each);
     }
+    AskEndpoint(now);
+  }
+
+  // A node that was started again beside an endpoint that runs on would refuse
+  // its work until the endpoint's next report.
+  void AskEndpoint(step& now) {
+    const std::string path = routes.HealthPathOf(own_service);
+    if (works.endpoint().report() || path.empty()) {
+      return;
+    }
+    now.Emit(ask_endpoint{path});
   }
 
   // The settings of a service and class follow from the route of that name.
--- a/Libraries/LibRuntime/node_runtime.cc
+++ b/Libraries/LibRuntime/node_runtime.cc
@@ -85,6 +85,7 @@
     metrics.Count(effect.which, effect.amount);
   }
   void On(const decode_routes& effect);
+  void On(const ask_endpoint& effect) { works.AskEndpoint(effect.path); }
   void On(const ask_view& effect) { views.Execute(effect); }
   void On(const give_view& effect) { views.Execute(effect); }
   void On(const log_change& effect);
@@ -247,10 +248,14 @@
   }
   BOOST_LEAF_CHECK(ListenForControl());
   self.address.peer_port = peer_listener.port();
+  if (settings.endpoint_port != 0) {
+    works.OnEndpointAt({asio::ip::make_address(settings.endpoint_host),
+                        settings.endpoint_port});
+  }
   LOG4CPLUS_INFO(Log(), "started at " << settings.host << ", call port "
                                       << call_listener.port());
   sink(node_started{self.node, self.run, self.address, self.domain,
-                    settings.seeds});
+                    settings.seeds, settings.service});
   Sweep();
   return {};
 }
--- a/Libraries/LibRuntime/node_settings.cc
+++ b/Libraries/LibRuntime/node_settings.cc
@@ -122,6 +122,8 @@
   BOOST_LEAF_CHECK(reader.ReadNodeId("node", settings.node));
   BOOST_LEAF_CHECK(
       reader.ReadHost("endpoint_host", kOptional, settings.endpoint_host));
+  BOOST_LEAF_CHECK(reader.ReadAddress(
+      "endpoint_address", settings.endpoint_host, settings.endpoint_port));
   BOOST_LEAF_CHECK(reader.ReadAddresses("seeds", settings.seeds));
   BOOST_LEAF_CHECK(ReadStore(reader, settings));
   BOOST_LEAF_CHECK(ReadLimits(reader, settings));
--- a/Libraries/LibRuntime/node_settings.h
+++ b/Libraries/LibRuntime/node_settings.h
@@ -31,6 +31,8 @@
   std::uint16_t control_port = 0;
   std::uint16_t admin_port = 0;
   std::string endpoint_host = "127.0.0.1";
+  /// Where the endpoint listens before it reports; 0: not known.
+  std::uint16_t endpoint_port = 0;
   /// The service of the endpoint, as far as the settings say.
   service_name service;
   /// `own` or `platform`: how callers and the endpoint speak to the node.
--- a/Libraries/LibRuntime/own_dialect.h
+++ b/Libraries/LibRuntime/own_dialect.h
@@ -1,6 +1,7 @@
 #ifndef LIBRUNTIME_OWN_DIALECT_H_
 #define LIBRUNTIME_OWN_DIALECT_H_
 
+#include <optional>
 #include <string_view>
 
 #include "LibRuntime/wire_dialect.h"
@@ -22,6 +23,11 @@
   http_response MakeError(const caller_error& error) const;
   bool IsReport(const http_request& request) const;
   leaf::result<endpoint_report> ReadReport(const http_request& request) const;
+  /// Endpoints of this interface are not asked.
+  std::optional<endpoint_reported> ReadEndpointState(
+      const http_response&) const {
+    return std::nullopt;
+  }
 };
 
 }  // namespace auburnfold
--- a/Libraries/LibRuntime/settings_watch.cc
+++ b/Libraries/LibRuntime/settings_watch.cc
@@ -47,6 +47,7 @@
   note(before.control_port != now.control_port, "control_port", later);
   note(before.admin_port != now.admin_port, "admin_port", later);
   note(before.endpoint_host != now.endpoint_host, "endpoint_host", later);
+  note(before.endpoint_port != now.endpoint_port, "endpoint_address", later);
   note(before.seeds != now.seeds, "seeds", later);
   note(before.stop_limit != now.stop_limit, "stop_limit", later);
   note(before.label_limit != now.label_limit, "label_limit", later);
--- a/Libraries/LibRuntime/wire_dialect.h
+++ b/Libraries/LibRuntime/wire_dialect.h
@@ -77,6 +77,11 @@
   { dialect.MakeError(error) } -> std::same_as<http_response>;
   /// Whether a request at the call port is a report of the endpoint.
   { dialect.IsReport(request) } -> std::same_as<bool>;
+  /// What an endpoint answers when it is asked how it is; nothing if it is not
+  /// ready.
+  {
+    dialect.ReadEndpointState(response)
+    } -> std::same_as<std::optional<endpoint_reported>>;
   /// Reads how the endpoint describes itself. Fails with `request_error`.
   {
     dialect.ReadReport(request)
@@ -117,6 +122,10 @@
   leaf::result<endpoint_report> ReadReport(const http_request& request) const {
     return held_->ReadReport(request);
   }
+  std::optional<endpoint_reported> ReadEndpointState(
+      const http_response& response) const {
+    return held_->ReadEndpointState(response);
+  }
 
  private:
   struct interface {
@@ -135,6 +144,8 @@
     virtual bool IsReport(const http_request& request) const = 0;
     virtual leaf::result<endpoint_report> ReadReport(
         const http_request& request) const = 0;
+    virtual std::optional<endpoint_reported> ReadEndpointState(
+        const http_response& response) const = 0;
   };
 
   template <wire_dialect type>
@@ -175,6 +186,10 @@
         const http_request& request) const override {
       return dialect.ReadReport(request);
     }
+    std::optional<endpoint_reported> ReadEndpointState(
+        const http_response& response) const override {
+      return dialect.ReadEndpointState(response);
+    }
 
     type dialect;
   };
--- a/Libraries/LibRuntime/work_side.cc
+++ b/Libraries/LibRuntime/work_side.cc
@@ -94,6 +94,27 @@
       });
 }
 
+void work_side::AskEndpoint(const std::string& path) {
+  if (!pool_) {
+    return;
+  }
+  client_request out;
+  out.message.method(http::verb::get);
+  out.message.target(path);
+  out.message.version(kHttp11);
+  out.message.set(http::field::host, endpoint_.address().to_string());
+  out.may_end_with_connection = dialect_.lets_connection_end_answer();
+  out.on_finished = [this](const client_result& result) {
+    if (result.error) {
+      return;
+    }
+    if (auto report = dialect_.ReadEndpointState(result.response)) {
+      sink_(*std::move(report));
+    }
+  };
+  pool_->Send(std::move(out));
+}
+
 void work_side::Execute(const run_work& run) {
   const auto found = works_.find(run.work);
   if (found == works_.end() || !pool_) {
--- a/Libraries/LibRuntime/work_side.h
+++ b/Libraries/LibRuntime/work_side.h
@@ -37,6 +37,9 @@
   /// The endpoint says where it listens.
   void OnEndpointAt(const tcp::endpoint& where);
 
+  /// Asks the endpoint, at `path`, how it is.
+  void AskEndpoint(const std::string& path);
+
   void Execute(const run_work& run);
   void Execute(const cancel_work& cancelled);
   void Execute(const relay_work_answer& relayed);
--- a/Tests/LibDecision/registry_test.cc
+++ b/Tests/LibDecision/registry_test.cc
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <optional>
 #include <string>
 #include <vector>
@@ -229,6 +230,32 @@
   EXPECT_EQ(StateOf(node_id(2)), member_state::kReady);
 }
 
+// Replays the start of 75 nodes whose endpoints report within a second and a
+// half: what each node does for each of them grows with their square.
+TEST_F(another_node, IsSeenTogetherWithOthersThatStartAtTheSameTime) {
+  AnswerLists();
+  constexpr std::uint64_t kNodes = 75;
+  std::uint64_t told = 0;
+  int watches = 0;
+  for (std::uint64_t known = 1; known <= kNodes; ++known) {
+    Pass(20ms);
+    if (!Next<store_watch>(kRegistryPrefix)) {
+      continue;
+    }
+    ++watches;
+    store_result seen{.revision = store_revision(100 + known)};
+    for (; told < known; ++told) {
+      member_record other = Other();
+      other.node = node_id(100 + told);
+      seen.entries.push_back(EntryOf(other, 100 + told));
+    }
+    Answer(seen);
+  }
+  EXPECT_GE(watches, 2);
+  EXPECT_LE(watches, 5);
+  EXPECT_EQ(StateOf(node_id(100)), member_state::kReady);
+}
+
 TEST_F(another_node, ThatSaidThatItLeavesIsGoneWithItsRecord) {
   member_record leaving = Other();
   leaving.state = member_state::kLeaving;
@@ -326,5 +353,79 @@
   EXPECT_FALSE(DecodeMember("auburnfold/nodes/7", "auburnfold-node-1 1 2 9 "));
 }
 
+// Replays the restart of all nodes: each endpoint runs on, and reports again
+// only after a second or more.
+class a_node_started_beside_a_running_endpoint : public a_node {
+ protected:
+  a_node_started_beside_a_running_endpoint() {
+    Happen(node_started{.node = node_id(1),
+                        .run = incarnation(6),
+                        .address = {.host = "10.0.0.1", .peer_port = 80},
+                        .domain = domain_name("d1"),
+                        .service = service_name("lots")});
+    route_config config{.version = route_version(1)};
+    config.services.push_back({service_name("lots"), "/health"});
+    asked_ = Happen(routes_decoded{config});
+  }
+
+  void AnswerHealth() {
+    Happen(endpoint_reported{.service = service_name("lots"),
+                             .name = endpoint_name("e1")});
+  }
+
+  effects Report(std::uint64_t sequence) {
+    return Happen(endpoint_reported{.service = service_name("lots"),
+                                    .run = incarnation(3),
+                                    .slots = 18,
+                                    .name = endpoint_name("e1"),
+                                    .sequence = sequence});
+  }
+
+  effects Arrive(std::uint64_t work) {
+    return Happen(work_arrived{.work = work_id(work),
+                               .facts = {.service = service_name("lots"),
+                                         .time_left = 5s}});
+  }
+
+  template <class wanted>
+  static bool Has(const effects& made) {
+    return std::any_of(made.begin(), made.end(), [](const effect& each) {
+      return std::holds_alternative<wanted>(each);
+    });
+  }
+
+  effects asked_;
+};
+
+TEST_F(a_node_started_beside_a_running_endpoint, AsksItHowItIs) {
+  EXPECT_TRUE(Has<ask_endpoint>(asked_));
+  EXPECT_TRUE(Has<refuse_work>(Arrive(1)));
+  AnswerHealth();
+  EXPECT_TRUE(Has<run_work>(Arrive(2)));
+}
+
+TEST_F(a_node_started_beside_a_running_endpoint, GoesOnWhenItReports) {
+  AnswerHealth();
+  Arrive(1);
+  Happen(work_sent{work_id(1), connection_id(1)});
+  EXPECT_FALSE(Has<refuse_work>(Report(4)));
+  EXPECT_TRUE(Has<relay_work_answer>(Happen(work_finished{work_id(1), {}})));
+}
+
+TEST_F(a_node_started_beside_a_running_endpoint, BelievesAFarewell) {
+  AnswerHealth();
+  Happen(endpoint_reported{.state = endpoint_state::kGone,
+                           .name = endpoint_name("e1")});
+  Report(4);
+  Pass(2s);
+  EXPECT_TRUE(Has<refuse_work>(Arrive(1)));
+}
+
+TEST_F(a_node_started_beside_a_running_endpoint, DoesNotAskOnceItHasReported) {
+  Report(4);
+  EXPECT_FALSE(Has<ask_endpoint>(
+      Happen(routes_decoded{route_config{.version = route_version(2)}})));
+}
+
 }  // namespace
 }  // namespace auburnfold
--- a/Tests/platform/platform_dialect_test.cc
+++ b/Tests/platform/platform_dialect_test.cc
@@ -108,5 +108,17 @@
   EXPECT_EQ(made["Retry-After"], "0.094");
 }
 
+TEST_F(an_endpoints_answer, TellWhichEndpointIsReady) {
+  http_response response{http::status::ok, 11};
+  EXPECT_FALSE(dialect_.ReadEndpointState(response));
+  response.set("X-Instance-Id", "i-7");
+  const auto report = dialect_.ReadEndpointState(response);
+  ASSERT_TRUE(report);
+  EXPECT_EQ(report->name, endpoint_name("i-7"));
+  EXPECT_EQ(report->state, endpoint_state::kReady);
+  response.result(http::status::service_unavailable);
+  EXPECT_FALSE(dialect_.ReadEndpointState(response));
+}
+
 }  // namespace
 }  // namespace auburnfold::platform
--- a/Tests/platform/route_reader_test.cc
+++ b/Tests/platform/route_reader_test.cc
@@ -24,13 +24,15 @@
 
 TEST_F(a_configuration, IsReadWithItsVersionServicesAndLimits) {
   const auto read = ReadRoutes(
-      Config(R"({"resourceType":"services","metadata":{"name":"x"},"spec":{}},)"
+      Config(R"({"resourceType":"services","metadata":{"name":"x"},"spec":{"healthPath":"/h"}},)"
              R"({"resourceType":"limits","metadata":{},"spec":)"
              R"({"maxHeaderBytes":1,"maxBodyBytes":2,"headerTimeoutS":3,)"
              R"("idleTimeoutS":15}})"));
   ASSERT_TRUE(read);
   EXPECT_EQ(read->version, route_version(12));
-  EXPECT_EQ(read->services, std::vector{service_name("x")});
+  ASSERT_EQ(read->services.size(), 1U);
+  EXPECT_EQ(read->services[0].name, service_name("x"));
+  EXPECT_EQ(read->services[0].health_path, "/h");
   EXPECT_EQ(read->limits.body_bytes, 2U);
   EXPECT_EQ(read->limits.idle_wait, 15s);
 }
