Retries: Judge retries in a policy of their own, and log the verdict

Change: `retry_policy` judges, `outgoing_call` is the state of one call, and the verdict (unsafe, too-many-tries, no-allowance, service-refuses, no-share) is in the line of a refused call. Behaviour stays as it was.

--- a/Libraries/LibDecision/Calls/outgoing_calls.cc
+++ b/Libraries/LibDecision/Calls/outgoing_calls.cc
@@ -12,29 +12,9 @@
 
 constexpr duration kSoonRetryAfter = std::chrono::milliseconds(100);
 
-// Of the three-tries baseline.
-constexpr std::size_t kMostTries = 3;
-
-// Attempts that no endpoint saw cost the endpoints nothing, but each takes the
-// time of a hop.
-constexpr std::uint16_t kMostUnseenAttempts = 3;
-
 /// An attempt whose connection has gone silent.
 constexpr outcome kLost{error_kind::kAnswerLost, run_state::kUnknown};
 
-// The endpoint turned the request away, or nobody knows what became of it.
-bool MayHaveArrived(const outcome& result) {
-  return result.ran != run_state::kNotRun ||
-         result.error == error_kind::kEndpointBusy ||
-         result.error == error_kind::kEndpointReplaced;
-}
-
-bool IsOverload(error_kind kind) {
-  return kind == error_kind::kOverloaded ||
-         kind == error_kind::kQueueDeadline ||
-         kind == error_kind::kTenantOverShare;
-}
-
 }  // namespace
 
 void outgoing_calls::OnArrived(step& now,
@@ -97,8 +77,7 @@
     return Refuse(now, arrived.call, error_kind::kOverloaded,
                   RetryAfterFor(now, open, error_kind::kOverloaded));
   }
-  retry_share_.OnFirstAttempt();
-  service_shares_.OnFirstAttempt(now.now(), facts.service, facts.is_repeat);
+  retries_.OnFirstAttempt(now, facts);
   now.Log(Describe(now, decision_kind::kCallRouted, open));
   Send(now, arrived.call, open);
 }
@@ -138,10 +117,6 @@
   return counts_arrivals ? kTreeRetries : row.retry_allowance;
 }
 
-service_class outgoing_calls::CalledBy(const call& open) {
-  return {open.facts.service, open.facts.request_class};
-}
-
 bool outgoing_calls::IsRefusedEarly(step& now, const call& open) {
   if (!options_.refuses_early) {
     return false;
@@ -241,13 +216,22 @@
                                    call_id id,
                                    call& open,
                                    const outcome& result) {
-  if (MayRetry(now, open, result) && HasRetryLeft(now, open, result)) {
+  if (TryRetry(now, open, result)) {
     now.Count(counter::kRetries);
     return Send(now, id, open);
   }
   Refuse(now, id, *result.error, RetryAfterFor(now, open, *result.error));
 }
 
+bool outgoing_calls::TryRetry(step& now, call& open, const outcome& result) {
+  open.last_retry = retries_.Judge(now, open, result);
+  const bool is_allowed = *open.last_retry == retry_verdict::kAllowed;
+  if (is_allowed && retries_.TakesAllowance(result)) {
+    --open.allowance;
+  }
+  return is_allowed;
+}
+
 // A failed run of idempotent work may succeed elsewhere. The failure itself is
 // the answer if it may not be tried again.
 bool outgoing_calls::IsWorthAnother(step& now,
@@ -265,7 +249,7 @@
   open.has_arrived = true;
   open.history.OnSeen();
   const outcome failed{error_kind::kAnswerLost, run_state::kRan};
-  return HasRetryLeft(now, open, failed);
+  return TryRetry(now, open, failed);
 }
 
 // What a lost answer carried stays spent, and no answer brings back more than
@@ -299,7 +283,8 @@
   const auto may_abandon = [this, &now](attempt_id attempt) {
     const call& open = calls_.at(attempts_.at(attempt));
     return options_.retries != retry_choice::kArrivals ||
-           (open.allowance + open.carried > 0 && MayRetry(now, open, kLost));
+           (open.allowance + open.carried > 0 &&
+            retry_policy::IsSafe(now.now(), open, kLost));
   };
   for (const attempt_id lost : connections_.OnTimer(now, may_abandon)) {
     OnAttemptLost(now, lost);
@@ -424,6 +409,7 @@
   refused.ran = ran;
   refused.retry_after = retry_after;
   refused.level = pressure_.LevelFor(now.now(), CalledBy(open));
+  refused.retry = open.last_retry;
   now.Log(std::move(refused));
   now.Emit(refuse_call{id, kind, ran, retry_after, open.allowance});
   Close(now, id);
@@ -461,65 +447,6 @@
   return std::exchange(ended_children_, {});
 }
 
-bool outgoing_calls::MayRetry(step& now,
-                              const call& open,
-                              const outcome& result) {
-  if (open.deadline <= now.now()) {
-    return false;
-  }
-  const bool is_bound_to_home =
-      open.facts.key && key_register::HomeOf(*open.facts.key);
-  if (is_bound_to_home) {
-    // The home runs the work once, however often it is sent; if the home
-    // itself answered, it has nothing better to say.
-    return !result.peer;
-  }
-  const bool is_not_run = result.ran == run_state::kNotRun;
-  const bool is_safe = is_not_run || open.is_idempotent;
-  return is_safe && (AnswerFor(*result.error).is_retryable || !is_not_run);
-}
-
-bool outgoing_calls::HasRetryLeft(step& now,
-                                  call& open,
-                                  const outcome& result) {
-  switch (options_.retries) {
-    case retry_choice::kThreeTries:
-      return open.history.tried.size() < kMostTries;
-    case retry_choice::kAllowance:
-      break;
-    case retry_choice::kArrivals:
-      if (!MayHaveArrived(result)) {
-        return open.unseen_attempts <= kMostUnseenAttempts &&
-               !(IsOverload(*result.error) &&
-                 pressure_.RefusesAsWhole(now.now(), CalledBy(open)));
-      }
-      break;
-  }
-  if (open.allowance == 0) {
-    now.Count(counter::kRetriesDeniedByAllowance);
-    return false;
-  }
-  const bool is_refusing_as_whole =
-      IsOverload(*result.error) &&
-      pressure_.RefusesAsWhole(now.now(), CalledBy(open));
-  if (is_refusing_as_whole) {
-    now.Count(counter::kRetriesDeniedByPressure);
-    return false;
-  }
-  const bool is_granted = result.peer && result.peer->grants_retry;
-  const bool has_share =
-      options_.retries == retry_choice::kArrivals
-          ? is_granted || service_shares_.TryTake(now.now(), open.facts.service,
-                                                  ClaimOf(open.facts))
-          : retry_share_.TryTake();
-  if (!has_share) {
-    now.Count(counter::kRetriesDeniedByNodeShare);
-    return false;
-  }
-  --open.allowance;
-  return true;
-}
-
 decision_record outgoing_calls::Describe(step& now,
                                          decision_kind kind,
                                          const call& open) const {
--- a/Libraries/LibDecision/Calls/outgoing_calls.h
+++ b/Libraries/LibDecision/Calls/outgoing_calls.h
@@ -6,13 +6,13 @@
 #include <unordered_map>
 #include <vector>
 
+#include "LibDecision/Calls/outgoing_call.h"
 #include "LibDecision/Connections/connection_monitor.h"
 #include "LibDecision/Membership/membership.h"
 #include "LibDecision/Once/key_register.h"
 #include "LibDecision/Pressure/pressure_memory.h"
 #include "LibDecision/Retries/retry_allowance.h"
-#include "LibDecision/Retries/retry_share.h"
-#include "LibDecision/Retries/service_retry_shares.h"
+#include "LibDecision/Retries/retry_policy.h"
 #include "LibDecision/Routes/route_table.h"
 #include "LibDecision/Routing/router.h"
 #include "LibDecision/Table/table.h"
@@ -47,6 +47,7 @@
         allowance_(allowance),
         pressure_(pressure),
         options_(options),
+        retries_(pressure, options),
         router_(members) {}
 
   /// `parent` is the parent work, if the node knows it.
@@ -78,33 +79,7 @@
   instant AnsweredAt(node_id node) const { return router_.AnsweredAt(node); }
 
  private:
-  struct call {
-    request_facts facts;
-    std::optional<work_id> parent;
-    class_name parent_class;
-    instant deadline;
-    /// Retries not yet spent here or passed on.
-    std::uint16_t allowance = 0;
-    /// Retries that travel with the attempt under way.
-    std::uint16_t carried = 0;
-    attempt_history history;
-    std::optional<attempt_id> attempt;
-    instant attempt_started;
-    /// Bytes of `attempt` may have left this node.
-    bool is_attempt_sent = false;
-    /// An earlier attempt may have run.
-    bool may_have_run = false;
-    /// An earlier attempt certainly ran.
-    bool has_run = false;
-    /// An endpoint saw it, or may have.
-    bool has_arrived = false;
-    /// An endpoint's answer was useful.
-    bool is_served = false;
-    /// Attempts that certainly reached no endpoint.
-    std::uint16_t unseen_attempts = 0;
-    instant arrived;
-    bool is_idempotent = false;
-  };
+  using call = outgoing_call;
   using call_map = std::unordered_map<call_id, call>;
 
   /// Settles service, class and limits of a call that names none. Returns why
@@ -125,14 +100,12 @@
   static run_state KnowledgeOf(const call& open);
   std::uint16_t AllowanceFor(const call_arrived& arrived,
                              const row_settings& row);
-  static service_class CalledBy(const call& open);
   bool IsRefusedEarly(step& now, const call& open);
   void TakeBackAllowance(call& open, const outcome& result) const;
-  bool MayRetry(step& now, const call& open, const outcome& result);
   /// Takes one retry for a whole answer that says that the endpoint failed.
   bool IsWorthAnother(step& now, call& open, const outcome& result);
-  /// Takes one retry if the allowance and the node's share have one.
-  bool HasRetryLeft(step& now, call& open, const outcome& result);
+  /// Takes one retry if it is safe and there is one left.
+  bool TryRetry(step& now, call& open, const outcome& result);
   duration RetryAfterFor(step& now, const call& open, error_kind kind) const;
 
   /// A record about `open` with what every record of a call tells.
@@ -146,8 +119,7 @@
   retry_allowance& allowance_;
   pressure_memory& pressure_;
   const node_options& options_;
-  retry_share retry_share_;
-  service_retry_shares service_shares_;
+  retry_policy retries_;
   router router_;
   connection_monitor connections_;
   call_map calls_;
--- a/Libraries/LibDecision/decision_record.h
+++ b/Libraries/LibDecision/decision_record.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string_view>
 
+#include "LibDecision/Retries/retry_verdict.h"
 #include "LibDecision/Routes/route.h"
 #include "LibDecision/error_kind.h"
 #include "LibDecision/ids.h"
@@ -64,6 +65,8 @@
   std::optional<incarnation> run;
   std::optional<error_kind> error;
   std::optional<run_state> ran;
+  /// Why the last attempt was tried again, or was not.
+  std::optional<retry_verdict> retry;
   std::optional<route_version> routes;
   /// How long ago what the decision rests on was learned.
   std::optional<duration> age;
--- a/Libraries/LibRuntime/decision_log.cc
+++ b/Libraries/LibRuntime/decision_log.cc
@@ -82,6 +82,7 @@
   fields.Add("run", record.run);
   fields.Add("error", record.error ? AnswerFor(*record.error).name : "");
   fields.Add("ran", record.ran ? NameOf(*record.ran) : "");
+  fields.Add("retry", record.retry ? NameOf(*record.retry) : "");
   fields.Add("routes", record.routes);
   fields.Add("age_ms", record.age);
   fields.Add("time_left_ms", record.time_left);
