--- a/Libraries/LibDecision/Calls/outgoing_calls.cc
+++ b/Libraries/LibDecision/Calls/outgoing_calls.cc
@@ -156,8 +156,8 @@
   }
   call& open = calls_.at(found->second);
   open.is_attempt_sent = true;
-  connections_.OnSent(now, sent.attempt, sent.connection, open.history.tried.back(),
-                      open.facts.request_class);
+  connections_.OnSent(now, sent.attempt, sent.connection,
+                      open.history.tried.back(), open.facts.request_class);
 }
 
 void outgoing_calls::OnAttemptFinished(step& now,
@@ -185,7 +185,8 @@
   router_.OnFinished(now, open.history.tried.back(), result,
                      now.now() - open.attempt_started);
   TakeBackAllowance(open, result);
-  pressure_.OnAnswer(now.now(), CalledBy(open), open.history.tried.back(), result);
+  pressure_.OnAnswer(now.now(), CalledBy(open), open.history.tried.back(),
+                     result);
   if (result.is_whole() && IsWorthAnother(now, open, result)) {
     now.Count(counter::kRetries);
     return Send(now, id, open);
--- a/Libraries/LibDecision/Retries/retry_policy.cc
+++ b/Libraries/LibDecision/Retries/retry_policy.cc
@@ -48,15 +48,14 @@
   }
   const bool is_not_run = result.ran == run_state::kNotRun;
   const bool is_harmless = is_not_run || open.is_idempotent;
-  return is_harmless &&
-         (AnswerFor(*result.error).is_retryable || !is_not_run);
+  return is_harmless && (AnswerFor(*result.error).is_retryable || !is_not_run);
 }
 
 retry_verdict retry_policy::Judge(step& now,
                                   const outgoing_call& open,
                                   const outcome& result) {
   if (!IsSafe(now.now(), open, result)) {
-    return retry_verdict::kUnsafe;
+    return retry_verdict::kUseless;
   }
   if (options_.retries == retry_choice::kThreeTries) {
     return open.history.tried.size() < kMostTries
@@ -108,9 +107,8 @@
     return share_.TryTake();
   }
   const bool is_granted = result.peer && result.peer->grants_retry;
-  return is_granted ||
-         service_shares_.TryTake(now.now(), open.facts.service,
-                                 ClaimOf(open.facts));
+  return is_granted || service_shares_.TryTake(now.now(), open.facts.service,
+                                               ClaimOf(open.facts));
 }
 
 }  // namespace auburnfold
--- a/Libraries/LibDecision/Retries/retry_verdict.cc
+++ b/Libraries/LibDecision/Retries/retry_verdict.cc
@@ -6,8 +6,8 @@
   switch (verdict) {
     case retry_verdict::kAllowed:
       return "allowed";
-    case retry_verdict::kUnsafe:
-      return "unsafe";
+    case retry_verdict::kUseless:
+      return "useless";
     case retry_verdict::kTooManyTries:
       return "too-many-tries";
     case retry_verdict::kNoAllowance:
--- a/Libraries/LibDecision/Retries/retry_verdict.h
+++ b/Libraries/LibDecision/Retries/retry_verdict.h
@@ -9,7 +9,8 @@
 /// Whether a failed attempt is tried again, or why not.
 enum class retry_verdict : std::uint8_t {
   kAllowed,
-  kUnsafe,          ///< It may have run, or its deadline has passed.
+  kUseless,         ///< It may have run and must not again, its deadline has
+                    ///< passed, or no other endpoint would do better.
   kTooManyTries,    ///< As many attempts as one call may make.
   kNoAllowance,     ///< The tree of its root request has none left.
   kServiceRefuses,  ///< The service refuses as a whole.
--- a/Libraries/LibDecision/Retries/service_retry_shares.cc
+++ b/Libraries/LibDecision/Retries/service_retry_shares.cc
@@ -9,8 +9,8 @@
 
 // A service bears 0.2 arrivals beyond the first of each request, counted over
 // 10 s. What is earned lasts as long, so what is spent within such a time was
-// earned in it or in the one before. The callers' nodes and the nodes beside the
-// endpoints earn alike: four times 0.045 at most.
+// earned in it or in the one before. The callers' nodes and the nodes beside
+// the endpoints earn alike: four times 0.045 at most.
 constexpr double kEarnedPerAttempt = 0.045;
 constexpr duration kSlice = std::chrono::seconds(1);
 /// Held by a node that has just started; the service bears 48 on top for about
--- a/Libraries/LibDecision/Retries/service_retry_shares.h
+++ b/Libraries/LibDecision/Retries/service_retry_shares.h
@@ -23,14 +23,12 @@
 /// share holds at every level, however many levels repeat.
 ///
 /// When little is left it goes where a repeat helps most: a chain of five calls
-/// needs six repeats for one answer where half of the calls are turned away, and
-/// one that fails at its first call has wasted none.
+/// needs six repeats for one answer where half of the calls are turned away,
+/// and one that fails at its first call has wasted none.
 class service_retry_shares {
  public:
   /// A request goes to `service` for the first time.
-  void OnFirstAttempt(instant now,
-                      const service_name& service,
-                      bool is_repeat);
+  void OnFirstAttempt(instant now, const service_name& service, bool is_repeat);
   /// Takes one retry, if what is left is not kept for others.
   bool TryTake(instant now, const service_name& service, retry_claim claim);
 
--- a/Libraries/LibDecision/Routes/route_table.h
+++ b/Libraries/LibDecision/Routes/route_table.h
@@ -2,8 +2,8 @@
 #define LIBDECISION_ROUTES_ROUTE_TABLE_H_
 
 #include <cstdint>
-#include <optional>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
--- a/Libraries/LibDecision/Works/incoming_works.cc
+++ b/Libraries/LibDecision/Works/incoming_works.cc
@@ -353,10 +353,9 @@
   const bool is_idempotent =
       rows_.SettingsFor(open.facts.service, open.facts.request_class)
           .is_idempotent;
-  const bool has_arrived =
-      kind == error_kind::kEndpointBusy ||
-      (kind == error_kind::kAnswerLost && ran == run_state::kUnknown &&
-       is_idempotent);
+  const bool has_arrived = kind == error_kind::kEndpointBusy ||
+                           (kind == error_kind::kAnswerLost &&
+                            ran == run_state::kUnknown && is_idempotent);
   return counts_arrivals_ && has_arrived && !open.is_caller_gone &&
          open.facts.allowance > 0 && open.deadline > now.now() &&
          shares_.TryTake(now.now(), open.facts.service, ClaimOf(open.facts));
--- a/Libraries/LibDecision/Works/incoming_works.h
+++ b/Libraries/LibDecision/Works/incoming_works.h
@@ -100,10 +100,7 @@
   void GiveUp(step& now, work_id id, error_kind kind);
   void Refuse(step& now, work_id id, error_kind kind, run_state ran);
   /// Takes one repeat for the caller of refused work, if it can use one.
-  bool GrantsRetry(step& now,
-                   const work& open,
-                   error_kind kind,
-                   run_state ran);
+  bool GrantsRetry(step& now, const work& open, error_kind kind, run_state ran);
   void IssueKey(step& now, work_id id);
   answer_facts DescribeAnswer(const step& now,
                               const work& open,
--- a/Libraries/LibRuntime/settings_watch.cc
+++ b/Libraries/LibRuntime/settings_watch.cc
@@ -98,7 +98,9 @@
         return {};
       },
       [&](const settings_error& error) { change.fault = error; },
-      [&] { change.fault = settings_error{file_, {}, "cannot be read"}; });
+      [&] {
+        change.fault = settings_error{file_, {}, "cannot be read"};
+      });
   return change;
 }
 
--- a/Services/auburnfold-node/main.cc
+++ b/Services/auburnfold-node/main.cc
@@ -241,13 +241,13 @@
       node.Stop();
     }
   });
-  const settings_reload reload(io, settings_watch(settings_file, settings),
-                               [&node, &store](const node_settings& taken) {
-                                 SetLogLevel(taken.log_level);
-                                 store.SetAddress(
-                                     {taken.store_host, taken.store_port});
-                                 node.SetStopLinger(taken.stop_linger);
-                               });
+  const settings_reload reload(
+      io, settings_watch(settings_file, settings),
+      [&node, &store](const node_settings& taken) {
+        SetLogLevel(taken.log_level);
+        store.SetAddress({taken.store_host, taken.store_port});
+        node.SetStopLinger(taken.stop_linger);
+      });
   node.SetStoppedHandler([&io] { io.stop(); });
   BOOST_LEAF_CHECK(node.Start());
   io.run();
--- a/Tests/LibDecision/announced_limit_test.cc
+++ b/Tests/LibDecision/announced_limit_test.cc
@@ -11,9 +11,9 @@
 class an_announced_limit : public testing::Test {
  protected:
   void Refuse(std::uint32_t running) {
-    limit_.OnSample(now_, {.occupancy = {running, running},
-                           .started = now_,
-                           .is_refused = true});
+    limit_.OnSample(
+        now_,
+        {.occupancy = {running, running}, .started = now_, .is_refused = true});
   }
   // An endpoint that runs `slots` at once is filled to the limit again and
   // again, `times` times a millisecond apart.
@@ -23,10 +23,9 @@
       const instant sent = now_;
       const std::uint32_t running = limit_.limit();
       for (std::uint32_t each = running; each > slots; --each) {
-        limit_.OnSample(now_ + std::chrono::microseconds(10),
-                        {.occupancy = {each, each},
-                         .started = sent,
-                         .is_refused = true});
+        limit_.OnSample(
+            now_ + std::chrono::microseconds(10),
+            {.occupancy = {each, each}, .started = sent, .is_refused = true});
       }
       Answer(static_cast<int>(std::min(running, slots)) / 10);
     }
--- a/Tests/LibDecision/incoming_works_test.cc
+++ b/Tests/LibDecision/incoming_works_test.cc
@@ -82,10 +82,9 @@
 
   bool TurnAway(std::uint64_t work, const request_facts& facts) {
     Run(work, facts);
-    const effects made =
-        Happen(work_finished{work_id(work),
-                             {.error = error_kind::kEndpointBusy,
-                              .ran = run_state::kNotRun}});
+    const effects made = Happen(work_finished{
+        work_id(work),
+        {.error = error_kind::kEndpointBusy, .ran = run_state::kNotRun}});
     return Find<refuse_work>(made)->facts.grants_retry;
   }
 };
--- a/Tests/platform/route_reader_test.cc
+++ b/Tests/platform/route_reader_test.cc
@@ -23,11 +23,11 @@
 class a_configuration : public testing::Test {};
 
 TEST_F(a_configuration, IsReadWithItsVersionServicesAndLimits) {
-  const auto read = ReadRoutes(
-      Config(R"({"resourceType":"services","metadata":{"name":"x"},"spec":{"healthPath":"/h"}},)"
-             R"({"resourceType":"limits","metadata":{},"spec":)"
-             R"({"maxHeaderBytes":1,"maxBodyBytes":2,"headerTimeoutS":3,)"
-             R"("idleTimeoutS":15}})"));
+  const auto read = ReadRoutes(Config(
+      R"({"resourceType":"services","metadata":{"name":"x"},"spec":{"healthPath":"/h"}},)"
+      R"({"resourceType":"limits","metadata":{},"spec":)"
+      R"({"maxHeaderBytes":1,"maxBodyBytes":2,"headerTimeoutS":3,)"
+      R"("idleTimeoutS":15}})"));
   ASSERT_TRUE(read);
   EXPECT_EQ(read->version, route_version(12));
   ASSERT_EQ(read->services.size(), 1U);
