Runtime: Outlive a log reader that has gone, and log a granted repeat

Cause: a write to a pipe whose reader has closed it raises SIGPIPE, which ended the process; the appender's own handling of the error was never reached.

Change: the appender ignores SIGPIPE. The line of a refused work says where its caller was granted a repeat.

--- a/Libraries/LibDecision/Works/incoming_works.cc
+++ b/Libraries/LibDecision/Works/incoming_works.cc
@@ -337,6 +337,9 @@
   refused.ran = ran;
   refused.level = facts.level;
   refused.retry_after = facts.retry_after;
+  if (facts.grants_retry) {
+    refused.retry = retry_verdict::kAllowed;
+  }
   now.Log(std::move(refused));
   if (!open.is_caller_gone) {
     now.Emit(refuse_work{id, kind, ran, facts});
--- a/Libraries/LibRuntime/bounded_appender.cc
+++ b/Libraries/LibRuntime/bounded_appender.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <cerrno>
 #include <climits>
+#include <csignal>
 #include <sstream>
 
 namespace auburnfold {
@@ -24,6 +25,11 @@
 
 }  // namespace
 
+// A reader that has gone would else end the process with the next line.
+bounded_appender::bounded_appender(int descriptor) : descriptor_(descriptor) {
+  std::signal(SIGPIPE, SIG_IGN);
+}
+
 bounded_appender::~bounded_appender() {
   destructorImpl();
 }
--- a/Libraries/LibRuntime/bounded_appender.h
+++ b/Libraries/LibRuntime/bounded_appender.h
@@ -13,7 +13,8 @@
 /// line that is kept says how many were.
 class bounded_appender : public log4cplus::Appender {
  public:
-  explicit bounded_appender(int descriptor) : descriptor_(descriptor) {}
+  /// Ignores SIGPIPE in the whole process from then on.
+  explicit bounded_appender(int descriptor);
   ~bounded_appender() override;
 
   /// Writes as much as the descriptor takes at once. Call it regularly.
