LibDecision: Name the parts kept from weaker claims, and give the history a file

The parts of a share that are kept were bare numbers in a switch; they are named constants that say where they come from. `attempt_history` moves out of router.h into a file of its own. Behaviour stays as it was.

--- a/Libraries/LibDecision/Calls/outgoing_call.h
+++ b/Libraries/LibDecision/Calls/outgoing_call.h
@@ -6,7 +6,7 @@
 
 #include "LibDecision/Pressure/pressure_memory.h"
 #include "LibDecision/Retries/retry_verdict.h"
-#include "LibDecision/Routing/router.h"
+#include "LibDecision/Routing/attempt_history.h"
 #include "LibDecision/ids.h"
 #include "LibDecision/instant.h"
 #include "LibDecision/request_facts.h"
--- a/Libraries/LibDecision/Retries/service_retry_shares.cc
+++ b/Libraries/LibDecision/Retries/service_retry_shares.cc
@@ -19,15 +19,20 @@
 /// Repeats that were not this node's choice are remembered up to here.
 constexpr double kDeepestDebt = 100;
 
-/// Part of what was earned that is kept for better claims.
+// Parts of what was earned that are kept for better claims. They served most in
+// the simulation of docs/design/retry-share.md.
+constexpr double kKeptFromUnimportant = 0.9;
+constexpr double kKeptFromFirstCalls = 0.8;
+constexpr double kKeptFromLaterCalls = 0.1;
+
 double KeptFrom(retry_claim claim) {
   switch (claim) {
     case retry_claim::kUnimportant:
-      return 0.9;
+      return kKeptFromUnimportant;
     case retry_claim::kFirstCall:
-      return 0.8;
+      return kKeptFromFirstCalls;
     case retry_claim::kLaterCall:
-      return 0.1;
+      return kKeptFromLaterCalls;
     case retry_claim::kSingle:
       return 0;
   }
