--- a/Libraries/LibDecision/Calls/outgoing_call.h
+++ b/Libraries/LibDecision/Calls/outgoing_call.h
@@ -32,8 +32,6 @@
   bool may_have_run = false;
   /// An earlier attempt certainly ran.
   bool has_run = false;
-  /// An endpoint saw it, or may have.
-  bool has_arrived = false;
   /// An endpoint's answer was useful.
   bool is_served = false;
   /// Attempts that certainly reached no endpoint.
--- a/Libraries/LibDecision/Calls/outgoing_calls.cc
+++ b/Libraries/LibDecision/Calls/outgoing_calls.cc
@@ -203,7 +203,6 @@
   failed.age = now.now() - open.attempt_started;
   now.Log(std::move(failed));
   if (MayHaveArrived(result)) {
-    open.has_arrived = true;
     open.history.OnSeen();
   } else {
     ++open.unseen_attempts;
@@ -247,7 +246,6 @@
     return false;
   }
   open.has_run = true;
-  open.has_arrived = true;
   open.history.OnSeen();
   const outcome failed{error_kind::kAnswerLost, run_state::kRan};
   return TryRetry(now, open, failed);
@@ -300,7 +298,6 @@
   call& open = calls_.at(id);
   open.attempt.reset();
   open.may_have_run = true;
-  open.has_arrived = true;
   open.history.OnSeen();
   TakeBackAllowance(open, kLost);
   router_.OnCancelled(now, open.history.tried.back());
@@ -345,7 +342,7 @@
   router_.OnSent(now, *chosen);
   request_facts facts = open.facts;
   facts.time_left = open.deadline - now.now();
-  facts.is_repeat = facts.is_repeat || open.has_arrived;
+  facts.is_repeat = facts.is_repeat || open.history.is_seen();
   // What travels with the attempt is spent until its answer brings it back.
   open.carried = std::exchange(open.allowance, std::uint16_t{0});
   facts.allowance = open.carried;
--- a/Libraries/LibDecision/Routing/attempt_history.h
+++ b/Libraries/LibDecision/Routing/attempt_history.h
@@ -19,6 +19,8 @@
   /// these again.
   std::uint16_t most_endpoints = std::numeric_limits<std::uint16_t>::max();
 
+  /// An endpoint saw the call, or may have.
+  bool is_seen() const { return !seen_by.empty(); }
   bool IsTried(node_id node) const;
   bool IsTriedLast(node_id node) const;
   bool MayGoTo(node_id node) const;
