Work: Log reports about the endpoint that have no effect

A node acknowledges every report of its endpoint, also one that it ignores, and an ignored one left no line.

--- a/Libraries/LibDecision/Work/incoming_work.cc
+++ b/Libraries/LibDecision/Work/incoming_work.cc
@@ -169,8 +169,10 @@
   if (result != report_result::kIgnored) {
     admission_.OnEndpointReported(context, *endpoint_.report());
   }
-  if (result == report_result::kReplaced || result == report_result::kChanged) {
-    context.Log({.kind = decision_kind::kEndpointChanged,
+  if (result != report_result::kAccepted) {
+    context.Log({.kind = result == report_result::kIgnored
+                             ? decision_kind::kEndpointReportIgnored
+                             : decision_kind::kEndpointChanged,
                  .service = report.service,
                  .endpoint = report.name,
                  .run = report.run,
--- a/Libraries/LibDecision/decision_record.cc
+++ b/Libraries/LibDecision/decision_record.cc
@@ -30,6 +30,8 @@
       return "member_lapsed";
     case decision_kind::kEndpointChanged:
       return "endpoint_changed";
+    case decision_kind::kEndpointReportIgnored:
+      return "endpoint_report_ignored";
     case decision_kind::kEndpointEjected:
       return "endpoint_ejected";
     case decision_kind::kRoutesTaken:
@@ -70,6 +72,7 @@
     case decision_kind::kEndpointChanged:
     case decision_kind::kEndpointEjected:
     case decision_kind::kRoutesTaken:
+    case decision_kind::kEndpointReportIgnored:
     case decision_kind::kRoutesRejected:
     case decision_kind::kConnectionDropped:
     case decision_kind::kStoreLost:
--- a/Libraries/LibDecision/decision_record.h
+++ b/Libraries/LibDecision/decision_record.h
@@ -31,9 +31,10 @@
   kMemberChanged,    ///< The record of another node changed.
   kMemberLapsed,     ///< A record's lease expired, but the node did not leave.
   kEndpointChanged,  ///< The state of the local endpoint changed.
-  kEndpointEjected,  ///< An endpoint is temporarily excluded from routing.
-  kRoutesTaken,      ///< New routes are in effect.
-  kRoutesRejected,   ///< Invalid routes are ignored.
+  kEndpointReportIgnored,  ///< A report about the local endpoint had no effect.
+  kEndpointEjected,    ///< An endpoint is temporarily excluded from routing.
+  kRoutesTaken,        ///< New routes are in effect.
+  kRoutesRejected,     ///< Invalid routes are ignored.
   kConnectionDropped,  ///< An unresponsive connection is closed.
   kStoreLost,          ///< The key-value store is unavailable.
   kStoreRegained,      ///< The key-value store is available again.
--- a/Tests/LibDecision/registry_test.cc
+++ b/Tests/LibDecision/registry_test.cc
@@ -387,6 +387,17 @@
         .metadata = {.service = service_name("lots"), .time_left = 5s}});
   }
 
+  static bool HasLogged(const effects& made,
+                        decision_kind kind,
+                        endpoint_state state) {
+    return std::any_of(made.begin(), made.end(), [&](const effect& each) {
+      const auto* logged = std::get_if<log_decision>(&each);
+      return logged != nullptr && logged->record.kind == kind &&
+             logged->record.endpoint == endpoint_name("e1") &&
+             logged->record.state == static_cast<std::uint32_t>(state);
+    });
+  }
+
   template <class wanted>
   static bool Has(const effects& made) {
     return std::any_of(made.begin(), made.end(), [](const effect& each) {
@@ -421,6 +432,18 @@
   EXPECT_TRUE(Has<refuse_work>(Arrive(1)));
 }
 
+TEST_F(a_node_started_beside_a_running_endpoint, LogsReportsItIgnores) {
+  EXPECT_TRUE(HasLogged(Report(4), decision_kind::kEndpointChanged,
+                        endpoint_state::kReady));
+  EXPECT_TRUE(HasLogged(Report(3), decision_kind::kEndpointReportIgnored,
+                        endpoint_state::kReady));
+  const effects made = Happen(endpoint_reported{.state = endpoint_state::kGone,
+                                                .run = incarnation(2),
+                                                .name = endpoint_name("e1")});
+  EXPECT_TRUE(HasLogged(made, decision_kind::kEndpointReportIgnored,
+                        endpoint_state::kGone));
+}
+
 TEST_F(a_node_started_beside_a_running_endpoint, DoesNotAskOnceItHasReported) {
   Report(4);
   EXPECT_FALSE(Has<probe_endpoint>(
