LibRuntime: Measure and log how late the event loop runs

A node that is short of processor time reads requests late, and neither its logs nor its metrics show by how much: every time in them begins when a request is read.

A timer of 100 ms measures its own lateness, since it waits in the same queue as arrived bytes. The histogram auburnfold_loop_delay_seconds exports it, and the reducer logs loop_delayed from 100 ms on.

--- a/Libraries/LibDecision/decision_record.cc
+++ b/Libraries/LibDecision/decision_record.cc
@@ -44,6 +44,8 @@
       return "store_lost";
     case decision_kind::kStoreRegained:
       return "store_regained";
+    case decision_kind::kLoopDelayed:
+      return "loop_delayed";
     case decision_kind::kStarted:
       return "started";
     case decision_kind::kStopping:
@@ -70,13 +72,14 @@
     case decision_kind::kMemberChanged:
     case decision_kind::kMemberLapsed:
     case decision_kind::kEndpointChanged:
+    case decision_kind::kEndpointReportIgnored:
     case decision_kind::kEndpointEjected:
     case decision_kind::kRoutesTaken:
-    case decision_kind::kEndpointReportIgnored:
     case decision_kind::kRoutesRejected:
     case decision_kind::kConnectionDropped:
     case decision_kind::kStoreLost:
     case decision_kind::kStoreRegained:
+    case decision_kind::kLoopDelayed:
     case decision_kind::kStarted:
     case decision_kind::kStopping:
     case decision_kind::kStopped:
--- a/Libraries/LibDecision/decision_record.h
+++ b/Libraries/LibDecision/decision_record.h
@@ -38,6 +38,7 @@
   kConnectionDropped,  ///< An unresponsive connection is closed.
   kStoreLost,          ///< The key-value store is unavailable.
   kStoreRegained,      ///< The key-value store is available again.
+  kLoopDelayed,        ///< The node handles events late.
   kStarted,            ///< The node has started.
   kStopping,           ///< The node is asked to stop.
   kStopped,            ///< All requests of the node have ended.
--- a/Libraries/LibDecision/event.h
+++ b/Libraries/LibDecision/event.h
@@ -40,6 +40,12 @@
 /// The instant of the last `wake_at` was reached.
 struct time_passed {};
 
+/// The event loop has handled something `delay` after it was ready. Measured
+/// several times a second.
+struct loop_delay_measured {
+  duration delay{};
+};
+
 /// The host and path of a request whose service is determined by the routes.
 struct route_target {
   std::string host;
@@ -182,6 +188,7 @@
 using event_content = std::variant<node_started,
                                    stop_requested,
                                    time_passed,
+                                   loop_delay_measured,
                                    call_arrived,
                                    call_cancelled,
                                    attempt_sent,
--- a/Libraries/LibDecision/reducer.cc
+++ b/Libraries/LibDecision/reducer.cc
@@ -24,6 +24,9 @@
 /// Minimum time between two requests for another node's view.
 constexpr duration kMinViewRequestInterval = std::chrono::milliseconds(300);
 
+/// A delay of the event loop that is a large part of the shortest deadlines.
+constexpr duration kNotableLoopDelay = std::chrono::milliseconds(100);
+
 // Keys of the timers of a stop.
 constexpr std::uint64_t kStopLimitTimerKey = 0;
 constexpr std::uint64_t kStopGraceTimerKey = 1;
@@ -89,6 +92,13 @@
 
   void On(event_context&, const time_passed&) {}
 
+  void On(event_context& context, const loop_delay_measured& measured) {
+    if (measured.delay >= kNotableLoopDelay) {
+      context.Log(
+          {.kind = decision_kind::kLoopDelayed, .waited = measured.delay});
+    }
+  }
+
   void On(event_context& context, const call_arrived& arrived) {
     if (!arrived.parent && arrived.may_have_parent) {
       const auto parent_id = work.FindParentOf(arrived.metadata.own_id);
--- a/Libraries/LibRuntime/labelled_histograms.cc
+++ b/Libraries/LibRuntime/labelled_histograms.cc
@@ -10,15 +10,15 @@
 
 constexpr const char* kOverflowLabelValue = "other";
 
-const prometheus::Histogram::BucketBoundaries& BucketBoundariesInSeconds() {
-  static const prometheus::Histogram::BucketBoundaries kBoundariesInSeconds{
+}  // namespace
+
+const std::vector<double>& BucketBoundariesInSeconds() {
+  static const std::vector<double> kBoundariesInSeconds{
       0.0002, 0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05,
       0.1,    0.2,    0.5,   1,     2,     5,    10};
   return kBoundariesInSeconds;
 }
 
-}  // namespace
-
 labelled_histograms::labelled_histograms(prometheus::Registry& registry,
                                          const std::string& name,
                                          const std::string& help,
--- a/Libraries/LibRuntime/labelled_histograms.h
+++ b/Libraries/LibRuntime/labelled_histograms.h
@@ -7,9 +7,13 @@
 #include <cstddef>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace auburnfold {
 
+/// Upper bounds of the buckets of every histogram of times, in seconds.
+const std::vector<double>& BucketBoundariesInSeconds();
+
 /// Histograms of durations in seconds, one for each value of a label. Values
 /// beyond the first `max_values` share the label value `other`.
 class labelled_histograms {
--- a/Libraries/LibRuntime/node_metrics.cc
+++ b/Libraries/LibRuntime/node_metrics.cc
@@ -2,6 +2,7 @@
 
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
@@ -76,7 +77,12 @@
             "auburnfold_queue_wait_seconds",
             "Time from arrival to the start at the endpoint.",
             "class",
-            label_limit) {
+            label_limit),
+        loop_delay_seconds(prometheus::BuildHistogram()
+                               .Name("auburnfold_loop_delay_seconds")
+                               .Help("Time that the event loop runs late.")
+                               .Register(registry)
+                               .Add({}, BucketBoundariesInSeconds())) {
     for (std::size_t i = 0; i < kCounterCount; ++i) {
       counters[i] = &MakeCounter(registry, NameOf(static_cast<counter>(i)));
     }
@@ -105,6 +111,7 @@
   labelled_histograms call_seconds_by_tenant;
   labelled_histograms work_seconds_by_class;
   labelled_histograms queue_wait_seconds_by_class;
+  prometheus::Histogram& loop_delay_seconds;
 };
 
 node_metrics::node_metrics(std::size_t label_limit)
@@ -142,6 +149,11 @@
   impl_->queue_wait_seconds_by_class.Observe(request_class.value(), waited);
 }
 
+void node_metrics::ObserveLoopDelay(elapsed delay) {
+  impl_->loop_delay_seconds.Observe(
+      std::chrono::duration<double>(delay).count());
+}
+
 std::string node_metrics::ToPrometheusText(std::size_t open_calls,
                                            std::size_t open_work_items) {
   impl_->calls_in_flight.Set(static_cast<double>(open_calls));
--- a/Libraries/LibRuntime/node_metrics.h
+++ b/Libraries/LibRuntime/node_metrics.h
@@ -46,6 +46,7 @@
                    elapsed latency);
   void ObserveWork(const class_name& request_class, elapsed latency);
   void ObserveQueueWait(const class_name& request_class, elapsed waited);
+  void ObserveLoopDelay(elapsed delay);
 
   /// All metrics in the Prometheus text format. The arguments are the values of
   /// the gauges.
--- a/Libraries/LibRuntime/node_runtime.cc
+++ b/Libraries/LibRuntime/node_runtime.cc
@@ -17,6 +17,7 @@
 #include "LibRuntime/decision_log.h"
 #include "LibRuntime/decision_loop.h"
 #include "LibRuntime/endpoint_report.h"
+#include "LibRuntime/event_loop_monitor.h"
 #include "LibRuntime/http_listener.h"
 #include "LibRuntime/http_responses.h"
 #include "LibRuntime/lazy_timer.h"
@@ -109,6 +110,7 @@
   void Sweep();
   void FinishWhenIdle();
   void Finish();
+  void OnLoopDelayMeasured(event_loop_monitor::clock::duration delay);
 
   asio::io_context& io;
   node_settings settings;
@@ -130,6 +132,7 @@
   http_listener admin_listener;
   http_listener ready_listener;
   http_listener report_listener;
+  event_loop_monitor loop_monitor;
   lazy_timer wake_timer;
   asio::steady_timer sweep_timer;
   asio::steady_timer stop_timer;
@@ -219,6 +222,10 @@
                                                  const http_request& request) {
                         OnEndpointReport(session, request);
                       })),
+      loop_monitor(io,
+                   [this](event_loop_monitor::clock::duration delay) {
+                     OnLoopDelayMeasured(delay);
+                   }),
       wake_timer(io, [this] { sink(time_passed{}); }),
       sweep_timer(io),
       stop_timer(io),
@@ -260,6 +267,7 @@
   sink(node_started{self.node, self.run, self.address, self.domain,
                     settings.seeds, settings.service});
   Sweep();
+  loop_monitor.Start();
   return {};
 }
 
@@ -392,6 +400,7 @@
   admin_listener.Close();
   ready_listener.Close();
   report_listener.Close();
+  loop_monitor.Stop();
   sweep_timer.cancel();
   stop_timer.cancel();
   idle_timer.cancel();
@@ -400,6 +409,12 @@
   }
 }
 
+void node_runtime::impl::OnLoopDelayMeasured(
+    event_loop_monitor::clock::duration delay) {
+  metrics.ObserveLoopDelay(delay);
+  sink(loop_delay_measured{std::chrono::duration_cast<duration>(delay)});
+}
+
 void node_runtime::impl::Sweep() {
   call_listener.Sweep();
   peer_listener.Sweep();
--- a/Tests/LibDecision/reducer_test.cc
+++ b/Tests/LibDecision/reducer_test.cc
@@ -73,6 +73,25 @@
   EXPECT_EQ(refused->execution, execution_state::kUnknown);
 }
 
+class a_node_that_is_behind : public a_node_beside_its_endpoint {
+ protected:
+  bool HasLogged(duration delay) {
+    for (const effect& each : Happen(loop_delay_measured{delay})) {
+      const auto* logged = std::get_if<log_decision>(&each);
+      if (logged != nullptr &&
+          logged->record.kind == decision_kind::kLoopDelayed) {
+        return logged->record.waited == delay;
+      }
+    }
+    return false;
+  }
+};
+
+TEST_F(a_node_that_is_behind, LogsByHowMuch) {
+  EXPECT_TRUE(HasLogged(250ms));
+  EXPECT_FALSE(HasLogged(10ms));
+}
+
 class work_that_arrives : public a_node_beside_its_endpoint {};
 
 TEST_F(work_that_arrives, RunsAtTheEndpointAndItsAnswerIsRelayed) {
