LibRuntime: Count and log connections that cannot be accepted

An accept that fails, mostly for want of file descriptors, paused the port for 100 ms without a log line or a metric.

connections_accepted_total and accept_failures_total are exported; one line is written when accepts begin to fail and one when they succeed again.

--- a/Libraries/LibRuntime/http_listener.cc
+++ b/Libraries/LibRuntime/http_listener.cc
@@ -1,5 +1,8 @@
 #include "LibRuntime/http_listener.h"
 
+#include <log4cplus/logger.h>
+#include <log4cplus/loggingmacros.h>
+
 #include <boost/asio/ip/address.hpp>
 #include <chrono>
 #include <utility>
@@ -10,10 +13,20 @@
 
 constexpr std::chrono::milliseconds kAcceptRetryInterval{100};
 
+log4cplus::Logger Log() {
+  return log4cplus::Logger::getInstance(
+      LOG4CPLUS_TEXT("auburnfold.connections"));
+}
+
 }  // namespace
 
-http_listener::http_listener(asio::io_context& io, session_handlers handlers)
-    : handlers_(std::move(handlers)), acceptor_(io), retry_timer_(io) {}
+http_listener::http_listener(asio::io_context& io,
+                             session_handlers handlers,
+                             node_metrics& metrics)
+    : handlers_(std::move(handlers)),
+      metrics_(metrics),
+      acceptor_(io),
+      retry_timer_(io) {}
 
 error_code http_listener::Listen(const std::string& host, std::uint16_t port) {
   error_code error;
@@ -72,25 +85,37 @@
     if (error == asio::error::operation_aborted) {
       return;
     }
-    if (!error) {
-      auto session =
-          std::make_shared<server_session>(std::move(socket), handlers_);
-      sessions_.push_back(session);
-      session->Start();
-    }
     if (error) {
-      // Most likely out of file descriptors, so an immediate retry would fail
-      // again.
-      return AcceptLater();
+      return OnAcceptFailed(error);
     }
+    OnAccepted(std::move(socket));
     Accept();
   });
 }
 
-void http_listener::AcceptLater() {
+void http_listener::OnAccepted(tcp::socket socket) {
+  metrics_.Count(runtime_counter::kConnectionsAccepted);
+  if (is_failing_) {
+    is_failing_ = false;
+    LOG4CPLUS_INFO(Log(), "accepts connections at port " << port() << " again");
+  }
+  auto session = std::make_shared<server_session>(std::move(socket), handlers_);
+  sessions_.push_back(session);
+  session->Start();
+}
+
+// Most likely out of file descriptors, so an immediate retry would fail again.
+void http_listener::OnAcceptFailed(error_code error) {
+  metrics_.Count(runtime_counter::kAcceptFailures);
+  if (!is_failing_) {
+    is_failing_ = true;
+    LOG4CPLUS_WARN(Log(), "cannot accept connections at port "
+                              << port() << ": " << error.message() << ", "
+                              << sessions_.size() << " open");
+  }
   retry_timer_.expires_after(kAcceptRetryInterval);
-  retry_timer_.async_wait([this](error_code error) {
-    if (!error) {
+  retry_timer_.async_wait([this](error_code wait_error) {
+    if (!wait_error) {
       Accept();
     }
   });
--- a/Libraries/LibRuntime/http_listener.h
+++ b/Libraries/LibRuntime/http_listener.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "LibRuntime/http_types.h"
+#include "LibRuntime/node_metrics.h"
 #include "LibRuntime/server_session.h"
 
 namespace auburnfold {
@@ -15,7 +16,9 @@
 /// Accepts connections at one port and runs a `server_session` for each.
 class http_listener {
  public:
-  http_listener(asio::io_context& io, session_handlers handlers);
+  http_listener(asio::io_context& io,
+                session_handlers handlers,
+                node_metrics& metrics);
 
   /// Listens at `host`:`port`; port 0 picks any free port. Fails if `host` is
   /// not an IP address of this machine or the port is in use.
@@ -32,12 +35,16 @@
 
  private:
   void Accept();
-  void AcceptLater();
+  void OnAccepted(tcp::socket socket);
+  void OnAcceptFailed(error_code error);
 
   session_handlers handlers_;
+  node_metrics& metrics_;
   tcp::acceptor acceptor_;
   asio::steady_timer retry_timer_;
   std::vector<std::weak_ptr<server_session>> sessions_;
+  /// The last attempt to accept a connection failed.
+  bool is_failing_ = false;
 };
 
 }  // namespace auburnfold
--- a/Libraries/LibRuntime/node_metrics.cc
+++ b/Libraries/LibRuntime/node_metrics.cc
@@ -26,6 +26,10 @@
       return "control_bytes_sent";
     case runtime_counter::kBytesReceived:
       return "control_bytes_received";
+    case runtime_counter::kConnectionsAccepted:
+      return "connections_accepted";
+    case runtime_counter::kAcceptFailures:
+      return "accept_failures";
   }
   return "unknown";
 }
--- a/Libraries/LibRuntime/node_metrics.h
+++ b/Libraries/LibRuntime/node_metrics.h
@@ -21,10 +21,12 @@
   kMessagesRejected,  ///< Control messages that could not be decoded.
   kBytesSent,         ///< Bytes of control messages sent.
   kBytesReceived,     ///< Bytes of control messages received.
+  kConnectionsAccepted,
+  kAcceptFailures,  ///< Connections that could not be accepted.
 };
 
 inline constexpr std::size_t kRuntimeCounterCount =
-    static_cast<std::size_t>(runtime_counter::kBytesReceived) + 1;
+    static_cast<std::size_t>(runtime_counter::kAcceptFailures) + 1;
 
 /// The metrics that a node exports at `/metrics`.
 class node_metrics {
--- a/Libraries/LibRuntime/node_runtime.cc
+++ b/Libraries/LibRuntime/node_runtime.cc
@@ -197,7 +197,8 @@
                     MakeSessionHandlers([this](const session_ptr& session,
                                                http_request request) {
                       OnCallPort(session, std::move(request));
-                    })),
+                    }),
+                    metrics),
       peer_listener(io,
                     MakeSessionHandlers([this](const session_ptr& session,
                                                http_request request) {
@@ -206,22 +207,26 @@
                       }
                       last_request = std::chrono::steady_clock::now();
                       works.OnWork(session, std::move(request));
-                    })),
+                    }),
+                    metrics),
       admin_listener(io,
                      MakeSessionHandlers([this](const session_ptr& session,
                                                 const http_request& request) {
                        admin.OnRequest(session, request);
-                     })),
+                     }),
+                     metrics),
       ready_listener(io,
                      MakeSessionHandlers([this](const session_ptr& session,
                                                 const http_request&) {
                        admin.HandleReadinessRequest(session);
-                     })),
+                     }),
+                     metrics),
       report_listener(io,
                       MakeSessionHandlers([this](const session_ptr& session,
                                                  const http_request& request) {
                         OnEndpointReport(session, request);
-                      })),
+                      }),
+                      metrics),
       loop_monitor(io,
                    [this](event_loop_monitor::clock::duration delay) {
                      OnLoopDelayMeasured(delay);
