--- a/Tests/LibDecision/registry_test.cc
+++ b/Tests/LibDecision/registry_test.cc
@@ -381,6 +381,11 @@
                                     .sequence = sequence});
   }
 
+  effects Deregister() {
+    return Happen(endpoint_reported{.state = endpoint_state::kGone,
+                                    .name = endpoint_name("e1")});
+  }
+
   effects Arrive(std::uint64_t work) {
     return Happen(work_arrived{
         .work = work_id(work),
@@ -450,5 +455,38 @@
       Happen(routes_decoded{route_config{.version = route_version(2)}})));
 }
 
+// A node that had just restarted acknowledged the deregistration and dropped
+// it, since it had no report of the endpoint yet.
+class an_endpoint_that_deregisters_before_its_first_report
+    : public a_node_started_beside_a_running_endpoint {
+ protected:
+  an_endpoint_that_deregisters_before_its_first_report() { Deregister(); }
+};
+
+TEST_F(an_endpoint_that_deregisters_before_its_first_report,
+       IsNotMadeReadyByAHealthProbe) {
+  AnswerHealth();
+  Pass(2s);
+  EXPECT_TRUE(Has<refuse_work>(Arrive(1)));
+}
+
+TEST_F(an_endpoint_that_deregisters_before_its_first_report,
+       IsNotMadeReadyByADelayedReport) {
+  Report(4);
+  Pass(2s);
+  EXPECT_TRUE(Has<refuse_work>(Arrive(1)));
+}
+
+TEST_F(an_endpoint_that_deregisters_before_its_first_report,
+       IsReadyOnceALaterRunReports) {
+  Report(4);
+  Happen(endpoint_reported{.service = service_name("lots"),
+                           .run = incarnation(9),
+                           .slots = 18,
+                           .name = endpoint_name("e1"),
+                           .sequence = 1});
+  EXPECT_TRUE(Has<execute_work>(Arrive(1)));
+}
+
 }  // namespace
 }  // namespace auburnfold
--- a/Tests/LibRuntime/running_node.cc
+++ b/Tests/LibRuntime/running_node.cc
@@ -5,6 +5,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/leaf/handle_errors.hpp>
+#include <future>
 #include <sstream>
 #include <thread>
 
@@ -40,6 +41,7 @@
   boost::asio::io_context io{1};
   node_runtime node;
   std::thread thread;
+  std::promise<void> resumed;
   std::unique_ptr<nng_sender> control;
   bool is_started = false;
 };
@@ -124,6 +126,21 @@
   }
 }
 
+void running_node::Pause() {
+  std::promise<void> paused;
+  boost::asio::post(
+      parts_->io,
+      [&paused, resumed = (parts_->resumed = {}).get_future().share()] {
+        paused.set_value();
+        resumed.wait();
+      });
+  paused.get_future().wait();
+}
+
+void running_node::Resume() {
+  parts_->resumed.set_value();
+}
+
 void running_node::Stop() {
   boost::asio::post(parts_->io, [this] { parts_->node.Stop(); });
 }
--- a/Tests/LibRuntime/running_node.h
+++ b/Tests/LibRuntime/running_node.h
@@ -42,6 +42,10 @@
   /// Asks until the metric has at least this value.
   void WaitForMetric(const std::string& name, double value) const;
 
+  /// Blocks the node's event loop until `Resume`.
+  void Pause();
+  void Resume();
+
   void Stop();
   /// Waits for the end of a stop; returns the requests that it cut.
   std::uint64_t WaitUntilStopped();
