Work: Keep a deregistration that comes before the first report

Cause: a node that has just started knows no endpoint. It acknowledged the deregistration, compared it with a report that it did not have, and dropped it. The health probe that follows the first routes, or a report sent before the deregistration, then made the endpoint ready for as long as it ran.

The deregistration now becomes the first report, and names the run that has left once a report names it. A later run is taken as before. A report with another name is that of another endpoint even if both runs are unknown.

--- a/Libraries/LibDecision/Work/local_endpoint.cc
+++ b/Libraries/LibDecision/Work/local_endpoint.cc
@@ -18,10 +18,13 @@
     return OnGone(context, report);
   }
   if (report_ && IsFirstReportOfProbedRun(report)) {
-    gone_run_ = gone_run_ ? std::optional(report.run) : std::nullopt;
+    if (deregistered_ == endpoint_run{report.name, incarnation()}) {
+      deregistered_->run = report.run;
+    }
     report_->run = report.run;
   }
-  const bool is_other_run = report_ && report.run != report_->run;
+  const bool is_other_run =
+      report_ && (report.run != report_->run || report.name != report_->name);
   if (is_other_run && report.run < report_->run && !is_silent_) {
     return report_result::kIgnored;
   }
@@ -34,7 +37,7 @@
                             report.state == report_->state &&
                             report.service == report_->service;
   report_ = report;
-  if (report.run == gone_run_) {
+  if (deregistered_ == endpoint_run{report.name, report.run}) {
     report_->state = endpoint_state::kLeaving;
   }
   unreachable_until_ = instant();
@@ -63,13 +66,17 @@
 // A report with `kGone` that names another endpoint or an earlier run is stale.
 report_result local_endpoint::OnGone(event_context& context,
                                      const endpoint_reported& report) {
+  if (!report_) {
+    OnGoneBeforeFirstReport(context, report);
+    return report_result::kChanged;
+  }
   const bool is_current_run =
-      report_ && report.name == report_->name &&
+      report.name == report_->name &&
       (report.run == incarnation() || report.run == report_->run);
   if (!is_current_run) {
     return report_result::kIgnored;
   }
-  gone_run_ = report_->run;
+  deregistered_ = endpoint_run{report_->name, report_->run};
   const bool was_leaving = report_->state == endpoint_state::kLeaving;
   report_->state = endpoint_state::kLeaving;
   if (!leaving_since_) {
@@ -78,6 +85,17 @@
   return was_leaving ? report_result::kAccepted : report_result::kChanged;
 }
 
+// The node may have restarted while the endpoint was leaving. The
+// deregistration is acknowledged like any other, and a health probe or a report
+// sent before it may still arrive.
+void local_endpoint::OnGoneBeforeFirstReport(event_context& context,
+                                             const endpoint_reported& report) {
+  report_ = report;
+  report_->state = endpoint_state::kLeaving;
+  leaving_since_ = context.now();
+  deregistered_ = endpoint_run{report.name, report.run};
+}
+
 void local_endpoint::OnUnreachable(event_context& context) {
   unreachable_until_ = context.now() + kUnreachableTime;
 }
--- a/Libraries/LibDecision/Work/local_endpoint.h
+++ b/Libraries/LibDecision/Work/local_endpoint.h
@@ -24,6 +24,15 @@
               ///< later report of the same run.
 };
 
+/// One run of an endpoint.
+struct endpoint_run {
+  endpoint_name name;
+  /// 0 until a report has named it.
+  incarnation run;
+
+  friend bool operator==(const endpoint_run&, const endpoint_run&) = default;
+};
+
 /// What this node knows about its local endpoint.
 class local_endpoint {
  public:
@@ -55,6 +64,8 @@
  private:
   bool IsFirstReportOfProbedRun(const endpoint_reported& report) const;
   report_result OnGone(event_context& context, const endpoint_reported& report);
+  void OnGoneBeforeFirstReport(event_context& context,
+                               const endpoint_reported& report);
   void ScheduleSilenceCheck(event_context& context);
 
   std::optional<endpoint_reported> report_;
@@ -62,7 +73,7 @@
   std::optional<instant> leaving_since_;
   duration leaving_grace_;
   /// The run that has reported `endpoint_state::kGone`.
-  std::optional<incarnation> gone_run_;
+  std::optional<endpoint_run> deregistered_;
   instant unreachable_until_{};
   bool is_silent_ = false;
 };
