LibRuntime: Accept all waiting connections in one turn of the loop

Cause: the port accepted one connection for each handler that ran, so a turn of the event loop, which takes milliseconds under load, accepted one. With clients that retry on new connections the accept queue grew, and requests waited in it unread for up to a second. No timer, queue limit or deadline covers that time, and the caller's close waits behind its request.

Up to 64 connections are now accepted in one turn.

--- a/Libraries/LibRuntime/http_listener.cc
+++ b/Libraries/LibRuntime/http_listener.cc
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds kAcceptRetryInterval{100};
+// Bounds the time that one turn of the event loop spends on new connections.
+constexpr int kMaxAcceptsPerTurn = 64;
 
 log4cplus::Logger Log() {
   return log4cplus::Logger::getInstance(
@@ -42,6 +44,9 @@
   if (!error) {
     acceptor_.bind(local, error);
   }
+  if (!error) {
+    acceptor_.non_blocking(true, error);
+  }
   if (!error) {
     acceptor_.listen(asio::socket_base::max_listen_connections, error);
   }
@@ -89,10 +94,28 @@
       return OnAcceptFailed(error);
     }
     OnAccepted(std::move(socket));
-    Accept();
+    AcceptWaiting();
   });
 }
 
+// A turn of a busy event loop takes milliseconds. If it accepted one connection
+// only, the others would wait in the accept queue until their callers leave.
+void http_listener::AcceptWaiting() {
+  for (int accepted = 1; accepted < kMaxAcceptsPerTurn; ++accepted) {
+    tcp::socket socket(acceptor_.get_executor());
+    error_code error;
+    acceptor_.accept(socket, error);
+    if (error == asio::error::would_block) {
+      break;
+    }
+    if (error) {
+      return OnAcceptFailed(error);
+    }
+    OnAccepted(std::move(socket));
+  }
+  Accept();
+}
+
 void http_listener::OnAccepted(tcp::socket socket) {
   metrics_.Count(runtime_counter::kConnectionsAccepted);
   if (is_failing_) {
--- a/Libraries/LibRuntime/http_listener.h
+++ b/Libraries/LibRuntime/http_listener.h
@@ -35,6 +35,8 @@
 
  private:
   void Accept();
+  /// Accepts the other connections that are waiting, then waits for more.
+  void AcceptWaiting();
   void OnAccepted(tcp::socket socket);
   void OnAcceptFailed(error_code error);
 
