LibRuntime: Drop requests whose sender left before they were read

Cause: a close is seen only by the read that follows the request, so a request that had waited unread was routed, forwarded and handed to the endpoint before the node noticed that its caller had left; the endpoint's run was cut 2 ms after its start. The wait in the accept queue is one reason for such requests, a node short of processor time another.

A node now looks for the peer's close before it handles a call or a forwarded request, and drops the request if it finds one.

--- a/Libraries/LibDecision/counter.cc
+++ b/Libraries/LibDecision/counter.cc
@@ -22,6 +22,8 @@
       return "dropped_from_queue";
     case counter::kCancelledDown:
       return "cancelled_down";
+    case counter::kRequestsAbandoned:
+      return "requests_abandoned";
     case counter::kLateAnswers:
       return "late_answers";
     case counter::kEndpointsEjected:
--- a/Libraries/LibDecision/decision_record.cc
+++ b/Libraries/LibDecision/decision_record.cc
@@ -16,6 +16,8 @@
       return "attempt_sent";
     case decision_kind::kAttemptFailed:
       return "attempt_failed";
+    case decision_kind::kRequestAbandoned:
+      return "request_abandoned";
     case decision_kind::kWorkQueued:
       return "work_queued";
     case decision_kind::kWorkStarted:
@@ -68,6 +70,7 @@
       return true;
     case decision_kind::kCallRefused:
     case decision_kind::kAttemptFailed:
+    case decision_kind::kRequestAbandoned:
     case decision_kind::kWorkRefused:
     case decision_kind::kMemberChanged:
     case decision_kind::kMemberLapsed:
--- a/Libraries/LibDecision/decision_record.h
+++ b/Libraries/LibDecision/decision_record.h
@@ -16,12 +16,13 @@
 /// Kinds of decision: about one request, or about the state of the cluster.
 enum class decision_kind : std::uint8_t {
   // Calls, at the node that received them from the caller.
-  kCallRouted,     ///< Route, service and deadline are determined.
-  kCallRefused,    ///< Ended with an error from this node.
-  kCallAnswered,   ///< Ended with the endpoint's answer.
-  kCallCancelled,  ///< The caller closed its connection.
-  kAttemptSent,    ///< Sent to the node of an endpoint.
-  kAttemptFailed,  ///< That node gave no complete answer.
+  kCallRouted,        ///< Route, service and deadline are determined.
+  kCallRefused,       ///< Ended with an error from this node.
+  kCallAnswered,      ///< Ended with the endpoint's answer.
+  kCallCancelled,     ///< The caller closed its connection.
+  kAttemptSent,       ///< Sent to the node of an endpoint.
+  kAttemptFailed,     ///< That node gave no complete answer.
+  kRequestAbandoned,  ///< Read after its sender had left, and not handled.
   // Work, at the node whose local endpoint runs it.
   kWorkQueued,    ///< Waits until the endpoint has capacity.
   kWorkStarted,   ///< Sent to the endpoint.
--- a/Libraries/LibDecision/event.h
+++ b/Libraries/LibDecision/event.h
@@ -73,6 +73,12 @@
   call_id call;
 };
 
+/// A call, or a request that another node forwarded, was read after its sender
+/// had closed the connection.
+struct request_abandoned {
+  request_metadata metadata;
+};
+
 /// `attempt` is about to be written to `connection`. If the effects of this
 /// event cancel the attempt, nothing is written.
 struct attempt_sent {
@@ -191,6 +197,7 @@
                                    loop_delay_measured,
                                    call_arrived,
                                    call_cancelled,
+                                   request_abandoned,
                                    attempt_sent,
                                    attempt_finished,
                                    work_arrived,
--- a/Libraries/LibDecision/reducer.cc
+++ b/Libraries/LibDecision/reducer.cc
@@ -131,6 +131,20 @@
     calls.OnCancelled(context, cancelled.call);
   }
 
+  // Nobody waits for an answer, so the request is neither admitted nor counted
+  // as demand.
+  void On(event_context& context, const request_abandoned& abandoned) {
+    context.Count(counter::kRequestsAbandoned);
+    context.Log({.kind = decision_kind::kRequestAbandoned,
+                 .request = abandoned.metadata.own_id,
+                 .root = abandoned.metadata.root,
+                 .service = abandoned.metadata.service,
+                 .request_class = abandoned.metadata.request_class,
+                 .error = error_kind::kCallerGone,
+                 .execution = execution_state::kNotExecuted,
+                 .time_left = abandoned.metadata.time_left});
+  }
+
   void On(event_context& context, const attempt_sent& sent) {
     calls.OnSent(context, sent);
   }
--- a/Libraries/LibRuntime/call_handler.cc
+++ b/Libraries/LibRuntime/call_handler.cc
@@ -87,6 +87,10 @@
   if (metadata.own_id.value().empty()) {
     metadata.own_id = metadata.root;
   }
+  if (session->HasPeerClosed()) {
+    sink_(request_abandoned{std::move(metadata)});
+    return session->Close();
+  }
   StripHeaders(request);
   dialect_.AddOriginHeaders(request);
   calls_.emplace(
--- a/Libraries/LibRuntime/server_session.cc
+++ b/Libraries/LibRuntime/server_session.cc
@@ -28,6 +28,7 @@
 void server_session::Start() {
   error_code ignored;
   socket_.set_option(tcp::no_delay(true), ignored);
+  socket_.non_blocking(true, ignored);
   PrepareNext();
   Read();
 }
@@ -54,6 +55,13 @@
   SendResponse(std::move(response));
 }
 
+bool server_session::HasPeerClosed() {
+  char next = 0;
+  error_code error;
+  socket_.receive(asio::buffer(&next, 1), tcp::socket::message_peek, error);
+  return error && error != asio::error::would_block;
+}
+
 std::string server_session::peer_host() const {
   error_code error;
   const tcp::endpoint peer = socket_.remote_endpoint(error);
--- a/Libraries/LibRuntime/server_session.h
+++ b/Libraries/LibRuntime/server_session.h
@@ -50,6 +50,10 @@
   /// an idle, reading or closing connection has expired at `now`.
   void CloseIfStale(clock::time_point now);
 
+  /// Whether the peer's close has arrived behind the current request. It is
+  /// reported to the disconnect handler only after the request was handled.
+  bool HasPeerClosed();
+
   /// The IP address of the peer; empty if it has disconnected.
   std::string peer_host() const;
   bool is_open() const { return socket_.is_open(); }
--- a/Libraries/LibRuntime/work_handler.cc
+++ b/Libraries/LibRuntime/work_handler.cc
@@ -49,6 +49,10 @@
                           request_metadata metadata,
                           node_id from,
                           incarnation expected_run) {
+  if (session->HasPeerClosed()) {
+    sink_(request_abandoned{std::move(metadata)});
+    return session->Close();
+  }
   const work_id id(next_work_++);
   StripHeaders(request);
   open_work& open = open_work_[id];
