LibRuntime: Close the longest idle callers' connections near the limit

Cause: callers keep the connections of their retries open, and nothing bounded them but the idle timeout of 90 s.

From half of the descriptors on, the callers' connections that are idle longest are closed, unless a request waits on them unread. Callers may repeat a request that a close crosses.

--- a/Libraries/LibRuntime/http_listener.cc
+++ b/Libraries/LibRuntime/http_listener.cc
@@ -3,6 +3,7 @@
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
 
+#include <algorithm>
 #include <boost/asio/ip/address.hpp>
 #include <chrono>
 #include <utility>
@@ -14,6 +15,9 @@
 constexpr std::chrono::milliseconds kAcceptRetryInterval{100};
 // Bounds the time that one turn of the event loop spends on new connections.
 constexpr int kMaxAcceptsPerTurn = 64;
+// Above the limit, this part of it is closed at once, since finding the idle
+// sessions takes time in proportion to their number.
+constexpr std::size_t kExcessDivisor = 32;
 
 log4cplus::Logger Log() {
   return log4cplus::Logger::getInstance(
@@ -56,6 +60,11 @@
   return error;
 }
 
+void http_listener::LimitSessions(std::size_t max_sessions) {
+  max_sessions_ = max_sessions;
+  apply_limit_at_ = max_sessions;
+}
+
 void http_listener::Sweep() {
   const server_session::clock::time_point now = server_session::clock::now();
   std::erase_if(sessions_, [now](const std::weak_ptr<server_session>& weak) {
@@ -123,10 +132,43 @@
     LOG4CPLUS_INFO(Log(), "accepts connections at port " << port() << " again");
   }
   auto session = std::make_shared<server_session>(std::move(socket), handlers_);
+  if (sessions_.size() >= apply_limit_at_) {
+    CloseExcessSessions();
+  }
   sessions_.push_back(session);
   session->Start();
 }
 
+void http_listener::CloseExcessSessions() {
+  EraseClosedSessions();
+  const std::size_t step = max_sessions_ / kExcessDivisor + 1;
+  if (sessions_.size() >= max_sessions_) {
+    std::size_t to_close = sessions_.size() - max_sessions_ + step;
+    std::vector<std::shared_ptr<server_session>> sessions;
+    for (const std::weak_ptr<server_session>& weak : sessions_) {
+      sessions.push_back(weak.lock());
+    }
+    std::stable_sort(sessions.begin(), sessions.end(),
+                     [](const auto& left, const auto& right) {
+                       return left->idle_since() < right->idle_since();
+                     });
+    for (const std::shared_ptr<server_session>& session : sessions) {
+      if (to_close > 0 && session->CloseIfIdle()) {
+        --to_close;
+      }
+    }
+    EraseClosedSessions();
+  }
+  apply_limit_at_ = std::max(max_sessions_, sessions_.size() + step);
+}
+
+void http_listener::EraseClosedSessions() {
+  std::erase_if(sessions_, [](const std::weak_ptr<server_session>& weak) {
+    const std::shared_ptr<server_session> session = weak.lock();
+    return !session || !session->is_open();
+  });
+}
+
 // Most likely out of file descriptors, so an immediate retry would fail again.
 void http_listener::OnAcceptFailed(error_code error) {
   metrics_.Count(runtime_counter::kAcceptFailures);
--- a/Libraries/LibRuntime/http_listener.h
+++ b/Libraries/LibRuntime/http_listener.h
@@ -2,7 +2,9 @@
 #define LIBRUNTIME_HTTP_LISTENER_H_
 
 #include <boost/asio/steady_timer.hpp>
+#include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <memory>
 #include <string>
 #include <vector>
@@ -24,6 +26,10 @@
   /// not an IP address of this machine or the port is in use.
   error_code Listen(const std::string& host, std::uint16_t port);
 
+  /// From `max_sessions` sessions on, those that have been idle longest are
+  /// closed as others are accepted. Without a call there is no limit.
+  void LimitSessions(std::size_t max_sessions);
+
   /// Closes sessions without progress, and discards closed ones. Call it about
   /// once a second.
   void Sweep();
@@ -38,6 +44,8 @@
   /// Accepts the other connections that are waiting, then waits for more.
   void AcceptWaiting();
   void OnAccepted(tcp::socket socket);
+  void CloseExcessSessions();
+  void EraseClosedSessions();
   void OnAcceptFailed(error_code error);
 
   session_handlers handlers_;
@@ -45,6 +53,9 @@
   tcp::acceptor acceptor_;
   asio::steady_timer retry_timer_;
   std::vector<std::weak_ptr<server_session>> sessions_;
+  std::size_t max_sessions_ = std::numeric_limits<std::size_t>::max();
+  /// Number of sessions at which the limit is next applied.
+  std::size_t apply_limit_at_ = std::numeric_limits<std::size_t>::max();
   /// The last attempt to accept a connection failed.
   bool is_failing_ = false;
 };
--- a/Libraries/LibRuntime/node_runtime.cc
+++ b/Libraries/LibRuntime/node_runtime.cc
@@ -2,6 +2,7 @@
 
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
+#include <sys/resource.h>
 
 #include <algorithm>
 #include <boost/asio/ip/address.hpp>
@@ -9,6 +10,7 @@
 #include <boost/leaf/error.hpp>
 #include <boost/leaf/handle_errors.hpp>
 #include <chrono>
+#include <limits>
 #include <utility>
 
 #include "LibRuntime/admin_port_handler.h"
@@ -36,6 +38,9 @@
 constexpr std::chrono::seconds kSweepInterval{1};
 // How often a stopping node checks whether all answers have been relayed.
 constexpr std::chrono::milliseconds kIdleCheckInterval{50};
+// Callers may hold this part of the file descriptors; the others are for
+// connections to and from nodes, the endpoint and the key-value store.
+constexpr std::size_t kCallerDescriptorDivisor = 2;
 constexpr std::string_view kIdempotencyKeysTarget = "/auburnfold/v1/keys";
 
 // Counts microseconds, so that a restart within the same millisecond gets a
@@ -47,6 +52,13 @@
           .count()));
 }
 
+// The number of file descriptors that this process may have open.
+std::size_t DescriptorLimit() {
+  rlimit limit{};
+  const bool is_known = getrlimit(RLIMIT_NOFILE, &limit) == 0;
+  return is_known ? limit.rlim_cur : std::numeric_limits<std::size_t>::max();
+}
+
 log4cplus::Logger Log() {
   return log4cplus::Logger::getInstance(LOG4CPLUS_TEXT("auburnfold.node"));
 }
@@ -250,6 +262,7 @@
 }
 
 leaf::result<void> node_runtime::impl::Start() {
+  call_listener.LimitSessions(DescriptorLimit() / kCallerDescriptorDivisor);
   BOOST_LEAF_CHECK(ListenAt(call_listener, "call_port", settings.call_port));
   BOOST_LEAF_CHECK(ListenAt(peer_listener, "peer_port", settings.peer_port));
   BOOST_LEAF_CHECK(ListenAt(admin_listener, "admin_port", settings.admin_port));
--- a/Libraries/LibRuntime/server_session.cc
+++ b/Libraries/LibRuntime/server_session.cc
@@ -55,11 +55,25 @@
   SendResponse(std::move(response));
 }
 
+bool server_session::CloseIfIdle() {
+  const bool has_request = is_busy_ || is_lingering_ || parser_->got_some();
+  if (has_request || Peek() != asio::error::would_block) {
+    return false;
+  }
+  Close();
+  return true;
+}
+
 bool server_session::HasPeerClosed() {
+  const error_code error = Peek();
+  return error && error != asio::error::would_block;
+}
+
+error_code server_session::Peek() {
   char next = 0;
   error_code error;
   socket_.receive(asio::buffer(&next, 1), tcp::socket::message_peek, error);
-  return error && error != asio::error::would_block;
+  return error;
 }
 
 std::string server_session::peer_host() const {
@@ -191,7 +205,8 @@
   parser_->header_limit(kMaxHeaderBytes);
   parser_->body_limit(kMaxBodyBytes);
   is_continue_sent_ = false;
-  deadline_ = clock::now() + kIdleTimeout;
+  idle_since_ = clock::now();
+  deadline_ = idle_since_ + kIdleTimeout;
 }
 
 void server_session::OnDisconnected() {
--- a/Libraries/LibRuntime/server_session.h
+++ b/Libraries/LibRuntime/server_session.h
@@ -50,6 +50,12 @@
   /// an idle, reading or closing connection has expired at `now`.
   void CloseIfStale(clock::time_point now);
 
+  /// Closes the connection if it carries no request and none has arrived.
+  /// Returns whether it did.
+  bool CloseIfIdle();
+  /// When the last request was answered, or the connection was accepted.
+  clock::time_point idle_since() const { return idle_since_; }
+
   /// Whether the peer's close has arrived behind the current request. It is
   /// reported to the disconnect handler only after the request was handled.
   bool HasPeerClosed();
@@ -61,6 +67,9 @@
   bool is_busy() const { return is_busy_; }
 
  private:
+  /// Looks at what has arrived without reading it: no error if there are bytes,
+  /// `would_block` if there is nothing.
+  error_code Peek();
   void Read();
   void OnRead(error_code error, std::size_t size);
   void Parse();
@@ -80,6 +89,7 @@
   std::optional<http::response_serializer<http::string_body>> serializer_;
   std::function<void()> on_disconnect_;
   clock::time_point deadline_;
+  clock::time_point idle_since_;
   http::verb method_ = http::verb::unknown;
   bool is_busy_ = false;
   bool is_reading_ = false;
--- a/Tests/LibRuntime/http_listener_test.cc
+++ b/Tests/LibRuntime/http_listener_test.cc
@@ -17,7 +17,12 @@
 
   asio::io_context io_{1};
   node_metrics metrics_{1};
-  session_handlers handlers_;
+  // Leaves every request unanswered.
+  session_handlers handlers_{
+      .on_request = [](const std::shared_ptr<server_session>&,
+                       const http_request&) {},
+      .on_malformed = [](const std::shared_ptr<server_session>&,
+                         error_kind) {}};
   http_listener listener_{io_, handlers_, metrics_};
 };
 
@@ -33,5 +38,45 @@
   EXPECT_EQ(listener_.session_count(), kWaiting);
 }
 
+class a_listener_with_a_limit : public a_listener {
+ protected:
+  a_listener_with_a_limit() { listener_.LimitSessions(2); }
+
+  std::unique_ptr<raw_client> Connect() {
+    auto client = std::make_unique<raw_client>(listener_.port());
+    io_.poll();
+    return client;
+  }
+};
+
+// Connections that callers keep open and do not use took all descriptors, and
+// new callers waited in the accept queue.
+TEST_F(a_listener_with_a_limit, ClosesTheSessionThatIsIdleLongest) {
+  const auto first = Connect();
+  const auto second = Connect();
+  const auto third = Connect();
+  ASSERT_EQ(listener_.session_count(), 2U);
+  EXPECT_TRUE(first->ReadsEnd());
+}
+
+TEST_F(a_listener_with_a_limit, KeepsSessionsWithARequest) {
+  const auto first = Connect();
+  const auto second = Connect();
+  first->Write("GET / HTTP/1.1\r\nHost: test\r\n\r\n");
+  io_.poll();
+  const auto third = Connect();
+  ASSERT_EQ(listener_.session_count(), 2U);
+  EXPECT_TRUE(second->ReadsEnd());
+}
+
+TEST_F(a_listener_with_a_limit, KeepsSessionsWithAnUnreadRequest) {
+  const auto first = Connect();
+  const auto second = Connect();
+  first->Write("GET / HTTP/1.1\r\n");
+  const auto third = Connect();
+  ASSERT_EQ(listener_.session_count(), 2U);
+  EXPECT_TRUE(second->ReadsEnd());
+}
+
 }  // namespace
 }  // namespace auburnfold
