Registry: Publish that an endpoint has deregistered

Cause: a report without run and sequence was taken for the result of a health probe, which is not published. A deregistration has neither.

Probe results are now marked as such.

--- a/Libraries/LibDecision/event.h
+++ b/Libraries/LibDecision/event.h
@@ -150,6 +150,9 @@
   /// Increases with each report of an incarnation; 0 if reports are not
   /// numbered.
   std::uint64_t sequence = 0;
+  /// The endpoint's response to a health probe, which names neither its run nor
+  /// its slots.
+  bool is_probe_result = false;
 };
 
 /// A connection to `peer`, or to the local endpoint if unset, failed or was
--- a/Libraries/LibDecision/reducer.cc
+++ b/Libraries/LibDecision/reducer.cc
@@ -181,8 +181,7 @@
       case report_result::kReplaced:
         // The result of a health probe contains too little for a record; the
         // endpoint's own report follows.
-        if (report.run == incarnation() && report.sequence == 0 &&
-            options.settings == settings_source::kRoutes) {
+        if (report.is_probe_result) {
           return;
         }
         return members.OnEndpointReported(context, *work.endpoint().report());
--- a/Tests/LibDecision/registry_test.cc
+++ b/Tests/LibDecision/registry_test.cc
@@ -172,6 +172,20 @@
             member_state::kLeaving);
 }
 
+// A deregistration names neither run nor sequence, and was taken for the result
+// of a health probe, which is not published.
+TEST_F(its_own_record, SaysAtOnceThatTheEndpointDeregisters) {
+  AnswerLists();
+  ReportEndpoint();
+  Register();
+  Happen(endpoint_reported{.service = service_name("lots"),
+                           .state = endpoint_state::kGone});
+  const auto write = Next<store_compare_and_swap>();
+  ASSERT_TRUE(write);
+  EXPECT_EQ(DecodeMember(write->key, write->value)->state,
+            member_state::kLeaving);
+}
+
 TEST_F(its_own_record, IsWrittenAgainUnderANewLeaseIfTheLeaseHasEnded) {
   AnswerLists();
   ReportEndpoint();
@@ -370,7 +384,8 @@
 
   void AnswerHealth() {
     Happen(endpoint_reported{.service = service_name("lots"),
-                             .name = endpoint_name("e1")});
+                             .name = endpoint_name("e1"),
+                             .is_probe_result = true});
   }
 
   effects Report(std::uint64_t sequence) {
--- a/Tests/platform/platform_dialect_test.cc
+++ b/Tests/platform/platform_dialect_test.cc
@@ -124,9 +124,21 @@
   ASSERT_TRUE(report);
   EXPECT_EQ(report->name, endpoint_name("i-7"));
   EXPECT_EQ(report->state, endpoint_state::kReady);
+  EXPECT_TRUE(report->is_probe_result);
   response.result(http::status::service_unavailable);
   EXPECT_FALSE(dialect_.ReadEndpointState(response));
 }
 
+class a_deregistration : public the_dialect {};
+
+TEST_F(a_deregistration, IsAboutTheServiceOfItsNode) {
+  const http_request request{http::verb::delete_, "/instances/i-7", kHttp11};
+  const auto report = dialect_.ReadReport(request);
+  ASSERT_TRUE(report);
+  EXPECT_EQ(report->content.state, endpoint_state::kGone);
+  EXPECT_EQ(report->content.service, service_name("own"));
+  EXPECT_FALSE(report->content.is_probe_result);
+}
+
 }  // namespace
 }  // namespace auburnfold::platform
