Work: Let a health probe stand in for a report for 2.5 s only

The health probe made the endpoint ready, and its answers kept it ready until it exited, for many seconds in some cases.

An endpoint that stays reports every 1.5 s, one that has deregistered reports no more.

--- a/Libraries/LibDecision/Work/incoming_work.cc
+++ b/Libraries/LibDecision/Work/incoming_work.cc
@@ -5,7 +5,8 @@
 
 namespace auburnfold {
 
-void incoming_work::Start(const node_started& self) {
+void incoming_work::Start(event_context& context, const node_started& self) {
+  endpoint_.Start(context.now());
   run_ = self.run;
   keys_.Start(self.node, self.run);
 }
--- a/Libraries/LibDecision/Work/incoming_work.h
+++ b/Libraries/LibDecision/Work/incoming_work.h
@@ -38,7 +38,7 @@
         endpoint_(options.leaving_grace),
         admission_(options.limit) {}
 
-  void Start(const node_started& self);
+  void Start(event_context& context, const node_started& self);
   void OnArrived(event_context& context, const work_arrived& arrived);
   void OnCancelled(event_context& context, work_id work);
   void OnSent(event_context& context, work_id work);
--- a/Libraries/LibDecision/Work/local_endpoint.cc
+++ b/Libraries/LibDecision/Work/local_endpoint.cc
@@ -17,6 +17,12 @@
   if (report.state == endpoint_state::kGone) {
     return OnGone(context, report);
   }
+  const bool is_late_probe_result =
+      report.is_probe_result &&
+      context.now() >= node_started_at_ + kProbeValidity;
+  if (is_late_probe_result) {
+    return report_result::kIgnored;
+  }
   if (report_ && IsFirstReportOfProbedRun(report)) {
     if (deregistered_ == endpoint_run{report.name, incarnation()}) {
       deregistered_->run = report.run;
@@ -105,7 +111,7 @@
 }
 
 bool local_endpoint::OnTimer(event_context& context) {
-  if (last_heard_at_ + kEndpointSilenceTimeout > context.now()) {
+  if (SilenceDeadline() > context.now()) {
     ScheduleSilenceCheck(context);
     return false;
   }
@@ -129,10 +135,16 @@
   return std::nullopt;
 }
 
+// An endpoint that deregistered before this node started answers probes and
+// requests for some seconds, but sends no more reports.
+instant local_endpoint::SilenceDeadline() const {
+  return report_->is_probe_result ? node_started_at_ + kProbeValidity
+                                  : last_heard_at_ + kEndpointSilenceTimeout;
+}
+
 // The timer is rescheduled when it fires rather than at every answer.
 void local_endpoint::ScheduleSilenceCheck(event_context& context) {
-  context.timers().Schedule({timer_owner::kEndpoint},
-                            last_heard_at_ + kEndpointSilenceTimeout);
+  context.timers().Schedule({timer_owner::kEndpoint}, SilenceDeadline());
 }
 
 }  // namespace auburnfold
--- a/Libraries/LibDecision/Work/local_endpoint.h
+++ b/Libraries/LibDecision/Work/local_endpoint.h
@@ -15,13 +15,17 @@
 /// and new work for it is refused.
 inline constexpr duration kEndpointSilenceTimeout = std::chrono::seconds(5);
 
+/// Time from the start of the node during which the response to a health probe
+/// stands in for a report. An endpoint that stays has reported by then.
+inline constexpr duration kProbeValidity = std::chrono::milliseconds(2500);
+
 /// How a report changed what this node knows about the endpoint.
 enum class report_result : std::uint8_t {
   kAccepted,  ///< State and service stay as they were.
   kChanged,   ///< First report, new state or service, or end of a silence.
   kReplaced,  ///< First report of another run of the endpoint.
-  kIgnored,   ///< Stale: sent by a run that was replaced, or overtaken by a
-              ///< later report of the same run.
+  kIgnored,   ///< Stale: sent by a run that was replaced, overtaken by a later
+              ///< report of the same run, or a probe result that came too late.
 };
 
 /// One run of an endpoint.
@@ -41,6 +45,7 @@
   explicit local_endpoint(duration leaving_grace = kLeavingGracePeriod)
       : leaving_grace_(leaving_grace) {}
 
+  void Start(instant now) { node_started_at_ = now; }
   report_result OnReported(event_context& context,
                            const endpoint_reported& report);
   /// The endpoint did not accept a connection, or another one answered in its
@@ -66,9 +71,12 @@
   report_result OnGone(event_context& context, const endpoint_reported& report);
   void OnGoneBeforeFirstReport(event_context& context,
                                const endpoint_reported& report);
+  /// When the endpoint counts as silent if nothing is heard from it.
+  instant SilenceDeadline() const;
   void ScheduleSilenceCheck(event_context& context);
 
   std::optional<endpoint_reported> report_;
+  instant node_started_at_;
   instant last_heard_at_;
   std::optional<instant> leaving_since_;
   duration leaving_grace_;
--- a/Libraries/LibDecision/reducer.cc
+++ b/Libraries/LibDecision/reducer.cc
@@ -75,7 +75,7 @@
         routes_watcher.Start(context);
         break;
     }
-    work.Start(self);
+    work.Start(context, self);
     local_service = self.service;
   }
 
@@ -196,7 +196,8 @@
     const incarnation run = members.self().run;
     members.OnMessage(context, received.message);
     if (members.self().run != run) {
-      work.Start({.node = members.self().node, .run = members.self().run});
+      work.Start(context,
+                 {.node = members.self().node, .run = members.self().run});
     }
     if (const auto* update =
             std::get_if<row_update>(&received.message.content)) {
--- a/Tests/LibDecision/registry_test.cc
+++ b/Tests/LibDecision/registry_test.cc
@@ -503,5 +503,39 @@
   EXPECT_TRUE(Has<execute_work>(Arrive(1)));
 }
 
+// The node was told that its endpoint leaves, and was killed after it had
+// acknowledged that. The endpoint answers for some seconds, but reports no
+// more.
+class a_node_that_forgot_a_deregistration
+    : public a_node_started_beside_a_running_endpoint {
+ protected:
+  a_node_that_forgot_a_deregistration() { AnswerHealth(); }
+
+  void Answer(std::uint64_t work) {
+    Arrive(work);
+    Happen(work_sent{work_id(work), connection_id(1)});
+    Happen(work_finished{work_id(work), {}});
+  }
+};
+
+TEST_F(a_node_that_forgot_a_deregistration, DoesNotKeepSendingToTheEndpoint) {
+  Answer(1);
+  Pass(2500ms);
+  EXPECT_TRUE(Has<refuse_work>(Arrive(2)));
+}
+
+TEST_F(a_node_that_forgot_a_deregistration, DoesNotBelieveALaterProbe) {
+  Pass(2500ms);
+  AnswerHealth();
+  EXPECT_TRUE(Has<refuse_work>(Arrive(1)));
+}
+
+TEST_F(a_node_that_forgot_a_deregistration, GoesOnOnceTheEndpointReports) {
+  Pass(2500ms);
+  Report(4);
+  Pass(2500ms);
+  EXPECT_TRUE(Has<execute_work>(Arrive(1)));
+}
+
 }  // namespace
 }  // namespace auburnfold
