--- a/Libraries/LibDecision/Work/local_endpoint.cc
+++ b/Libraries/LibDecision/Work/local_endpoint.cc
@@ -23,7 +23,7 @@
   if (is_late_probe_result) {
     return report_result::kIgnored;
   }
-  if (report_ && IsFirstReportOfProbedRun(report)) {
+  if (report_ && IsFirstReportWithRun(report)) {
     if (deregistered_ == endpoint_run{report.name, incarnation()}) {
       deregistered_->run = report.run;
     }
@@ -61,9 +61,9 @@
   return is_unchanged ? report_result::kAccepted : report_result::kChanged;
 }
 
-// Answers to health probes name no run, so the first report of the run that
-// gave them is not a replacement.
-bool local_endpoint::IsFirstReportOfProbedRun(
+// Responses to health probes name no run, and deregistrations need not, so the
+// first report that does is not a replacement.
+bool local_endpoint::IsFirstReportWithRun(
     const endpoint_reported& report) const {
   return report_->run == incarnation() && report.run != incarnation() &&
          !report.name.value().empty() && report.name == report_->name;
--- a/Libraries/LibDecision/Work/local_endpoint.h
+++ b/Libraries/LibDecision/Work/local_endpoint.h
@@ -67,7 +67,7 @@
   const std::optional<endpoint_reported>& report() const { return report_; }
 
  private:
-  bool IsFirstReportOfProbedRun(const endpoint_reported& report) const;
+  bool IsFirstReportWithRun(const endpoint_reported& report) const;
   report_result OnGone(event_context& context, const endpoint_reported& report);
   void OnGoneBeforeFirstReport(event_context& context,
                                const endpoint_reported& report);
--- a/Libraries/LibRuntime/http_listener.cc
+++ b/Libraries/LibRuntime/http_listener.cc
@@ -15,8 +15,8 @@
 constexpr std::chrono::milliseconds kAcceptRetryInterval{100};
 // Bounds the time that one turn of the event loop spends on new connections.
 constexpr int kMaxAcceptsPerTurn = 64;
-// Above the limit, this part of it is closed at once, since finding the idle
-// sessions takes time in proportion to their number.
+// At the limit, the limit divided by this is the number of sessions closed at
+// once: finding the idle ones takes time in proportion to all of them.
 constexpr std::size_t kExcessDivisor = 32;
 
 log4cplus::Logger Log() {
@@ -67,14 +67,12 @@
 
 void http_listener::Sweep() {
   const server_session::clock::time_point now = server_session::clock::now();
-  std::erase_if(sessions_, [now](const std::weak_ptr<server_session>& weak) {
-    const std::shared_ptr<server_session> session = weak.lock();
-    if (!session) {
-      return true;
+  for (const std::weak_ptr<server_session>& weak : sessions_) {
+    if (const std::shared_ptr<server_session> session = weak.lock()) {
+      session->CloseIfStale(now);
     }
-    session->CloseIfStale(now);
-    return !session->is_open();
-  });
+  }
+  EraseClosedSessions();
 }
 
 void http_listener::Close() {
@@ -133,35 +131,38 @@
   }
   auto session = std::make_shared<server_session>(std::move(socket), handlers_);
   if (sessions_.size() >= apply_limit_at_) {
-    CloseExcessSessions();
+    ApplyLimit();
   }
   sessions_.push_back(session);
   session->Start();
 }
 
-void http_listener::CloseExcessSessions() {
+void http_listener::ApplyLimit() {
   EraseClosedSessions();
   const std::size_t step = max_sessions_ / kExcessDivisor + 1;
   if (sessions_.size() >= max_sessions_) {
-    std::size_t to_close = sessions_.size() - max_sessions_ + step;
-    std::vector<std::shared_ptr<server_session>> sessions;
-    for (const std::weak_ptr<server_session>& weak : sessions_) {
-      sessions.push_back(weak.lock());
-    }
-    std::stable_sort(sessions.begin(), sessions.end(),
-                     [](const auto& left, const auto& right) {
-                       return left->idle_since() < right->idle_since();
-                     });
-    for (const std::shared_ptr<server_session>& session : sessions) {
-      if (to_close > 0 && session->CloseIfIdle()) {
-        --to_close;
-      }
-    }
-    EraseClosedSessions();
+    CloseLongestIdle(sessions_.size() - max_sessions_ + step);
   }
   apply_limit_at_ = std::max(max_sessions_, sessions_.size() + step);
 }
 
+void http_listener::CloseLongestIdle(std::size_t count) {
+  std::vector<std::shared_ptr<server_session>> longest_idle_first;
+  for (const std::weak_ptr<server_session>& weak : sessions_) {
+    longest_idle_first.push_back(weak.lock());
+  }
+  std::stable_sort(longest_idle_first.begin(), longest_idle_first.end(),
+                   [](const auto& left, const auto& right) {
+                     return left->idle_since() < right->idle_since();
+                   });
+  for (const std::shared_ptr<server_session>& session : longest_idle_first) {
+    if (count > 0 && session->CloseIfIdle()) {
+      --count;
+    }
+  }
+  EraseClosedSessions();
+}
+
 void http_listener::EraseClosedSessions() {
   std::erase_if(sessions_, [](const std::weak_ptr<server_session>& weak) {
     const std::shared_ptr<server_session> session = weak.lock();
--- a/Libraries/LibRuntime/http_listener.h
+++ b/Libraries/LibRuntime/http_listener.h
@@ -44,7 +44,9 @@
   /// Accepts the other connections that are waiting, then waits for more.
   void AcceptWaiting();
   void OnAccepted(tcp::socket socket);
-  void CloseExcessSessions();
+  void ApplyLimit();
+  /// Closes up to `count` sessions that are idle, the longest idle first.
+  void CloseLongestIdle(std::size_t count);
   void EraseClosedSessions();
   void OnAcceptFailed(error_code error);
 
