LibRuntime: Close idle sessions by cancelling their read

A read that has received a request whose handler waits in the event loop was closed with its session, and the request was lost without an answer. Cancelling the read closes the session only if the read has received nothing.

The tests wait until the other side's system has received bytes and closes, so that they do not depend on the machine's load, and one covers a session with an unread request.

--- a/Libraries/LibRuntime/http_listener.cc
+++ b/Libraries/LibRuntime/http_listener.cc
@@ -160,7 +160,6 @@
       --count;
     }
   }
-  EraseClosedSessions();
 }
 
 void http_listener::EraseClosedSessions() {
--- a/Libraries/LibRuntime/server_session.cc
+++ b/Libraries/LibRuntime/server_session.cc
@@ -55,12 +55,15 @@
   SendResponse(std::move(response));
 }
 
+// Cancelling the read closes the connection, unless the read has already
+// received a request that waits in the event loop to be handled.
 bool server_session::CloseIfIdle() {
   const bool has_request = is_busy_ || is_lingering_ || parser_->got_some();
   if (has_request || Peek() != asio::error::would_block) {
     return false;
   }
-  Close();
+  error_code ignored;
+  socket_.cancel(ignored);
   return true;
 }
 
--- a/Libraries/LibRuntime/server_session.h
+++ b/Libraries/LibRuntime/server_session.h
@@ -51,7 +51,7 @@
   void CloseIfStale(clock::time_point now);
 
   /// Closes the connection if it carries no request and none has arrived.
-  /// Returns whether it did.
+  /// Returns whether it will be closed.
   bool CloseIfIdle();
   /// When the last request was answered, or the connection was accepted.
   clock::time_point idle_since() const { return idle_since_; }
--- a/Tests/LibRuntime/http_listener_test.cc
+++ b/Tests/LibRuntime/http_listener_test.cc
@@ -33,6 +33,8 @@
   std::list<raw_client> clients;
   for (std::size_t i = 0; i < kWaiting; ++i) {
     clients.emplace_back(listener_.port());
+    clients.back().Write("G");
+    clients.back().WaitUntilReceived();
   }
   io_.run_one();
   EXPECT_EQ(listener_.session_count(), kWaiting);
@@ -44,9 +46,20 @@
 
   std::unique_ptr<raw_client> Connect() {
     auto client = std::make_unique<raw_client>(listener_.port());
-    io_.poll();
+    HandleNext();
     return client;
   }
+
+  std::size_t OpenSessions() {
+    listener_.Sweep();
+    return listener_.session_count();
+  }
+
+  // Waits for what comes next, since bytes may still be on their way.
+  void HandleNext() {
+    io_.run_one();
+    io_.poll();
+  }
 };
 
 // Connections that callers keep open and do not use took all descriptors, and
@@ -55,7 +68,7 @@
   const auto first = Connect();
   const auto second = Connect();
   const auto third = Connect();
-  ASSERT_EQ(listener_.session_count(), 2U);
+  ASSERT_EQ(OpenSessions(), 2U);
   EXPECT_TRUE(first->ReadsEnd());
 }
 
@@ -63,18 +76,32 @@
   const auto first = Connect();
   const auto second = Connect();
   first->Write("GET / HTTP/1.1\r\nHost: test\r\n\r\n");
-  io_.poll();
+  HandleNext();
   const auto third = Connect();
-  ASSERT_EQ(listener_.session_count(), 2U);
+  ASSERT_EQ(OpenSessions(), 2U);
   EXPECT_TRUE(second->ReadsEnd());
 }
 
-TEST_F(a_listener_with_a_limit, KeepsSessionsWithAnUnreadRequest) {
+TEST_F(a_listener_with_a_limit, KeepsSessionsWithPartOfARequest) {
   const auto first = Connect();
   const auto second = Connect();
   first->Write("GET / HTTP/1.1\r\n");
+  HandleNext();
   const auto third = Connect();
-  ASSERT_EQ(listener_.session_count(), 2U);
+  ASSERT_EQ(OpenSessions(), 2U);
+  EXPECT_TRUE(second->ReadsEnd());
+}
+
+TEST_F(a_listener_with_a_limit, KeepsSessionsWithAnUnreadRequest) {
+  const auto first = Connect();
+  const auto second = Connect();
+  raw_client third(listener_.port());
+  third.Write("G");
+  third.WaitUntilReceived();
+  first->Write("GET / HTTP/1.1\r\nHost: test\r\n\r\n");
+  first->WaitUntilReceived();
+  HandleNext();
+  ASSERT_EQ(OpenSessions(), 2U);
   EXPECT_TRUE(second->ReadsEnd());
 }
 
--- a/Tests/LibRuntime/raw_client.cc
+++ b/Tests/LibRuntime/raw_client.cc
@@ -1,8 +1,13 @@
 #include "raw_client.h"
 
+#include <linux/sockios.h>
+#include <netinet/tcp.h>
+#include <sys/ioctl.h>
+
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
+#include <thread>
 
 #include "LibRuntime/http_types.h"
 
@@ -53,6 +58,29 @@
   return error == asio::error::eof || error == asio::error::connection_reset;
 }
 
+void raw_client::WaitUntilReceived() {
+  int unacknowledged_bytes = 1;
+  while (unacknowledged_bytes > 0 &&
+         ioctl(parts_->socket.native_handle(), SIOCOUTQ,
+               &unacknowledged_bytes) == 0) {
+    std::this_thread::yield();
+  }
+}
+
+void raw_client::CloseAndWaitUntilReceived() {
+  WaitUntilReceived();
+  error_code ignored;
+  parts_->socket.shutdown(tcp::socket::shutdown_send, ignored);
+  tcp_info info{};
+  socklen_t size = sizeof(info);
+  while (getsockopt(parts_->socket.native_handle(), IPPROTO_TCP, TCP_INFO,
+                    &info, &size) == 0 &&
+         info.tcpi_state == TCP_FIN_WAIT1) {
+    std::this_thread::yield();
+  }
+  Close();
+}
+
 void raw_client::Close() {
   parts_->socket.close();
 }
--- a/Tests/LibRuntime/raw_client.h
+++ b/Tests/LibRuntime/raw_client.h
@@ -27,11 +27,15 @@
   ~raw_client();
 
   void Write(std::string_view bytes);
+  /// Waits until the other side's system has received what was written.
+  void WaitUntilReceived();
   /// Nothing if the connection closed before a whole answer.
   std::optional<read_answer> Read(bool is_head = false);
   /// Waits until the other side closes.
   bool ReadsEnd();
   void Close();
+  /// Waits until the other side's system has received all bytes and the close.
+  void CloseAndWaitUntilReceived();
 
   /// Sends `bytes` over a connection of its own and reads one answer.
   static read_answer Exchange(std::uint16_t port, std::string_view bytes);
--- a/Tests/LibRuntime/unread_requests_test.cc
+++ b/Tests/LibRuntime/unread_requests_test.cc
@@ -18,7 +18,7 @@
   void SendAndLeave(std::uint16_t port, const std::string& request) {
     raw_client client(port);
     client.Write(request);
-    client.Close();
+    client.CloseAndWaitUntilReceived();
   }
 
   scripted_server endpoint_{AnswersWith("whole")};
