Tests: End the endpoint's script before its promises are destroyed

Cause, from a backtrace: the fixture's promises are destroyed while the endpoint's thread still sets one; the endpoint belongs to the base class and ends later.

--- a/Tests/LibRuntime/endpoint_truth_test.cc
+++ b/Tests/LibRuntime/endpoint_truth_test.cc
@@ -237,6 +237,9 @@
     node_.Announce("listings", endpoint_->port());
   }
 
+  // Ends the script, which sets the promises, before they are destroyed.
+  ~is_silent_at_first() override { endpoint_.reset(); }
+
   std::promise<void> first_asked_;
   std::promise<void> first_closed_;
 };
