Runtime, Work: Log the rate limits that endpoints name

Change: the dialects read the rate limit and the leave of an endpoint from its complete answers and refusals into endpoint_signals. rate_limit_changed names endpoint, value and request; rate_limit_ended and rate_limit_unreadable tell the rest; work_started_total counts what the endpoint was handed. No decision uses the values yet.

--- a/Libraries/LibDecision/Work/incoming_work.cc
+++ b/Libraries/LibDecision/Work/incoming_work.cc
@@ -133,6 +133,9 @@
     return;
   }
   work_item& item = found->second;
+  if (finished.result.signals) {
+    OnSignals(context, item, *finished.result.signals);
+  }
   const std::vector<admission_decision> decisions =
       admission_.OnFinished(context, finished.work, finished.result);
   if (finished.result.is_complete()) {
@@ -163,6 +166,27 @@
   ApplyDecisions(context, decisions);
 }
 
+void incoming_work::OnSignals(event_context& context,
+                              const work_item& item,
+                              const endpoint_signals& signals) {
+  if (signals.has_unreadable_rate_limit) {
+    context.Count(counter::kUnreadableRateLimits);
+    return context.Log(
+        Describe(context, decision_kind::kRateLimitUnreadable, item));
+  }
+  if (signals.rate_limit == named_rate_limit_) {
+    return;
+  }
+  named_rate_limit_ = signals.rate_limit;
+  decision_record changed =
+      Describe(context,
+               signals.rate_limit ? decision_kind::kRateLimitChanged
+                                  : decision_kind::kRateLimitEnded,
+               item);
+  changed.rate = signals.rate_limit;
+  context.Log(std::move(changed));
+}
+
 report_result incoming_work::OnEndpointReported(
     event_context& context,
     const endpoint_reported& report) {
@@ -294,6 +318,7 @@
   if (counts_arrivals_ && !item.metadata.is_repeat) {
     retry_budgets_.OnFirstAttempt(context.now(), item.metadata.service, false);
   }
+  context.Count(counter::kWorkStarted);
   context.Log(Describe(context, decision_kind::kWorkStarted, item));
   context.Emit(
       execute_work{id, endpoint_.name(), item.deadline - context.now()});
--- a/Libraries/LibDecision/Work/incoming_work.h
+++ b/Libraries/LibDecision/Work/incoming_work.h
@@ -108,6 +108,10 @@
   void OnDeadline(event_context& context, work_id id);
   /// Ends running work without waiting for its outcome.
   void Abandon(event_context& context, work_id id, error_kind kind);
+  /// Handles what a response of the endpoint to `item` says about the endpoint.
+  void OnSignals(event_context& context,
+                 const work_item& item,
+                 const endpoint_signals& signals);
   void Refuse(event_context& context,
               work_id id,
               error_kind kind,
@@ -138,6 +142,8 @@
   std::optional<instant> stopping_since_;
   local_endpoint endpoint_;
   admission_controller admission_;
+  /// The rate limit that the endpoint named last.
+  std::optional<request_rate> named_rate_limit_;
   service_retry_budgets retry_budgets_;
   idempotency_key_registry keys_;
   std::unordered_map<work_id, work_item> work_items_;
--- a/Libraries/LibDecision/counter.cc
+++ b/Libraries/LibDecision/counter.cc
@@ -20,6 +20,10 @@
       return "refused_by_limit";
     case counter::kDroppedFromQueue:
       return "dropped_from_queue";
+    case counter::kWorkStarted:
+      return "work_started";
+    case counter::kUnreadableRateLimits:
+      return "unreadable_rate_limits";
     case counter::kCancelledDown:
       return "cancelled_down";
     case counter::kRequestsAbandoned:
--- a/Libraries/LibDecision/decision_record.cc
+++ b/Libraries/LibDecision/decision_record.cc
@@ -34,6 +34,12 @@
       return "endpoint_changed";
     case decision_kind::kEndpointReportIgnored:
       return "endpoint_report_ignored";
+    case decision_kind::kRateLimitChanged:
+      return "rate_limit_changed";
+    case decision_kind::kRateLimitEnded:
+      return "rate_limit_ended";
+    case decision_kind::kRateLimitUnreadable:
+      return "rate_limit_unreadable";
     case decision_kind::kEndpointEjected:
       return "endpoint_ejected";
     case decision_kind::kRoutesTaken:
@@ -76,6 +82,9 @@
     case decision_kind::kMemberLapsed:
     case decision_kind::kEndpointChanged:
     case decision_kind::kEndpointReportIgnored:
+    case decision_kind::kRateLimitChanged:
+    case decision_kind::kRateLimitEnded:
+    case decision_kind::kRateLimitUnreadable:
     case decision_kind::kEndpointEjected:
     case decision_kind::kRoutesTaken:
     case decision_kind::kRoutesRejected:
--- a/Libraries/LibDecision/decision_record.h
+++ b/Libraries/LibDecision/decision_record.h
@@ -33,6 +33,9 @@
   kMemberLapsed,     ///< A record's lease expired, but the node did not leave.
   kEndpointChanged,  ///< The state of the local endpoint changed.
   kEndpointReportIgnored,  ///< A report about the local endpoint had no effect.
+  kRateLimitChanged,       ///< The local endpoint names another rate limit.
+  kRateLimitEnded,         ///< The local endpoint no longer names a rate limit.
+  kRateLimitUnreadable,    ///< It names one that is not a number.
   kEndpointEjected,    ///< An endpoint is temporarily excluded from routing.
   kRoutesTaken,        ///< New routes are in effect.
   kRoutesRejected,     ///< Invalid routes are ignored.
@@ -84,6 +87,8 @@
   std::optional<std::uint32_t> running;
   std::optional<std::uint32_t> queued;
   std::optional<std::uint32_t> limit;
+  /// The rate limit that the local endpoint names.
+  std::optional<request_rate> rate;
   std::optional<std::uint32_t> candidates;
   /// The `endpoint_state` of the local endpoint, as a number.
   std::optional<std::uint32_t> state;
--- a/Libraries/LibDecision/ids.h
+++ b/Libraries/LibDecision/ids.h
@@ -58,6 +58,9 @@
 /// absent.
 using store_revision = strong_value<struct store_revision_tag, std::uint64_t>;
 
+/// A number of requests per second.
+using request_rate = strong_value<struct request_rate_tag, double>;
+
 /// Where a node listens. `host` is an IP address; the ports are TCP ports.
 struct node_address {
   std::string host;
--- a/Libraries/LibDecision/outcome.h
+++ b/Libraries/LibDecision/outcome.h
@@ -5,6 +5,7 @@
 #include <optional>
 
 #include "LibDecision/answer_metadata.h"
+#include "LibDecision/endpoint_signals.h"
 #include "LibDecision/error_kind.h"
 
 namespace auburnfold {
@@ -18,6 +19,9 @@
   execution_state execution = execution_state::kExecuted;
   /// Metadata of the answering node; unset if none answered.
   std::optional<answer_metadata> peer;
+  /// What the local endpoint's response says about the endpoint; unset if the
+  /// endpoint gave none.
+  std::optional<endpoint_signals> signals;
   /// The answer is complete and reports a failure of the endpoint.
   bool is_failure = false;
   /// Size of the answer's body in bytes.
--- a/Libraries/LibRuntime/decision_log.cc
+++ b/Libraries/LibRuntime/decision_log.cc
@@ -49,6 +49,12 @@
     }
   }
 
+  void Add(std::string_view name, const std::optional<request_rate>& rate) {
+    if (rate) {
+      line_[name] = rate->value();
+    }
+  }
+
   void Add(std::string_view name, const std::optional<duration>& value) {
     if (value) {
       line_[name] = ToMilliseconds(*value);
@@ -94,6 +100,7 @@
   fields.Add("running", record.running);
   fields.Add("queued", record.queued);
   fields.Add("limit", record.limit);
+  fields.Add("rate", record.rate);
   fields.Add("candidates", record.candidates);
   fields.Add("state", record.state);
   return line;
--- a/Libraries/LibRuntime/headers.cc
+++ b/Libraries/LibRuntime/headers.cc
@@ -6,6 +6,8 @@
 #include <boost/beast/http/rfc7230.hpp>
 #include <boost/beast/http/status.hpp>
 #include <boost/leaf/error.hpp>
+#include <charconv>
+#include <cmath>
 #include <limits>
 #include <vector>
 
@@ -237,6 +239,17 @@
   return metadata;
 }
 
+std::optional<request_rate> ParseRate(std::string_view text) {
+  double value = 0;
+  const char* text_end = text.data() + text.size();
+  const auto [parsed_end, error] =
+      std::from_chars(text.data(), text_end, value, std::chars_format::fixed);
+  const bool is_rate = error == std::errc() && parsed_end == text_end &&
+                       std::isfinite(value) && value >= 0 &&
+                       !std::signbit(value);
+  return is_rate ? std::optional(request_rate(value)) : std::nullopt;
+}
+
 execution_state ParseExecutionState(const http::fields& headers) {
   const std::string_view text = HeaderValue(headers, kRanHeader);
   if (text == NameOf(execution_state::kNotExecuted)) {
@@ -384,6 +397,23 @@
   return result;
 }
 
+// Of several values none can be preferred.
+endpoint_signals ReadEndpointSignals(const http::fields& headers,
+                                     std::string_view rate_limit_name,
+                                     std::string_view leaving_name) {
+  endpoint_signals signals;
+  signals.is_leaving = HeaderValue(headers, leaving_name) == "1";
+  const std::size_t count = headers.count(rate_limit_name);
+  if (count > 0) {
+    signals.rate_limit = ParseRate(HeaderValue(headers, rate_limit_name));
+    if (count > 1) {
+      signals.rate_limit.reset();
+    }
+    signals.has_unreadable_rate_limit = !signals.rate_limit;
+  }
+  return signals;
+}
+
 bool IsEndpointRefusal(const http_response& response) {
   return response.result() == http::status::service_unavailable &&
          ParseExecutionState(response) == execution_state::kNotExecuted;
--- a/Libraries/LibRuntime/headers.h
+++ b/Libraries/LibRuntime/headers.h
@@ -7,6 +7,7 @@
 #include <string_view>
 
 #include "LibDecision/answer_metadata.h"
+#include "LibDecision/endpoint_signals.h"
 #include "LibDecision/error_kind.h"
 #include "LibDecision/outcome.h"
 #include "LibDecision/request_metadata.h"
@@ -63,6 +64,12 @@
 /// marked the answer as complete.
 outcome ReadPeerOutcome(const http_response& response);
 
+/// Reads what an endpoint's response says about the endpoint in the headers
+/// `rate_limit_name` and `leaving_name`.
+endpoint_signals ReadEndpointSignals(const http::fields& headers,
+                                     std::string_view rate_limit_name,
+                                     std::string_view leaving_name);
+
 /// Whether an endpoint refused the request without executing any of it.
 bool IsEndpointRefusal(const http_response& response);
 
--- a/Libraries/LibRuntime/own_dialect.cc
+++ b/Libraries/LibRuntime/own_dialect.cc
@@ -3,7 +3,9 @@
 #include <boost/leaf/result.hpp>
 #include <utility>
 
+#include "LibRuntime/headers.h"
 #include "LibRuntime/http_responses.h"
+#include "LibWire/header_names.h"
 
 namespace auburnfold {
 
@@ -31,6 +33,8 @@
 
 outcome own_dialect::ReadEndpointOutcome(const http_response& response) const {
   outcome result{.body_size = response.body().size()};
+  result.signals =
+      ReadEndpointSignals(response, kRateLimitHeader, kLeavingHeader);
   if (IsEndpointRefusal(response)) {
     result.error = error_kind::kOverloaded;
     result.execution = execution_state::kNotExecuted;
--- a/Libraries/LibWire/header_names.h
+++ b/Libraries/LibWire/header_names.h
@@ -59,6 +59,11 @@
     "Auburnfold-Allowance-Left";
 /// Number of requests that run or wait at the answering endpoint.
 inline constexpr std::string_view kInFlightHeader = "Auburnfold-In-Flight";
+/// Rate in requests per second at which an endpoint accepts requests from all
+/// nodes together, as a decimal number.
+inline constexpr std::string_view kRateLimitHeader = "Auburnfold-Rate-Limit";
+/// Set if the endpoint takes no new requests and will end.
+inline constexpr std::string_view kLeavingHeader = "Auburnfold-Leaving";
 /// Set if the endpoint started recently.
 inline constexpr std::string_view kColdHeader = "Auburnfold-Cold";
 
--- a/Tests/platform/platform_dialect_test.cc
+++ b/Tests/platform/platform_dialect_test.cc
@@ -3,6 +3,8 @@
 #include <gtest/gtest.h>
 
 #include <chrono>
+#include <initializer_list>
+#include <string_view>
 
 namespace auburnfold::platform {
 namespace {
@@ -85,6 +87,77 @@
   EXPECT_FALSE(Read(404).is_failure);
 }
 
+class what_an_endpoint_says_of_itself : public the_dialect {
+ protected:
+  static http_response Response(
+      std::initializer_list<std::string_view> rate_limits) {
+    http_response response{http::status::ok, kHttp11};
+    response.set("X-Response-Signature", "1");
+    for (const std::string_view rate_limit : rate_limits) {
+      response.insert("Server-Limit", rate_limit);
+    }
+    return response;
+  }
+
+  endpoint_signals Read(const http_response& response) {
+    return dialect_.ReadEndpointOutcome(response).signals.value();
+  }
+};
+
+TEST_F(what_an_endpoint_says_of_itself, IsNothingInMostAnswers) {
+  const endpoint_signals read = Read(Response({}));
+  EXPECT_FALSE(read.rate_limit);
+  EXPECT_FALSE(read.has_unreadable_rate_limit);
+  EXPECT_FALSE(read.is_leaving);
+}
+
+TEST_F(what_an_endpoint_says_of_itself, IsTheRateThatItAccepts) {
+  EXPECT_EQ(Read(Response({"29.9"})).rate_limit, request_rate(29.9));
+  EXPECT_EQ(Read(Response({"0.4"})).rate_limit, request_rate(0.4));
+  EXPECT_EQ(Read(Response({"0"})).rate_limit, request_rate(0));
+  EXPECT_EQ(Read(Response({"1000000000"})).rate_limit, request_rate(1e9));
+}
+
+TEST_F(what_an_endpoint_says_of_itself, IsUnreadableUnlessItIsOneNumber) {
+  const auto is_unreadable =
+      [this](std::initializer_list<std::string_view> rate_limits) {
+        const endpoint_signals read = Read(Response(rate_limits));
+        return !read.rate_limit && read.has_unreadable_rate_limit;
+      };
+  for (const char* text : {"", "-1", "-0", "nan", "inf", "1e9", "12 a second",
+                           "0x10", "1,5", "+3"}) {
+    EXPECT_TRUE(is_unreadable({text})) << text;
+  }
+  EXPECT_TRUE(is_unreadable({"29.9", "30"}));
+}
+
+TEST_F(what_an_endpoint_says_of_itself, IsReadFromFailuresAndRefusals) {
+  http_response failure = Response({"5"});
+  failure.result(500);
+  EXPECT_EQ(Read(failure).rate_limit, request_rate(5));
+  http_response refusal = Response({"5"});
+  refusal.result(503);
+  refusal.set("X-Not-Executed", "1");
+  EXPECT_EQ(Read(refusal).rate_limit, request_rate(5));
+}
+
+TEST_F(what_an_endpoint_says_of_itself, IsNotReadFromAnotherEndpointsAnswer) {
+  http_response other = Response({"5"});
+  other.result(421);
+  EXPECT_FALSE(dialect_.ReadEndpointOutcome(other).signals);
+  http_response unsigned_response = Response({"5"});
+  unsigned_response.erase("X-Response-Signature");
+  EXPECT_FALSE(dialect_.ReadEndpointOutcome(unsigned_response).signals);
+}
+
+TEST_F(what_an_endpoint_says_of_itself, IsThatItLeaves) {
+  http_response response = Response({});
+  response.set("Server-Leaving", "1");
+  EXPECT_TRUE(Read(response).is_leaving);
+  response.set("Server-Leaving", "0");
+  EXPECT_FALSE(Read(response).is_leaving);
+}
+
 class an_error : public the_dialect {
  protected:
   unsigned StatusOf(error_kind kind, execution_state execution) const {
