Tests: Add failing tests of endpoints that name a rate limit or say they leave

The fakes of the scenarios get answers that carry endpoint_signals, and a record of their own that counts, for each endpoint, what nodes send it after they have relayed such an answer: the rate in spans of 4 s, and requests that a client sent 2 s after the leave. A test on two real nodes does the same with a stand-in endpoint.

--- a/Tests/LibRuntime/running_node.cc
+++ b/Tests/LibRuntime/running_node.cc
@@ -71,9 +71,13 @@
   return parts_->node.admin_port();
 }
 
+incarnation running_node::run() const {
+  return parts_->node.run();
+}
+
 std::string running_node::ForwardedHeaders() const {
   return "Auburnfold-From: 63\r\nAuburnfold-Expected-Run: " +
-         std::to_string(parts_->node.run().value()) + "\r\n";
+         std::to_string(run().value()) + "\r\n";
 }
 
 void running_node::Announce(const std::string& service,
@@ -90,10 +94,11 @@
 }
 
 void running_node::AnnouncePeer(const std::string& service,
-                                std::uint16_t port) {
+                                std::uint16_t port,
+                                incarnation run) {
   member_record peer;
   peer.node = node_id(99);
-  peer.run = incarnation(1);
+  peer.run = run;
   peer.version = 1;
   peer.address = {"127.0.0.1", port, 1};
   peer.service = service_name(service);
--- a/Tests/LibRuntime/running_node.h
+++ b/Tests/LibRuntime/running_node.h
@@ -23,6 +23,7 @@
   std::uint16_t peer_port() const;
   std::uint16_t control_port() const;
   std::uint16_t admin_port() const;
+  incarnation run() const;
 
   /// Header lines of a request that another node forwards to this run.
   std::string ForwardedHeaders() const;
@@ -31,9 +32,11 @@
   void Announce(const std::string& service,
                 std::uint16_t port,
                 const std::string& state = "ready");
-  /// Makes the node believe in another node that serves `service` at `port`,
-  /// and waits until it does.
-  void AnnouncePeer(const std::string& service, std::uint16_t port);
+  /// Makes the node believe in another node, in its incarnation `run`, that
+  /// serves `service` at `port`, and waits until it does.
+  void AnnouncePeer(const std::string& service,
+                    std::uint16_t port,
+                    incarnation run = incarnation(1));
   /// Sends bytes to the control port.
   void SendControl(const std::vector<std::uint8_t>& bytes);
 
--- a/Tests/Scenarios/virtual_cluster.cc
+++ b/Tests/Scenarios/virtual_cluster.cc
@@ -74,6 +74,10 @@
   for (const auto& [name, count] : counts_) {
     figures["count_" + name] = static_cast<double>(count);
   }
+  figures["runs_over_rate"] =
+      static_cast<double>(signal_record_.runs_over_rate());
+  figures["runs_after_leave"] =
+      static_cast<double>(signal_record_.runs_after_leave());
   figures["store_calls"] = static_cast<double>(store_.call_count());
   return figures;
 }
@@ -114,6 +118,7 @@
 }
 
 void virtual_cluster::KillMachine(machine& which) {
+  SetSignals(which, {});
   which.endpoint->Reset();
   ++which.endpoint_run;
   which.leaving_since.reset();
@@ -128,6 +133,8 @@
   which.attempts.clear();
   which.connections.clear();
   which.bodies.clear();
+  which.signals_by_attempt.clear();
+  signal_record_.OnNodeRestarted(which.index);
   which.remembered.clear();
   std::vector<work_id> lost;
   for (const auto& [id, open] : works_) {
@@ -194,7 +201,14 @@
           .run = incarnation(which.endpoint_run)};
 }
 
+void virtual_cluster::SetSignals(machine& which,
+                                 const endpoint_signals& signals) {
+  which.signals = signals;
+  signal_record_.OnSignalsChanged(which.index, signals, now_);
+}
+
 void virtual_cluster::ReplaceEndpoint(machine& which) {
+  SetSignals(which, {});
   which.endpoint->Reset();
   ++which.endpoint_run;
   which.leaving_since.reset();
@@ -251,6 +265,12 @@
     } else if (fault.verb == "return") {
       which.leaving_since.reset();
       Happen(which, ReportOf(which));
+    } else if (fault.verb == "name-rate") {
+      SetSignals(which, {.rate_limit = request_rate(fault.argument)});
+    } else if (fault.verb == "name-no-rate") {
+      SetSignals(which, {});
+    } else if (fault.verb == "say-leaving") {
+      SetSignals(which, {.is_leaving = true});
     } else if (fault.verb == "freeze") {
       which.is_frozen = true;
     } else if (fault.verb == "wake") {
@@ -341,6 +361,7 @@
   metadata.tenant = tenant_name("default");
   metadata.time_left = plan_.deadline;
   metadata.client_attempt = open.travel.client_attempt;
+  open.travel.sent = now_;
   metadata.key = request.key;
   metadata.purpose =
       asks_for_key ? request_purpose::kIssueKey : request_purpose::kExecute;
@@ -450,6 +471,7 @@
   open_call made;
   made.travel = open.travel;
   made.travel.position = next;
+  made.travel.sent = now_;
   made.travel.key.reset();
   made.parent = work;
   made.allowance = traffic.row.retry_allowance;
@@ -477,7 +499,8 @@
   }
   finished_bodies_[std::to_string(work.value())] =
       is_useful ? found->second.travel.root : "";
-  Happen(at, work_finished{work, {}});
+  found->second.signals = at.signals;
+  Happen(at, work_finished{work, {.signals = at.signals}});
   const auto ended = works_.find(work);
   if (ended != works_.end() && ended->second.is_abandoned) {
     works_.erase(ended);
@@ -498,17 +521,18 @@
   if (IsCut(origin, target)) {
     return;
   }
-  After(DelayBetween(origin, target),
-        [this, &origin, open, result, body = std::move(body)] {
-          const auto sent = origin.attempts.find(open.attempt);
-          if (sent == origin.attempts.end()) {
-            return;
-          }
-          origin.bodies[open.attempt] = body;
-          FreeConnection(origin, sent->second, !result.peer);
-          Happen(origin, attempt_finished{open.attempt, result});
-          origin.attempts.erase(open.attempt);
-        });
+  After(DelayBetween(origin, target), [this, &origin, open, result,
+                                       body = std::move(body)] {
+    const auto sent = origin.attempts.find(open.attempt);
+    if (sent == origin.attempts.end()) {
+      return;
+    }
+    origin.bodies[open.attempt] = body;
+    origin.signals_by_attempt[open.attempt] = {open.machine, open.signals};
+    FreeConnection(origin, sent->second, !result.peer);
+    Happen(origin, attempt_finished{open.attempt, result});
+    origin.attempts.erase(open.attempt);
+  });
 }
 
 virtual_cluster::connection& virtual_cluster::TakeConnection(
@@ -628,6 +652,10 @@
   from.calls.erase(found);
   // A paused node relays long after the answer has arrived.
   const auto arrived = from.bodies.extract(made.attempt);
+  if (const auto said = from.signals_by_attempt.extract(made.attempt)) {
+    signal_record_.OnRelayed(from.index, said.mapped().machine,
+                             said.mapped().signals, now_);
+  }
   const std::string body = arrived ? arrived.mapped() : "";
   if (call.parent) {
     return from.endpoint->OnDeeperAnswer(*call.parent, !body.empty());
@@ -686,6 +714,7 @@
   if (from.leaving_since && now_ - *from.leaving_since > kLeavingLimit) {
     record_.OnRunWhileLeaving();
   }
+  signal_record_.OnRun(from.index, open.origin, open.travel.sent, now_);
   from.endpoint->Start(made.work);
 }
 
--- a/Tests/Scenarios/virtual_cluster.h
+++ b/Tests/Scenarios/virtual_cluster.h
@@ -20,6 +20,7 @@
 #include "fake_store.h"
 #include "run_record.h"
 #include "scenario.h"
+#include "signal_record.h"
 
 namespace auburnfold::scenarios {
 
@@ -43,6 +44,8 @@
     std::size_t position = 0;
     std::uint16_t client_attempt = 1;
     std::optional<idempotency_key> key;
+    /// When the client, or the endpoint that makes the call, sent it.
+    instant sent;
   };
   struct client_request {
     std::string root;
@@ -72,6 +75,8 @@
     instant deadline;
     /// The forwarding node has given it up.
     bool is_abandoned = false;
+    /// What the endpoint's answer says about the endpoint.
+    endpoint_signals signals;
   };
   struct connection {
     connection_id id;
@@ -84,6 +89,11 @@
     std::optional<work_id> work;
     connection_id connection;
   };
+  /// What an answer said about the endpoint at `machine`.
+  struct relayed_signals {
+    std::size_t machine = 0;
+    endpoint_signals signals;
+  };
   struct machine {
     std::size_t index = 0;
     std::string service;
@@ -94,6 +104,8 @@
     /// The endpoint's own run, which may outlive that of its node.
     std::uint64_t endpoint_run = 1;
     std::optional<instant> leaving_since;
+    /// What the endpoint's answers say about it.
+    endpoint_signals signals;
     bool is_alive = false;
     bool is_frozen = false;
     std::vector<event_content> held_back;
@@ -102,6 +114,7 @@
     std::unordered_map<attempt_id, open_attempt> attempts;
     /// Answers that arrived and may still be relayed.
     std::unordered_map<attempt_id, std::string> bodies;
+    std::unordered_map<attempt_id, relayed_signals> signals_by_attempt;
     std::map<std::size_t, std::vector<connection>> connections;
     std::map<std::string, std::string> remembered;
   };
@@ -122,6 +135,7 @@
   /// Loses the node and all it knows; its endpoint goes on.
   void KillNode(machine& which);
   void ReplaceEndpoint(machine& which);
+  void SetSignals(machine& which, const endpoint_signals& signals);
   void TellMembersAndRows(machine& to);
   endpoint_reported ReportOf(const machine& which) const;
   void ReportEndpoint(std::size_t index, std::uint64_t run);
@@ -180,6 +194,7 @@
   std::set<std::string> cut_domains_;
   fake_store store_;
   run_record record_;
+  signal_record signal_record_;
   std::map<std::string, std::uint64_t> counts_;
 };
 
