Admission: Keep the rate limits that endpoints name

Callers saw no difference, but endpoints in need got 73 to 82 requests a second after they had named limits of 25.5 and 30.7.

Cause: a rule without a place in the product's types. Admission limits how many requests are at the endpoint at once; nothing held a rate, and the header was not read. Every request reaches an endpoint through the node beside it, so that one node can keep the limit for all callers, retries and child calls.

Change: rate_limiter, a token bucket whose debt is what the endpoint got above the rate in the second before it named it; named_rate_limit decides which of several answers counts. Requests that wait for the rate only are refused with rate-limited, and count neither as demand nor as refusals of the service, since its other endpoints may have capacity.

--- a/Libraries/LibDecision/Admission/admission_controller.cc
+++ b/Libraries/LibDecision/Admission/admission_controller.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 
 namespace auburnfold {
 
@@ -19,6 +20,11 @@
 constexpr int kRootWaitDivisor = 8;
 /// The same for a child call of work that has already started.
 constexpr int kChildWaitDivisor = 2;
+/// With a rate limit, as many requests are queued as start within this time.
+constexpr double kRateQueueSeconds = 0.1;
+/// Key of the timer that fires when the rate limit admits the next request. The
+/// other timer, with key 0, removes expired requests.
+constexpr std::uint64_t kRateTimerKey = 1;
 /// The highest priority may exceed the limit by the limit divided by this.
 constexpr std::uint32_t kReserveDivisor = 4;
 
@@ -50,6 +56,17 @@
                             : metadata.objective / kRootWaitDivisor;
 }
 
+counter CounterOf(error_kind refusal) {
+  switch (refusal) {
+    case error_kind::kQueueDeadline:
+      return counter::kDroppedFromQueue;
+    case error_kind::kRateLimited:
+      return counter::kRefusedByRateLimit;
+    default:
+      return counter::kRefusedByLimit;
+  }
+}
+
 rank RankOf(const request_metadata& metadata, const row_settings& settings) {
   return RankOf(metadata.priority.value_or(settings.priority), metadata.root);
 }
@@ -74,18 +91,24 @@
     Refuse(context, work, error_kind::kOverloaded, decisions);
     return decisions;
   }
-  if (HasCapacity(priority) && queue_.empty()) {
+  const bool has_capacity = HasCapacity(priority);
+  if (has_capacity && queue_.empty() && rate_limiter_.HasToken(context.now())) {
     ++work_count_by_class_[metadata.request_class];
     return {Admit(context, work, metadata.request_class)};
   }
   const auto on_limit_reached = [this](auto& limit) {
     limit.OnLimitReached(occupancy_);
   };
-  std::visit(on_limit_reached, limit_);
+  const bool waits_for_rate = has_capacity && rate_limiter_.rate();
+  if (!waits_for_rate) {
+    std::visit(on_limit_reached, limit_);
+  }
   const bool has_queue =
       std::visit([](const auto& limit) { return limit.has_queue(); }, limit_);
   if (!has_queue) {
-    Refuse(context, work, error_kind::kOverloaded, decisions);
+    Refuse(context, work,
+           waits_for_rate ? error_kind::kRateLimited : error_kind::kOverloaded,
+           decisions);
     return decisions;
   }
   const instant deadline = context.now() + metadata.time_left -
@@ -93,6 +116,12 @@
   const queued_request request{
       work, request_rank,
       std::min(deadline, context.now() + MaxQueueWait(metadata, settings))};
+  // No queue order can start it in time.
+  if (waits_for_rate &&
+      rate_limiter_.NextTokenAt(context.now()) > request.expires_at) {
+    Refuse(context, work, error_kind::kRateLimited, decisions);
+    return decisions;
+  }
   return Enqueue(context, request, metadata, settings);
 }
 
@@ -114,9 +143,12 @@
     ScheduleExpiry(context, request.expires_at);
   }
   if (queue_.size() > QueueCapacity()) {
+    const error_kind reason = WaitsOnlyForRate(context.now())
+                                  ? error_kind::kRateLimited
+                                  : error_kind::kOverloaded;
     const queued_request last = *queue_.PopLowest();
     ReleaseClass(queued_classes_.extract(last.work).mapped());
-    Refuse(context, last.work, error_kind::kOverloaded, decisions);
+    Refuse(context, last.work, reason, decisions);
   }
   const std::vector<admission_decision> admitted = AdmitQueued(context);
   decisions.insert(decisions.end(), admitted.begin(), admitted.end());
@@ -199,6 +231,13 @@
   }
 }
 
+std::vector<admission_decision> admission_controller::SetRateLimit(
+    event_context& context,
+    std::optional<request_rate> rate) {
+  rate_limiter_.SetRate(context.now(), rate);
+  return AdmitQueued(context);
+}
+
 void admission_controller::DescribeLoad(instant now,
                                         const request_metadata& metadata,
                                         answer_metadata& answer) const {
@@ -209,6 +248,12 @@
   const auto scaled = std::chrono::duration_cast<duration>(
       std::chrono::duration<double, std::nano>(kBaseRetryAfter) / served);
   answer.retry_after = std::min(scaled, kMaxRetryAfter);
+  if (const auto rate = rate_limiter_.CurrentRate(now)) {
+    const double seconds =
+        static_cast<double>(queue_.size() + 1) / rate->value();
+    answer.retry_after = std::chrono::duration_cast<duration>(
+        std::chrono::duration<double>(seconds));
+  }
   answer.is_cold = now - endpoint_started_ < kColdPeriod;
 }
 
@@ -235,6 +280,11 @@
       limit_);
 }
 
+bool admission_controller::WaitsOnlyForRate(instant now) const {
+  return !queue_.empty() && HasCapacity(queue_.next_priority()) &&
+         !rate_limiter_.HasToken(now);
+}
+
 bool admission_controller::IsBelowClassLimit(
     const class_name& request_class,
     const row_settings& settings) const {
@@ -253,6 +303,7 @@
   ++occupancy_.active;
   ++occupancy_.total;
   admitted_[work] = {request_class, context.now()};
+  rate_limiter_.OnStarted(context.now());
   return {work, std::nullopt};
 }
 
@@ -297,7 +348,8 @@
     event_context& context) {
   std::vector<admission_decision> decisions;
   DropExpired(context, decisions);
-  while (!queue_.empty() && HasCapacity(queue_.next_priority())) {
+  while (!queue_.empty() && HasCapacity(queue_.next_priority()) &&
+         rate_limiter_.HasToken(context.now())) {
     const queued_request first = *queue_.PopNext();
     const auto queued = queued_classes_.extract(first.work);
     decisions.push_back(Admit(context, first.work, queued.mapped()));
@@ -312,9 +364,12 @@
   if (queue_.empty() || !next_expiry_ || *next_expiry_ > context.now()) {
     return;
   }
+  const error_kind reason = WaitsOnlyForRate(context.now())
+                                ? error_kind::kRateLimited
+                                : error_kind::kQueueDeadline;
   for (const queued_request& expired : queue_.PopExpired(context.now())) {
     ReleaseClass(queued_classes_.extract(expired.work).mapped());
-    Refuse(context, expired.work, error_kind::kQueueDeadline, decisions);
+    Refuse(context, expired.work, reason, decisions);
   }
   next_expiry_.reset();
 }
@@ -323,13 +378,20 @@
                                   work_id work,
                                   error_kind kind,
                                   std::vector<admission_decision>& decisions) {
-  context.Count(kind == error_kind::kQueueDeadline ? counter::kDroppedFromQueue
-                                                   : counter::kRefusedByLimit);
+  context.Count(CounterOf(kind));
   decisions.push_back({work, kind});
 }
 
+// Requests that wait for the rate are not counted as demand: the admission
+// level applies to all endpoints of the service, and others may have capacity.
 void admission_controller::UpdateQueueState(event_context& context) {
-  demand_.OnQueueChanged(context.now(), !queue_.empty());
+  const bool waits_only_for_rate = WaitsOnlyForRate(context.now());
+  demand_.OnQueueChanged(context.now(),
+                         !queue_.empty() && !waits_only_for_rate);
+  if (waits_only_for_rate) {
+    context.timers().Schedule({timer_owner::kAdmission, kRateTimerKey},
+                              rate_limiter_.NextTokenAt(context.now()));
+  }
   if (queue_.empty()) {
     if (next_expiry_) {
       next_expiry_.reset();
@@ -351,8 +413,16 @@
 
 // About as many requests as the endpoint finishes in two service times.
 std::size_t admission_controller::QueueCapacity() const {
-  return std::clamp<std::size_t>(std::size_t{2} * limit(), kMinQueueCapacity,
-                                 kMaxQueueCapacity);
+  const std::size_t capacity = std::clamp<std::size_t>(
+      std::size_t{2} * limit(), kMinQueueCapacity, kMaxQueueCapacity);
+  if (!rate_limiter_.rate()) {
+    return capacity;
+  }
+  const double rate_capacity =
+      std::ceil(rate_limiter_.rate()->value() * kRateQueueSeconds);
+  return rate_capacity < static_cast<double>(capacity)
+             ? std::max<std::size_t>(static_cast<std::size_t>(rate_capacity), 1)
+             : capacity;
 }
 
 }  // namespace auburnfold
--- a/Libraries/LibDecision/Admission/admission_controller.h
+++ b/Libraries/LibDecision/Admission/admission_controller.h
@@ -10,6 +10,7 @@
 #include "LibDecision/Admission/adaptive_limit.h"
 #include "LibDecision/Admission/announced_limit.h"
 #include "LibDecision/Admission/fixed_limit.h"
+#include "LibDecision/Admission/rate_limiter.h"
 #include "LibDecision/Admission/request_queue.h"
 #include "LibDecision/Admission/service_times.h"
 #include "LibDecision/Pressure/demand_meter.h"
@@ -60,6 +61,11 @@
   void OnEndpointReported(event_context& context,
                           const endpoint_reported& report);
 
+  /// Limits the rate at which requests are started; unset ends the limit.
+  std::vector<admission_decision> SetRateLimit(
+      event_context& context,
+      std::optional<request_rate> rate);
+
   /// Sets the admission level, in-flight count, retry delay and cold start flag
   /// in `answer`, the answer to a request with `metadata`.
   void DescribeLoad(instant now,
@@ -85,6 +91,8 @@
   };
 
   bool HasCapacity(std::uint8_t priority) const;
+  /// Whether a request that has a slot waits only for the rate limit.
+  bool WaitsOnlyForRate(instant now) const;
   bool IsBelowClassLimit(const class_name& request_class,
                          const row_settings& settings) const;
   admission_decision Admit(event_context& context,
@@ -109,6 +117,7 @@
   std::size_t QueueCapacity() const;
 
   limit_variant limit_;
+  rate_limiter rate_limiter_;
   std::uint32_t connection_limit_ = 0;
   endpoint_occupancy occupancy_;
   request_queue queue_;
--- a/Libraries/LibDecision/Pressure/pressure_tracker.cc
+++ b/Libraries/LibDecision/Pressure/pressure_tracker.cc
@@ -48,10 +48,13 @@
     pressures_.clear();
   }
   service_pressure& pressure = pressures_[called];
-  const double refused = IsOverloadRefusal(result) ? 1 : 0;
   pressure.refused_fraction *= FreshnessWeight(now, pressure.updated_at);
-  pressure.refused_fraction +=
-      kRefusedSmoothing * (refused - pressure.refused_fraction);
+  // A rate limit of one endpoint says nothing about the load of the service.
+  if (result.error != error_kind::kRateLimited) {
+    const double refused = IsOverloadRefusal(result) ? 1 : 0;
+    pressure.refused_fraction +=
+        kRefusedSmoothing * (refused - pressure.refused_fraction);
+  }
   pressure.retry_after = result.peer->retry_after;
   pressure.updated_at = now;
   const endpoint_level latest{node, result.peer->level, now};
--- a/Libraries/LibDecision/Work/incoming_work.cc
+++ b/Libraries/LibDecision/Work/incoming_work.cc
@@ -134,7 +134,7 @@
   }
   work_item& item = found->second;
   if (finished.result.signals) {
-    OnSignals(context, item, *finished.result.signals);
+    OnSignals(context, item, finished.result);
   }
   const std::vector<admission_decision> decisions =
       admission_.OnFinished(context, finished.work, finished.result);
@@ -168,23 +168,31 @@
 
 void incoming_work::OnSignals(event_context& context,
                               const work_item& item,
-                              const endpoint_signals& signals) {
+                              const outcome& result) {
+  const endpoint_signals& signals = *result.signals;
   if (signals.has_unreadable_rate_limit) {
     context.Count(counter::kUnreadableRateLimits);
-    return context.Log(
-        Describe(context, decision_kind::kRateLimitUnreadable, item));
+    context.Log(Describe(context, decision_kind::kRateLimitUnreadable, item));
+  }
+  const bool is_changed =
+      result.is_complete()
+          ? rate_limit_.OnAnswered(context.now(), item.started, signals)
+          : rate_limit_.OnRefused(context.now(), item.started, signals);
+  if (is_changed) {
+    decision_record change =
+        Describe(context, decision_kind::kRateLimitChanged, item);
+    change.age = context.now() - item.started;
+    ApplyRateLimit(context, std::move(change));
   }
-  if (signals.rate_limit == named_rate_limit_) {
-    return;
-  }
-  named_rate_limit_ = signals.rate_limit;
-  decision_record changed =
-      Describe(context,
-               signals.rate_limit ? decision_kind::kRateLimitChanged
-                                  : decision_kind::kRateLimitEnded,
-               item);
-  changed.rate = signals.rate_limit;
-  context.Log(std::move(changed));
+}
+
+void incoming_work::ApplyRateLimit(event_context& context,
+                                   decision_record change) {
+  change.kind = rate_limit_.rate() ? decision_kind::kRateLimitChanged
+                                   : decision_kind::kRateLimitEnded;
+  change.rate = rate_limit_.rate();
+  context.Log(std::move(change));
+  ApplyDecisions(context, admission_.SetRateLimit(context, rate_limit_.rate()));
 }
 
 report_result incoming_work::OnEndpointReported(
@@ -207,6 +215,12 @@
   if (result != report_result::kReplaced) {
     return result;
   }
+  if (rate_limit_.rate()) {
+    rate_limit_.Reset();
+    ApplyRateLimit(context, {.service = report.service,
+                             .endpoint = report.name,
+                             .run = report.run});
+  }
   std::vector<work_id> interrupted;
   for (const auto& [id, item] : work_items_) {
     if (item.is_sent) {
@@ -313,6 +327,7 @@
 void incoming_work::StartWork(event_context& context, work_id id) {
   work_item& item = work_items_.at(id);
   item.is_executing = true;
+  item.started = context.now();
   executing_by_request_id_[item.metadata.own_id] = id;
   // A repeat earns no retries: it was itself paid for from a retry budget.
   if (counts_arrivals_ && !item.metadata.is_repeat) {
--- a/Libraries/LibDecision/Work/incoming_work.h
+++ b/Libraries/LibDecision/Work/incoming_work.h
@@ -13,6 +13,7 @@
 #include "LibDecision/Retries/service_retry_budgets.h"
 #include "LibDecision/Table/policy_table.h"
 #include "LibDecision/Work/local_endpoint.h"
+#include "LibDecision/Work/named_rate_limit.h"
 #include "LibDecision/ended_child.h"
 #include "LibDecision/event.h"
 #include "LibDecision/event_context.h"
@@ -83,6 +84,8 @@
     request_metadata metadata;
     instant arrived;
     instant deadline;
+    /// When it was handed to the endpoint.
+    instant started;
     bool is_executing = false;
     /// Bytes of the request may have been sent to the endpoint.
     bool is_sent = false;
@@ -111,7 +114,9 @@
   /// Handles what a response of the endpoint to `item` says about the endpoint.
   void OnSignals(event_context& context,
                  const work_item& item,
-                 const endpoint_signals& signals);
+                 const outcome& result);
+  /// Enforces the rate limit after it has changed.
+  void ApplyRateLimit(event_context& context, decision_record change);
   void Refuse(event_context& context,
               work_id id,
               error_kind kind,
@@ -142,8 +147,7 @@
   std::optional<instant> stopping_since_;
   local_endpoint endpoint_;
   admission_controller admission_;
-  /// The rate limit that the endpoint named last.
-  std::optional<request_rate> named_rate_limit_;
+  named_rate_limit rate_limit_;
   service_retry_budgets retry_budgets_;
   idempotency_key_registry keys_;
   std::unordered_map<work_id, work_item> work_items_;
--- a/Libraries/LibDecision/counter.cc
+++ b/Libraries/LibDecision/counter.cc
@@ -18,6 +18,8 @@
       return "refused_early";
     case counter::kRefusedByLimit:
       return "refused_by_limit";
+    case counter::kRefusedByRateLimit:
+      return "refused_by_rate_limit";
     case counter::kDroppedFromQueue:
       return "dropped_from_queue";
     case counter::kWorkStarted:
--- a/Libraries/LibDecision/counter.h
+++ b/Libraries/LibDecision/counter.h
@@ -13,10 +13,11 @@
   kRetriesDeniedByAllowance,
   kRetriesDeniedByNodeShare,  ///< Denied by the node's retry budget.
   kRetriesDeniedByPressure,
-  kRefusedEarly,      ///< Calls refused since a dependency would refuse them.
-  kRefusedByLimit,    ///< Work refused since a limit or the queue was full.
-  kDroppedFromQueue,  ///< Work that could not start in time.
-  kWorkStarted,       ///< Work handed over to the local endpoint.
+  kRefusedEarly,        ///< Calls refused since a dependency would refuse them.
+  kRefusedByLimit,      ///< Work refused since a limit or the queue was full.
+  kRefusedByRateLimit,  ///< Work refused since the endpoint's rate was used up.
+  kDroppedFromQueue,    ///< Work that could not start in time.
+  kWorkStarted,         ///< Work handed over to the local endpoint.
   kUnreadableRateLimits,  ///< Answers whose rate limit is not a number.
   kCancelledDown,         ///< Child calls cancelled since their parent ended.
   kRequestsAbandoned,     ///< Requests read after their sender had left.
--- a/Libraries/LibDecision/error_kind.cc
+++ b/Libraries/LibDecision/error_kind.cc
@@ -30,6 +30,8 @@
      retry_advice::kNever},
     {kOverloaded, "overloaded", 503, kNotExecuted, true,
      retry_advice::kAfterPressureDelay},
+    {kRateLimited, "rate-limited", 503, kNotExecuted, true,
+     retry_advice::kAfterPressureDelay},
     {kQueueDeadline, "queue-deadline", 503, kNotExecuted, false,
      retry_advice::kAfterPressureDelay},
     {kTenantOverShare, "tenant-over-share", 429, kNotExecuted, false,
--- a/Libraries/LibDecision/error_kind.h
+++ b/Libraries/LibDecision/error_kind.h
@@ -19,6 +19,7 @@
   kDeadlineMissing,
   kDeadlineExpired,
   kOverloaded,
+  kRateLimited,
   kQueueDeadline,
   kTenantOverShare,
   kNoEndpoint,
--- a/Tests/LibDecision/endpoint_signals_test.cc
+++ b/Tests/LibDecision/endpoint_signals_test.cc
@@ -25,6 +25,8 @@
   }
 
   effects Answer(const endpoint_signals& signals) {
+    // Long enough for any of the limits to admit one more request.
+    now_ += 1s;
     const work_id work(++last_work_);
     request_metadata metadata;
     metadata.service = service_name("listings");
--- a/Tests/StandIns/deeper_calls.cc
+++ b/Tests/StandIns/deeper_calls.cc
@@ -18,9 +18,9 @@
 // Refusals under overload and answers after the deadline are expected; any
 // other failure means that something cut a call in flight.
 constexpr std::array kExpectedFailures = {
-    error_kind::kOverloaded, error_kind::kQueueDeadline,
-    error_kind::kTenantOverShare, error_kind::kDeadlineExpired,
-    error_kind::kAnswerTimeout};
+    error_kind::kOverloaded,      error_kind::kRateLimited,
+    error_kind::kQueueDeadline,   error_kind::kTenantOverShare,
+    error_kind::kDeadlineExpired, error_kind::kAnswerTimeout};
 
 bool IsBroken(const std::string& reason) {
   const std::optional<error_kind> kind = ParseErrorKind(reason);
