Work, Routing: Let answers tell that an endpoint leaves, and its limits outlive its node

Callers of an endpoint whose answers said Server-Leaving were still sent to it.

Cause: the same as that of the rate limit, a rule without a place in the types; only reports could tell that an endpoint leaves. Besides, what a node learns from answers dies with it, while senders that relayed them stay bound.

Change: an answer, or the response to a health probe, that says so has the effect of a deregistration: the run does not become ready again by a report. Nodes tell each other what the endpoint said (endpoint_notice): its node with each answer, a sender with each request, by name and run of the endpoint. A node that has restarted believes a sender that the endpoint leaves, and its rate until the endpoint itself has answered.

--- a/Libraries/LibDecision/Calls/outgoing_call.h
+++ b/Libraries/LibDecision/Calls/outgoing_call.h
@@ -29,6 +29,8 @@
   instant attempt_started;
   /// Bytes of `attempt` may have been sent.
   bool is_attempt_sent = false;
+  /// `attempt` carries a notice about the endpoint.
+  bool carries_notice = false;
   /// An endpoint may have executed an earlier attempt.
   bool may_have_executed = false;
   /// An endpoint is known to have executed an earlier attempt.
--- a/Libraries/LibDecision/Calls/outgoing_calls.cc
+++ b/Libraries/LibDecision/Calls/outgoing_calls.cc
@@ -194,7 +194,7 @@
     connections_.OnAbandoned(finished.attempt);
   }
   router_.OnFinished(context, call.history.tried_nodes.back(), result,
-                     context.now() - call.attempt_started);
+                     context.now() - call.attempt_started, call.carries_notice);
   ReclaimAllowance(call, result);
   pressure_.OnAnswer(context.now(), ServiceClassOf(call),
                      call.history.tried_nodes.back(), result);
@@ -371,6 +371,8 @@
   // Retries handed to the attempt count as spent until its answer returns them.
   call.attempt_allowance = std::exchange(call.allowance, std::uint16_t{0});
   metadata.allowance = call.attempt_allowance;
+  metadata.notice = router_.NoticeOf(chosen->node);
+  call.carries_notice = metadata.notice.has_value();
   context.Count(counter::kAttempts);
   decision_record sent = Describe(context, decision_kind::kAttemptSent, call);
   sent.run = chosen->run;
--- a/Libraries/LibDecision/Routing/endpoint_stats.cc
+++ b/Libraries/LibDecision/Routing/endpoint_stats.cc
@@ -73,9 +73,11 @@
 
 void endpoint_stats::OnFinished(instant now,
                                 const outcome& result,
-                                duration elapsed) {
+                                duration elapsed,
+                                bool carried_notice) {
   --in_flight_;
   if (result.peer) {
+    UpdateNotice(now, result, carried_notice);
     answered_at_ = now;
     reported_in_flight_ = result.peer->in_flight;
     sent_since_report_ = 0;
@@ -105,6 +107,29 @@
   }
 }
 
+// Answers may overtake each other, so one without a notice ends a notice only
+// if its request carried it: the node has considered it then. An endpoint that
+// leaves does not come back in the same run.
+void endpoint_stats::UpdateNotice(instant now,
+                                  const outcome& result,
+                                  bool carried_notice) {
+  const std::optional<endpoint_notice>& latest = result.peer->notice;
+  if (!latest) {
+    if (result.is_complete() && carried_notice) {
+      notice_.reset();
+    }
+    return;
+  }
+  const bool has_left = notice_ && notice_->is_leaving &&
+                        notice_->endpoint == latest->endpoint &&
+                        notice_->run == latest->run;
+  notice_ = latest;
+  notice_->is_leaving = latest->is_leaving || has_left;
+  if (notice_->is_leaving) {
+    unavailable_until_ = now + kUnavailableTime;
+  }
+}
+
 // A refusal by the node means that the endpoint is busy, not that it fails.
 void endpoint_stats::UpdateFailedFraction(const outcome& result) {
   const bool is_failed =
--- a/Libraries/LibDecision/Routing/endpoint_stats.h
+++ b/Libraries/LibDecision/Routing/endpoint_stats.h
@@ -22,7 +22,11 @@
     ++sent_since_report_;
   }
   void OnCancelled() { --in_flight_; }
-  void OnFinished(instant now, const outcome& result, duration elapsed);
+  /// `carried_notice` says whether the request carried `notice()`.
+  void OnFinished(instant now,
+                  const outcome& result,
+                  duration elapsed,
+                  bool carried_notice = false);
   /// An attempt reached its deadline without an answer.
   void OnTimedOut(instant now);
 
@@ -41,6 +45,9 @@
   bool IsEjected(instant now) const {
     return now < ejected_until_ || now < unavailable_until_;
   }
+  /// What the endpoint's node last said about the endpoint; unset if that was
+  /// nothing special.
+  const std::optional<endpoint_notice>& notice() const { return notice_; }
   /// When the endpoint's node last answered; the clock's origin if never.
   instant last_answered_at() const { return answered_at_; }
   std::uint32_t in_flight() const { return in_flight_; }
@@ -48,6 +55,7 @@
   void Eject(instant now);
 
  private:
+  void UpdateNotice(instant now, const outcome& result, bool carried_notice);
   void UpdateFailedFraction(const outcome& result);
   double WarmUpFactor(instant now) const;
 
@@ -66,6 +74,8 @@
   /// requests.
   instant unavailable_until_{};
   instant answered_at_{};
+  /// Kept when the endpoint's node starts a new run, which may not know it.
+  std::optional<endpoint_notice> notice_;
   bool is_cold_ = false;
   instant cold_since_{};
 };
--- a/Libraries/LibDecision/Routing/router.cc
+++ b/Libraries/LibDecision/Routing/router.cc
@@ -146,8 +146,9 @@
 void router::OnFinished(event_context& context,
                         node_id node,
                         const outcome& result,
-                        duration elapsed) {
-  endpoints_[node].OnFinished(context.now(), result, elapsed);
+                        duration elapsed,
+                        bool carried_notice) {
+  endpoints_[node].OnFinished(context.now(), result, elapsed, carried_notice);
   EjectIfFailing(context, node);
 }
 
@@ -161,6 +162,11 @@
                                    : found->second.last_answered_at();
 }
 
+std::optional<endpoint_notice> router::NoticeOf(node_id node) const {
+  const auto found = endpoints_.find(node);
+  return found == endpoints_.end() ? std::nullopt : found->second.notice();
+}
+
 void router::OnTimedOut(event_context& context, node_id node) {
   endpoints_[node].OnTimedOut(context.now());
   EjectIfFailing(context, node);
--- a/Libraries/LibDecision/Routing/router.h
+++ b/Libraries/LibDecision/Routing/router.h
@@ -1,6 +1,7 @@
 #ifndef LIBDECISION_ROUTING_ROUTER_H_
 #define LIBDECISION_ROUTING_ROUTER_H_
 
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -30,8 +31,11 @@
   void OnFinished(event_context& context,
                   node_id node,
                   const outcome& result,
-                  duration elapsed);
+                  duration elapsed,
+                  bool carried_notice = false);
   void OnCancelled(event_context& context, node_id node);
+  /// What `node` last said about its endpoint; unset if nothing special.
+  std::optional<endpoint_notice> NoticeOf(node_id node) const;
   /// When `node` last answered an attempt; the clock's origin if never.
   instant LastAnsweredAt(node_id node) const;
   /// Number of candidates of the last `Choose`.
--- a/Libraries/LibDecision/Work/incoming_work.cc
+++ b/Libraries/LibDecision/Work/incoming_work.cc
@@ -18,6 +18,9 @@
   item.arrived = context.now();
   item.deadline = context.now() + arrived.metadata.time_left;
   allowances_.Open(arrived.work, arrived.metadata.allowance);
+  if (arrived.metadata.notice) {
+    OnNotice(context, item, *arrived.metadata.notice);
+  }
   // A cached answer is replayed even when no new work is accepted.
   if (arrived.metadata.key && !ClaimKey(context, arrived.work, item)) {
     return;
@@ -174,6 +177,9 @@
     context.Count(counter::kUnreadableRateLimits);
     context.Log(Describe(context, decision_kind::kRateLimitUnreadable, item));
   }
+  if (signals.is_leaving) {
+    OnLeaving(context, item, endpoint_.OnLeavingAnswered(context));
+  }
   const bool is_changed =
       result.is_complete()
           ? rate_limit_.OnAnswered(context.now(), item.started, signals)
@@ -186,6 +192,35 @@
   }
 }
 
+void incoming_work::OnNotice(event_context& context,
+                             const work_item& item,
+                             const endpoint_notice& notice) {
+  const endpoint_run run{notice.endpoint, notice.run};
+  if (notice.is_leaving) {
+    OnLeaving(context, item, endpoint_.OnLeavingNotice(context, run));
+  }
+  const bool is_changed = notice.rate_limit && endpoint_.current_run() == run &&
+                          rate_limit_.OnReportedByPeer(*notice.rate_limit);
+  if (is_changed) {
+    ApplyRateLimit(context,
+                   Describe(context, decision_kind::kRateLimitChanged, item));
+  }
+}
+
+void incoming_work::OnLeaving(event_context& context,
+                              const work_item& item,
+                              report_result result) {
+  if (result == report_result::kIgnored) {
+    return;
+  }
+  is_endpoint_changed_ = true;
+  decision_record changed =
+      Describe(context, decision_kind::kEndpointChanged, item);
+  changed.run = endpoint_.current_run().run;
+  changed.state = static_cast<std::uint32_t>(endpoint_.report()->state);
+  context.Log(std::move(changed));
+}
+
 void incoming_work::ApplyRateLimit(event_context& context,
                                    decision_record change) {
   change.kind = rate_limit_.rate() ? decision_kind::kRateLimitChanged
@@ -212,6 +247,13 @@
                  .limit = report.slots,
                  .state = static_cast<std::uint32_t>(report.state)});
   }
+  const bool names_rate = result != report_result::kIgnored && report.signals &&
+                          report.signals->rate_limit;
+  if (names_rate &&
+      rate_limit_.OnRefused(context.now(), context.now(), *report.signals)) {
+    ApplyRateLimit(context,
+                   {.service = report.service, .endpoint = report.name});
+  }
   if (result != report_result::kReplaced) {
     return result;
   }
@@ -458,6 +500,13 @@
       pressure_.DependencyLevelFor(context.now(), item.metadata.request_class));
   metadata.allowance_left = allowance;
   metadata.has_failed_child_call = item.has_failed_child_call;
+  if (rate_limit_.rate() || endpoint_.has_departed()) {
+    const endpoint_run run = endpoint_.current_run();
+    metadata.notice = endpoint_notice{.endpoint = run.name,
+                                      .run = run.run,
+                                      .rate_limit = rate_limit_.rate(),
+                                      .is_leaving = endpoint_.has_departed()};
+  }
   return metadata;
 }
 
--- a/Libraries/LibDecision/Work/incoming_work.h
+++ b/Libraries/LibDecision/Work/incoming_work.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <optional>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "LibDecision/Admission/admission_controller.h"
@@ -58,6 +59,12 @@
     return endpoint_.OnTimer(context);
   }
 
+  /// Whether an answer or a notice has changed the endpoint's state since the
+  /// last call.
+  bool TakeEndpointChange() {
+    return std::exchange(is_endpoint_changed_, false);
+  }
+
   /// Returns the work that ended since the last `TakeEnded`.
   std::vector<work_id> TakeEnded();
 
@@ -115,6 +122,14 @@
   void OnSignals(event_context& context,
                  const work_item& item,
                  const outcome& result);
+  /// Handles what the sender of a request heard about the endpoint.
+  void OnNotice(event_context& context,
+                const work_item& item,
+                const endpoint_notice& notice);
+  /// Logs the result of an answer or notice that says that the endpoint leaves.
+  void OnLeaving(event_context& context,
+                 const work_item& item,
+                 report_result result);
   /// Enforces the rate limit after it has changed.
   void ApplyRateLimit(event_context& context, decision_record change);
   void Refuse(event_context& context,
@@ -154,6 +169,7 @@
   /// Work that was handed to the endpoint, by the id of its request.
   std::unordered_map<request_id, work_id> executing_by_request_id_;
   std::vector<work_id> ended_;
+  bool is_endpoint_changed_ = false;
 };
 
 }  // namespace auburnfold
--- a/Libraries/LibDecision/Work/local_endpoint.cc
+++ b/Libraries/LibDecision/Work/local_endpoint.cc
@@ -1,5 +1,7 @@
 #include "LibDecision/Work/local_endpoint.h"
 
+#include <algorithm>
+
 namespace auburnfold {
 
 namespace {
@@ -24,8 +26,8 @@
     return report_result::kIgnored;
   }
   if (report_ && IsFirstReportWithRun(report)) {
-    if (deregistered_ == endpoint_run{report.name, incarnation()}) {
-      deregistered_->run = report.run;
+    if (departed_ == endpoint_run{report.name, incarnation()}) {
+      departed_->run = report.run;
     }
     report_->run = report.run;
   }
@@ -43,7 +45,7 @@
                             report.state == report_->state &&
                             report.service == report_->service;
   report_ = report;
-  if (deregistered_ == endpoint_run{report.name, report.run}) {
+  if (departed_ == endpoint_run{report.name, report.run}) {
     report_->state = endpoint_state::kLeaving;
   }
   unreachable_until_ = instant();
@@ -82,15 +84,38 @@
   if (!is_current_run) {
     return report_result::kIgnored;
   }
-  deregistered_ = endpoint_run{report_->name, report_->run};
+  return Depart(current_run(), context.now());
+}
+
+report_result local_endpoint::Depart(const endpoint_run& run, instant since) {
+  departed_ = run;
   const bool was_leaving = report_->state == endpoint_state::kLeaving;
   report_->state = endpoint_state::kLeaving;
-  if (!leaving_since_) {
-    leaving_since_ = context.now();
-  }
+  leaving_since_ = leaving_since_ ? std::min(*leaving_since_, since) : since;
   return was_leaving ? report_result::kAccepted : report_result::kChanged;
 }
 
+report_result local_endpoint::OnLeavingAnswered(event_context& context) {
+  if (!report_ || has_departed()) {
+    return report_result::kIgnored;
+  }
+  return Depart(current_run(), context.now());
+}
+
+// The time in which callers learn of the leave began when the other node
+// received the answer.
+report_result local_endpoint::OnLeavingNotice(event_context& context,
+                                              const endpoint_run& run) {
+  const bool is_current_run =
+      report_ && run.name == report_->name &&
+      (run.run == report_->run || report_->run == incarnation() ||
+       run.run == incarnation());
+  if (!is_current_run || has_departed()) {
+    return report_result::kIgnored;
+  }
+  return Depart(run, context.now() - leaving_grace_);
+}
+
 // The node may have restarted while the endpoint was leaving. The
 // deregistration is acknowledged like any other, and a health probe or a report
 // sent before it may still arrive.
@@ -99,7 +124,7 @@
   report_ = report;
   report_->state = endpoint_state::kLeaving;
   leaving_since_ = context.now();
-  deregistered_ = endpoint_run{report.name, report.run};
+  departed_ = endpoint_run{report.name, report.run};
 }
 
 void local_endpoint::OnUnreachable(event_context& context) {
--- a/Libraries/LibDecision/Work/local_endpoint.h
+++ b/Libraries/LibDecision/Work/local_endpoint.h
@@ -48,6 +48,12 @@
   void Start(instant now) { node_started_at_ = now; }
   report_result OnReported(event_context& context,
                            const endpoint_reported& report);
+  /// The endpoint said in an answer that it leaves.
+  report_result OnLeavingAnswered(event_context& context);
+  /// Another node received such an answer from `run`, maybe before this node
+  /// started.
+  report_result OnLeavingNotice(event_context& context,
+                                const endpoint_run& run);
   /// The endpoint did not accept a connection, or another one answered in its
   /// place. New work is refused for a short time.
   void OnUnreachable(event_context& context);
@@ -63,11 +69,20 @@
   endpoint_name name() const {
     return report_ ? report_->name : endpoint_name();
   }
+  /// The run that the last report names, and its endpoint.
+  endpoint_run current_run() const {
+    return report_ ? endpoint_run{report_->name, report_->run} : endpoint_run();
+  }
+  /// Whether the current run leaves for good: whatever it reports, it does not
+  /// become ready again.
+  bool has_departed() const { return report_ && departed_ == current_run(); }
   /// The last report that was not ignored.
   const std::optional<endpoint_reported>& report() const { return report_; }
 
  private:
   bool IsFirstReportWithRun(const endpoint_reported& report) const;
+  /// Marks `run`, the current one, as leaving for good since `since`.
+  report_result Depart(const endpoint_run& run, instant since);
   report_result OnGone(event_context& context, const endpoint_reported& report);
   void OnGoneBeforeFirstReport(event_context& context,
                                const endpoint_reported& report);
@@ -80,8 +95,9 @@
   instant last_heard_at_;
   std::optional<instant> leaving_since_;
   duration leaving_grace_;
-  /// The run that has reported `endpoint_state::kGone`.
-  std::optional<endpoint_run> deregistered_;
+  /// The run that has reported `endpoint_state::kGone`, or whose answers say
+  /// that it leaves.
+  std::optional<endpoint_run> departed_;
   instant unreachable_until_{};
   bool is_silent_ = false;
 };
--- a/Libraries/LibDecision/answer_metadata.h
+++ b/Libraries/LibDecision/answer_metadata.h
@@ -2,7 +2,9 @@
 #define LIBDECISION_ANSWER_METADATA_H_
 
 #include <cstdint>
+#include <optional>
 
+#include "LibDecision/endpoint_notice.h"
 #include "LibDecision/instant.h"
 
 namespace auburnfold {
@@ -28,6 +30,8 @@
   bool grants_retry = false;
   /// The endpoint started recently and gets a reduced share of the requests.
   bool is_cold = false;
+  /// Unset if the endpoint names no limit and is not leaving.
+  std::optional<endpoint_notice> notice;
 };
 
 }  // namespace auburnfold
--- a/Libraries/LibDecision/event.h
+++ b/Libraries/LibDecision/event.h
@@ -153,6 +153,8 @@
   /// The endpoint's response to a health probe, which names neither its run nor
   /// its slots.
   bool is_probe_result = false;
+  /// What that response says about the endpoint besides its state.
+  std::optional<endpoint_signals> signals;
 };
 
 /// A connection to `peer`, or to the local endpoint if unset, failed or was
--- a/Libraries/LibDecision/reducer.cc
+++ b/Libraries/LibDecision/reducer.cc
@@ -158,6 +158,14 @@
       RequestViewFromSender(context, arrived);
     }
     work.OnArrived(context, arrived);
+    PublishEndpointChange(context);
+  }
+
+  // An answer, or another node, may say that the local endpoint leaves.
+  void PublishEndpointChange(event_context& context) {
+    if (work.TakeEndpointChange()) {
+      members.OnEndpointReported(context, *work.endpoint().report());
+    }
   }
 
   void On(event_context& context, const work_cancelled& cancelled) {
@@ -170,6 +178,7 @@
 
   void On(event_context& context, const work_finished& finished) {
     work.OnFinished(context, finished);
+    PublishEndpointChange(context);
   }
 
   void On(event_context& context, const endpoint_reported& report) {
@@ -181,7 +190,7 @@
       case report_result::kReplaced:
         // The result of a health probe contains too little for a record; the
         // endpoint's own report follows.
-        if (report.is_probe_result) {
+        if (report.is_probe_result && report.state == endpoint_state::kReady) {
           return;
         }
         return members.OnEndpointReported(context, *work.endpoint().report());
--- a/Libraries/LibDecision/request_metadata.h
+++ b/Libraries/LibDecision/request_metadata.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <optional>
 
+#include "LibDecision/endpoint_notice.h"
 #include "LibDecision/ids.h"
 #include "LibDecision/instant.h"
 
@@ -47,6 +48,9 @@
   std::optional<std::uint8_t> priority;
   std::optional<idempotency_key> key;
   request_purpose purpose = request_purpose::kExecute;
+  /// What the sender last heard about the receiver's endpoint; unset if that
+  /// was nothing special.
+  std::optional<endpoint_notice> notice;
 };
 
 }  // namespace auburnfold
--- a/Libraries/LibRuntime/headers.cc
+++ b/Libraries/LibRuntime/headers.cc
@@ -159,6 +159,39 @@
   return {};
 }
 
+std::optional<request_rate> ParseRate(std::string_view text) {
+  double value = 0;
+  const char* text_end = text.data() + text.size();
+  const auto [parsed_end, error] =
+      std::from_chars(text.data(), text_end, value, std::chars_format::fixed);
+  const bool is_rate = error == std::errc() && parsed_end == text_end &&
+                       std::isfinite(value) && !std::signbit(value);
+  return is_rate ? std::optional(request_rate(value)) : std::nullopt;
+}
+
+std::string FormatRate(request_rate rate) {
+  std::array<char, 32> text{};
+  const auto [text_end, error] =
+      std::to_chars(text.data(), text.data() + text.size(), rate.value(),
+                    std::chars_format::fixed);
+  return {text.data(), error == std::errc() ? text_end : text.data()};
+}
+
+// Only a notice names the run of an endpoint.
+std::optional<endpoint_notice> ReadNotice(const http::fields& headers) {
+  const std::optional<std::uint64_t> run =
+      ParseDecimal(HeaderValue(headers, kEndpointRunHeader));
+  if (!run) {
+    return std::nullopt;
+  }
+  return endpoint_notice{
+      .endpoint =
+          endpoint_name(std::string(HeaderValue(headers, kEndpointHeader))),
+      .run = incarnation(*run),
+      .rate_limit = ParseRate(HeaderValue(headers, kRateLimitHeader)),
+      .is_leaving = HeaderValue(headers, kLeavingHeader) == "1"};
+}
+
 leaf::result<void> ReadCallTreeHeaders(const http::fields& headers,
                                        request_metadata& metadata) {
   metadata.allowance =
@@ -183,6 +216,7 @@
   if (!HeaderValue(headers, kForeignKeyHeader).empty()) {
     metadata.key.reset();
   }
+  metadata.notice = ReadNotice(headers);
   const std::string_view purpose = HeaderValue(headers, kPurposeHeader);
   if (purpose == kIssueKeyPurpose) {
     metadata.purpose = request_purpose::kIssueKey;
@@ -201,6 +235,23 @@
   headers.set(name, std::to_string(value));
 }
 
+void WriteNotice(http::fields& headers,
+                 const std::optional<endpoint_notice>& notice) {
+  if (!notice) {
+    return;
+  }
+  if (!notice->endpoint.value().empty()) {
+    headers.set(kEndpointHeader, notice->endpoint.value());
+  }
+  Set(headers, kEndpointRunHeader, notice->run.value());
+  if (notice->rate_limit) {
+    headers.set(kRateLimitHeader, FormatRate(*notice->rate_limit));
+  }
+  if (notice->is_leaving) {
+    headers.set(kLeavingHeader, "1");
+  }
+}
+
 std::uint64_t MillisecondsRoundedUp(duration length) {
   return static_cast<std::uint64_t>(
       std::chrono::ceil<std::chrono::milliseconds>(length).count());
@@ -236,20 +287,10 @@
       !HeaderValue(headers, kFailedBelowHeader).empty();
   metadata.grants_retry = !HeaderValue(headers, kRetryGrantedHeader).empty();
   metadata.is_cold = HeaderValue(headers, kColdHeader) == "1";
+  metadata.notice = ReadNotice(headers);
   return metadata;
 }
 
-std::optional<request_rate> ParseRate(std::string_view text) {
-  double value = 0;
-  const char* text_end = text.data() + text.size();
-  const auto [parsed_end, error] =
-      std::from_chars(text.data(), text_end, value, std::chars_format::fixed);
-  const bool is_rate = error == std::errc() && parsed_end == text_end &&
-                       std::isfinite(value) && value >= 0 &&
-                       !std::signbit(value);
-  return is_rate ? std::optional(request_rate(value)) : std::nullopt;
-}
-
 execution_state ParseExecutionState(const http::fields& headers) {
   const std::string_view text = HeaderValue(headers, kRanHeader);
   if (text == NameOf(execution_state::kNotExecuted)) {
@@ -334,6 +375,7 @@
   if (metadata.priority) {
     Set(headers, kPriorityHeader, *metadata.priority);
   }
+  WriteNotice(headers, metadata.notice);
   switch (metadata.purpose) {
     case request_purpose::kExecute:
       return;
@@ -375,6 +417,7 @@
   if (metadata.is_cold) {
     headers.set(kColdHeader, "1");
   }
+  WriteNotice(headers, metadata.notice);
 }
 
 outcome ReadPeerOutcome(const http_response& response) {
--- a/Libraries/LibWire/header_names.h
+++ b/Libraries/LibWire/header_names.h
@@ -64,6 +64,11 @@
 inline constexpr std::string_view kRateLimitHeader = "Auburnfold-Rate-Limit";
 /// Set if the endpoint takes no new requests and will end.
 inline constexpr std::string_view kLeavingHeader = "Auburnfold-Leaving";
+/// Name and run of the endpoint that the two headers above are about, between
+/// nodes.
+inline constexpr std::string_view kEndpointHeader = "Auburnfold-Endpoint";
+inline constexpr std::string_view kEndpointRunHeader =
+    "Auburnfold-Endpoint-Run";
 /// Set if the endpoint started recently.
 inline constexpr std::string_view kColdHeader = "Auburnfold-Cold";
 
--- a/Tests/LibRuntime/headers_test.cc
+++ b/Tests/LibRuntime/headers_test.cc
@@ -48,6 +48,38 @@
   EXPECT_EQ(metadata.purpose, request_purpose::kIssueKey);
 }
 
+TEST(TheHeadersOfAForwardedRequest, TellWhatTheSenderHeardOfTheEndpoint) {
+  for (const double rate : {0.0, 0.4, 29.9, 1e9}) {
+    http::fields headers;
+    request_metadata metadata = Facts();
+    metadata.notice = endpoint_notice{.endpoint = endpoint_name("i-1"),
+                                      .run = incarnation(5),
+                                      .rate_limit = request_rate(rate),
+                                      .is_leaving = true};
+    WriteForwardedHeaders(headers, metadata, node_id(1), incarnation(1));
+    const auto read = ReadForwardedHeaders(headers);
+    ASSERT_TRUE(read);
+    EXPECT_EQ(read->metadata.notice, metadata.notice);
+  }
+}
+
+TEST(TheHeadersOfAForwardedRequest, AreNoneAboutAnEndpointWithoutNotice) {
+  http::fields headers;
+  WriteForwardedHeaders(headers, Facts(), node_id(1), incarnation(1));
+  EXPECT_FALSE(ReadForwardedHeaders(headers)->metadata.notice);
+  EXPECT_EQ(headers.count("Auburnfold-Endpoint-Run"), 0U);
+}
+
+TEST(AnAnswerOfAPeer, TellsWhatTheEndpointSaysOfItself) {
+  answer_metadata metadata;
+  metadata.notice =
+      endpoint_notice{.run = incarnation(5), .rate_limit = request_rate(29.9)};
+  http_response response;
+  response.set("Auburnfold-Result", "complete");
+  WriteAnswerMetadata(response, metadata);
+  EXPECT_EQ(ReadPeerOutcome(response).peer->notice, metadata.notice);
+}
+
 TEST(TheHeadersOfAForwardedRequest, NeverPromiseMoreTimeThanThereIs) {
   http::fields headers;
   request_metadata metadata = Facts();
--- a/Tests/platform/platform_dialect_test.cc
+++ b/Tests/platform/platform_dialect_test.cc
@@ -202,6 +202,20 @@
   EXPECT_FALSE(dialect_.ReadEndpointState(response));
 }
 
+TEST_F(an_endpoints_answer, TellsAtAProbeThatTheEndpointLeaves) {
+  for (const unsigned status : {200U, 503U}) {
+    http_response response;
+    response.result(status);
+    response.set("X-Instance-Id", "i-7");
+    response.set("Server-Leaving", "1");
+    response.set("Server-Limit", "5");
+    const auto report = dialect_.ReadEndpointState(response);
+    ASSERT_TRUE(report);
+    EXPECT_EQ(report->state, endpoint_state::kGone);
+    EXPECT_EQ(report->signals->rate_limit, request_rate(5));
+  }
+}
+
 class a_deregistration : public the_dialect {};
 
 TEST_F(a_deregistration, IsAboutTheServiceOfItsNode) {
