LibRuntime: Bound responses without end in bytes, time and memory

Cause: a body was bounded, but not what stands around it: interim responses, responses to other requests, and chunk extensions were read and discarded until the deadline (504 after 10 s). Each body may have 1 MiB, so 200 connections to an endpoint that sends without end needed more than the 160 MB of the smallest VMs. A head without end was said to have run, which is not certain. A probe of the endpoint's health had no deadline.

Change: at most 8 MiB are read for a request, and the bodies that are being read at once share 32 MiB (response_memory), for the endpoint and for other nodes. A probe ends after a second.

--- a/Libraries/LibRuntime/call_handler.cc
+++ b/Libraries/LibRuntime/call_handler.cc
@@ -221,7 +221,8 @@
       io_, tcp::endpoint(host, to.peer_port), next_connection_,
       [this, node](connection_id closed) {
         sink_(connection_closed{closed, node});
-      });
+      },
+      memory_);
   return pools_.emplace(to, std::move(pool)).first->second.get();
 }
 
--- a/Libraries/LibRuntime/client_connection.cc
+++ b/Libraries/LibRuntime/client_connection.cc
@@ -21,6 +21,9 @@
 // first packet is retransmitted only after a second.
 constexpr std::chrono::milliseconds kConnectTimeout{300};
 constexpr unsigned kFirstFinalStatus = 200;
+// Enough for the largest body in the smallest chunks. Interim responses, late
+// ones and chunk extensions have no other limit.
+constexpr std::size_t kMaxReadBytes = 8 * kMaxBodyBytes;
 
 }  // namespace
 
@@ -115,6 +118,7 @@
 
 void client_connection::Write() {
   state_ = state::kBusy;
+  read_bytes_ = 0;
   PrepareParser();
   if (request_.on_sending) {
     request_.on_sending(id_);
@@ -161,19 +165,23 @@
     // Bytes on an idle connection belong to no request.
     return CloseSocket(true);
   }
+  read_bytes_ += size;
   Parse();
 }
 
 void client_connection::Parse() {
   error_code error;
   buffer_.consume(parser_->put(buffer_.data(), error));
+  if (error == http::error::body_limit) {
+    return Fail(error_kind::kAnswerTooLarge, execution_state::kExecuted, false);
+  }
+  const bool is_too_large = error == http::error::header_limit ||
+                            read_bytes_ > kMaxReadBytes || !ReserveBodyMemory();
+  if (is_too_large) {
+    return Fail(error_kind::kAnswerTooLarge, execution_state::kUnknown, false);
+  }
   if (error && error != http::error::need_more) {
-    const bool is_too_large =
-        error == http::error::body_limit || error == http::error::header_limit;
-    return is_too_large ? Fail(error_kind::kAnswerTooLarge,
-                               execution_state::kExecuted, false)
-                        : Fail(error_kind::kAnswerTruncated,
-                               execution_state::kUnknown, false);
+    return Fail(error_kind::kAnswerTruncated, execution_state::kUnknown, false);
   }
   if (!parser_->is_done()) {
     return Read();
@@ -218,7 +226,24 @@
   return clock::now() + timeout;
 }
 
+bool client_connection::ReserveBodyMemory() {
+  const std::size_t needed = parser_->get().body().capacity();
+  if (needed <= reserved_bytes_) {
+    return true;
+  }
+  if (!handlers_.memory->TryReserve(needed - reserved_bytes_)) {
+    return false;
+  }
+  reserved_bytes_ = needed;
+  return true;
+}
+
+void client_connection::ReleaseBodyMemory() {
+  handlers_.memory->Release(std::exchange(reserved_bytes_, 0));
+}
+
 void client_connection::PrepareParser() {
+  ReleaseBodyMemory();
   parser_.emplace();
   parser_->eager(true);
   parser_->header_limit(kMaxHeaderBytes);
@@ -233,6 +258,7 @@
                            buffer_.size() == 0 && !must_not_reuse_;
   const clock::time_point idle_deadline = IdleDeadline();
   result.response = parser_->release();
+  ReleaseBodyMemory();
   const std::shared_ptr<client_connection> self = shared_from_this();
   if (is_reusable) {
     request_ = {};
@@ -292,6 +318,7 @@
     return;
   }
   state_ = state::kClosed;
+  ReleaseBodyMemory();
   connect_timer_.cancel();
   error_code ignored;
   socket_.close(ignored);
--- a/Libraries/LibRuntime/client_connection.h
+++ b/Libraries/LibRuntime/client_connection.h
@@ -9,6 +9,7 @@
 
 #include "LibRuntime/client_request.h"
 #include "LibRuntime/http_types.h"
+#include "LibRuntime/response_memory.h"
 
 namespace auburnfold {
 
@@ -21,6 +22,8 @@
   /// The connection is closed; `by_peer` is false if this side closed it.
   std::function<void(const std::shared_ptr<client_connection>&, bool by_peer)>
       on_closed;
+  /// Shared by all connections of the owner.
+  response_memory* memory = nullptr;
 };
 
 /// An outgoing HTTP/1.1 connection that carries at most one request at a time.
@@ -65,6 +68,10 @@
   void OnRead(error_code error, std::size_t size);
   void Parse();
   void PrepareParser();
+  /// Accounts for the memory of the response body. Returns whether there is
+  /// enough.
+  bool ReserveBodyMemory();
+  void ReleaseBodyMemory();
   void Complete();
   void Fail(error_kind kind, execution_state execution, bool by_peer);
   void OnDisconnected(error_code error);
@@ -86,6 +93,9 @@
   beast::flat_buffer buffer_;
   std::optional<http::response_parser<http::string_body>> parser_;
   clock::time_point idle_deadline_;
+  /// Bytes read since the request was sent, including what was discarded.
+  std::size_t read_bytes_ = 0;
+  std::size_t reserved_bytes_ = 0;
   bool is_reading_ = false;
   /// The request was cancelled while the connection was still being made.
   bool is_cancelled_ = false;
--- a/Libraries/LibRuntime/connection_pool.cc
+++ b/Libraries/LibRuntime/connection_pool.cc
@@ -7,11 +7,13 @@
 connection_pool::connection_pool(asio::io_context& io,
                                  tcp::endpoint to,
                                  id_source next_id,
-                                 closed_handler on_closed_by_peer)
+                                 closed_handler on_closed_by_peer,
+                                 response_memory& memory)
     : io_(io),
       to_(std::move(to)),
       next_id_(std::move(next_id)),
       on_closed_by_peer_(std::move(on_closed_by_peer)) {
+  handlers_.memory = &memory;
   handlers_.on_idle = [this](const std::shared_ptr<client_connection>& idle) {
     idle_.push_back(idle);
   };
--- a/Libraries/LibRuntime/connection_pool.h
+++ b/Libraries/LibRuntime/connection_pool.h
@@ -19,10 +19,12 @@
   /// Called for each connection that the peer closed.
   using closed_handler = std::function<void(connection_id)>;
 
+  /// `memory` must outlive the pool.
   connection_pool(asio::io_context& io,
                   tcp::endpoint to,
                   id_source next_id,
-                  closed_handler on_closed_by_peer);
+                  closed_handler on_closed_by_peer,
+                  response_memory& memory);
   ~connection_pool();
   connection_pool(const connection_pool&) = delete;
   connection_pool& operator=(const connection_pool&) = delete;
--- a/Libraries/LibRuntime/http_types.h
+++ b/Libraries/LibRuntime/http_types.h
@@ -31,6 +31,9 @@
 inline constexpr std::size_t kMaxBodyBytes = std::size_t{1024} * 1024;
 /// Maximum size of the start line and headers together.
 inline constexpr std::size_t kMaxHeaderBytes = std::size_t{16} * 1024;
+/// Maximum size of all response bodies that are read at once from other nodes,
+/// and from the endpoint; a part of the memory of the smallest VMs.
+inline constexpr std::size_t kMaxResponseMemoryBytes = 32 * kMaxBodyBytes;
 /// Buffer space offered to each read.
 inline constexpr std::size_t kReadChunkBytes = std::size_t{8} * 1024;
 
--- /dev/null
+++ b/Libraries/LibRuntime/response_memory.h
@@ -0,0 +1,38 @@
+#ifndef LIBRUNTIME_RESPONSE_MEMORY_H_
+#define LIBRUNTIME_RESPONSE_MEMORY_H_
+
+#include <algorithm>
+#include <cstddef>
+
+namespace auburnfold {
+
+/// Bounds the memory of all response bodies that are being read at once. A
+/// server that sends bodies without end on many connections would otherwise
+/// exhaust the memory of the process, although each body is bounded.
+class response_memory {
+ public:
+  explicit response_memory(std::size_t max_bytes) : max_bytes_(max_bytes) {}
+
+  /// Returns whether `bytes` more are available, and reserves them if so.
+  bool TryReserve(std::size_t bytes) {
+    if (bytes > max_bytes_ - used_bytes_) {
+      return false;
+    }
+    used_bytes_ += bytes;
+    peak_bytes_ = std::max(peak_bytes_, used_bytes_);
+    return true;
+  }
+  void Release(std::size_t bytes) { used_bytes_ -= bytes; }
+
+  std::size_t used_bytes() const { return used_bytes_; }
+  std::size_t peak_bytes() const { return peak_bytes_; }
+
+ private:
+  std::size_t max_bytes_;
+  std::size_t used_bytes_ = 0;
+  std::size_t peak_bytes_ = 0;
+};
+
+}  // namespace auburnfold
+
+#endif  // LIBRUNTIME_RESPONSE_MEMORY_H_
--- a/Libraries/LibRuntime/view_handler.cc
+++ b/Libraries/LibRuntime/view_handler.cc
@@ -45,7 +45,7 @@
   }
   pool_ = std::make_unique<connection_pool>(
       io_, tcp::endpoint(host, command.to.peer_port), next_connection_,
-      [](connection_id) {});
+      [](connection_id) {}, memory_);
   client_request request;
   request.message = http_request_view(http::verb::get, kViewTarget, kHttp11);
   request.message.set(http::field::host, command.to.host);
--- a/Libraries/LibRuntime/work_handler.cc
+++ b/Libraries/LibRuntime/work_handler.cc
@@ -12,6 +12,14 @@
 
 namespace auburnfold {
 
+namespace {
+
+/// An endpoint that takes longer to answer a health probe is not ready, and its
+/// next report tells more.
+constexpr std::chrono::seconds kProbeTimeout{1};
+
+}  // namespace
+
 work_handler::work_handler(asio::io_context& io,
                            const node_identity& self,
                            const any_wire_dialect& dialect,
@@ -93,13 +101,16 @@
   }
   endpoint_ = address;
   pool_ = std::make_unique<connection_pool>(
-      io_, address, next_connection_, [this](connection_id closed) {
+      io_, address, next_connection_,
+      [this](connection_id closed) {
         sink_(connection_closed{closed, {}});
-      });
+      },
+      memory_);
 }
 
 void work_handler::ProbeEndpoint(const std::string& path) {
-  if (!pool_) {
+  const bool is_probing = clock::now() < probe_deadline_;
+  if (!pool_ || is_probing) {
     return;
   }
   client_request out;
@@ -110,6 +121,7 @@
   out.allows_close_delimited_response =
       dialect_.allows_close_delimited_responses();
   out.on_finished = [this](const client_result& result) {
+    probe_deadline_ = {};
     if (result.error) {
       return;
     }
@@ -117,7 +129,9 @@
       sink_(*std::move(report));
     }
   };
-  pool_->Send(std::move(out));
+  probe_deadline_ = clock::now() + kProbeTimeout;
+  deadline_timer_.ScheduleNoLaterThan(probe_deadline_);
+  probe_ = pool_->Send(std::move(out));
 }
 
 void work_handler::Execute(const execute_work& command) {
@@ -328,6 +342,12 @@
       due.push_back(std::move(connection));
     }
   }
+  if (probe_deadline_ > now) {
+    next = std::min(next, probe_deadline_);
+  } else if (auto probe = probe_.lock();
+             probe && probe_deadline_ != clock::time_point()) {
+    due.push_back(std::move(probe));
+  }
   deadline_timer_.ScheduleNoLaterThan(next);
   for (const std::shared_ptr<client_connection>& connection : due) {
     connection->TimeOut();
--- a/Tests/LibRuntime/scripted_server.cc
+++ b/Tests/LibRuntime/scripted_server.cc
@@ -36,9 +36,10 @@
   return text.str();
 }
 
-void scripted_connection::Write(std::string_view bytes) {
-  error_code ignored;
-  asio::write(parts_->socket, asio::buffer(bytes), ignored);
+bool scripted_connection::Write(std::string_view bytes) {
+  error_code error;
+  asio::write(parts_->socket, asio::buffer(bytes), error);
+  return !error;
 }
 
 std::uint64_t scripted_connection::number() const {
--- a/Tests/LibRuntime/scripted_server.h
+++ b/Tests/LibRuntime/scripted_server.h
@@ -19,7 +19,8 @@
   /// The next request's headers and body as text; nothing once the other side
   /// has closed.
   std::optional<std::string> ReadRequest();
-  void Write(std::string_view bytes);
+  /// Returns whether all bytes were written.
+  bool Write(std::string_view bytes);
   /// Counts accepted connections from 0.
   std::uint64_t number() const;
 
