Store, Registry: List and register again when the store has lost writes

Cause: a store that comes back from an older copy gives out its revisions again. A watch from a revision of before may then miss changes, the node's own record was not written again, since its revision seemed old, a lease may belong to another node, and an older record replaced a newer one: a leaving endpoint would have been ready again for all nodes.

Change: the era in each answer of the store (Store-Era). When it rises, routes and registry are listed at once, the node gets a new lease and writes its record again, and that listing does not replace newer records. Answers of an earlier era count as lost. Routes never went back to an older version, and still do not.

Not done: a node that starts while the store holds an older copy may take the older routes from it until the operators have written theirs again.

--- a/Libraries/LibDecision/Registry/node_registry.cc
+++ b/Libraries/LibDecision/Registry/node_registry.cc
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <set>
+#include <utility>
 
 #include "LibDecision/Registry/member_codec.h"
 
@@ -57,10 +58,17 @@
   }
   if (update->is_listing) {
     MarkUnlistedAsLapsed(context, update->entries);
+    may_list_older_records_ = false;
   }
   ScheduleLapseCheck(context);
 }
 
+void node_registry::OnStoreEraChanged(event_context& context) {
+  may_list_older_records_ = true;
+  registration_.OnStoreEraChanged(context);
+  watch_.OnStoreEraChanged(context);
+}
+
 void node_registry::OnTimer(event_context& context, timer_owner owner) {
   if (owner == timer_owner::kRegistryWatch) {
     return watch_.OnTimer(context);
@@ -116,10 +124,19 @@
   }
   if (const auto record = DecodeMember(entry.key, entry.value)) {
     lapsed_since_.erase(*node);
+    if (may_list_older_records_ && IsOutdated(*record)) {
+      return;
+    }
     members_.Replace(context, *record);
   }
 }
 
+bool node_registry::IsOutdated(const member_record& record) const {
+  const member_record* known = members_.Find(record.node);
+  return known != nullptr && std::pair(record.run, record.version) <
+                                 std::pair(known->run, known->version);
+}
+
 void node_registry::OnKeyRemoved(event_context& context, node_id node) {
   const member_record* member = members_.Find(node);
   if (member == nullptr || member->state == member_state::kGone) {
--- a/Libraries/LibDecision/Registry/node_registry.h
+++ b/Libraries/LibDecision/Registry/node_registry.h
@@ -24,6 +24,8 @@
 
   void Start(event_context& context);
   void OnStoreAnswered(event_context& context, const store_answered& answer);
+  /// The store has lost writes and may hold older records.
+  void OnStoreEraChanged(event_context& context);
   void OnTimer(event_context& context, timer_owner owner);
   /// The process is about to exit.
   void OnStopped(event_context& context) { registration_.Withdraw(context); }
@@ -58,6 +60,8 @@
   bool is_store_unavailable() const { return watch_.is_failing(); }
 
  private:
+  /// Whether the store holds a record that is older than the local copy.
+  bool IsOutdated(const member_record& record) const;
   static bool IsSilent(instant now, instant lapsed_at, instant answered_at);
   void ApplyEntry(event_context& context, const store_entry& entry);
   void OnKeyRemoved(event_context& context, node_id node);
@@ -71,6 +75,8 @@
   registration registration_;
   member_record published_;
   std::map<node_id, instant> lapsed_since_;
+  /// The next listing may contain records that the store held before.
+  bool may_list_older_records_ = false;
 };
 
 }  // namespace auburnfold
--- a/Libraries/LibDecision/Registry/registration.cc
+++ b/Libraries/LibDecision/Registry/registration.cc
@@ -93,6 +93,14 @@
   }
 }
 
+// Another node may have been granted a lease with the same id since.
+void registration::OnStoreEraChanged(event_context& context) {
+  lease_.reset();
+  stored_value_.clear();
+  revision_ = store_revision();
+  StartNextCall(context);
+}
+
 void registration::OnTimer(event_context& context) {
   StartNextCall(context);
 }
--- a/Libraries/LibDecision/Registry/registration.h
+++ b/Libraries/LibDecision/Registry/registration.h
@@ -30,6 +30,9 @@
 
   void OnStoreAnswered(event_context& context, const store_answered& answer);
   /// A renewal or a retry is due.
+  /// The store has lost writes, maybe the lease and the latest record: grants a
+  /// new lease and writes the record again.
+  void OnStoreEraChanged(event_context& context);
   void OnTimer(event_context& context);
 
  private:
--- a/Libraries/LibDecision/Routes/route_watcher.h
+++ b/Libraries/LibDecision/Routes/route_watcher.h
@@ -17,6 +17,9 @@
 
   void Start(event_context& context) { watch_.Start(context); }
   void OnStoreAnswered(event_context& context, const store_answered& answer);
+  void OnStoreEraChanged(event_context& context) {
+    watch_.OnStoreEraChanged(context);
+  }
   void OnTimer(event_context& context) { watch_.OnTimer(context); }
 
   /// Requests the decoding of a value that another node has read, unless this
--- a/Libraries/LibDecision/Store/prefix_watch.cc
+++ b/Libraries/LibDecision/Store/prefix_watch.cc
@@ -24,6 +24,13 @@
   }
 }
 
+void prefix_watch::OnStoreEraChanged(event_context& context) {
+  watch_call_.reset();
+  list_call_.reset();
+  context.timers().Cancel({options_.owner});
+  List(context);
+}
+
 bool prefix_watch::OnStoreAnswered(event_context& context,
                                    const store_answered& answer,
                                    std::optional<prefix_update>& update) {
--- a/Libraries/LibDecision/Store/prefix_watch.h
+++ b/Libraries/LibDecision/Store/prefix_watch.h
@@ -46,6 +46,9 @@
   void Start(event_context& context) { List(context); }
   /// Lists again as soon as possible.
   void Refresh(event_context& context);
+  /// The store has lost writes: lists again at once and ignores the answers to
+  /// earlier calls.
+  void OnStoreEraChanged(event_context& context);
   /// Returns whether `answer` belongs to this watch. Sets `update` if the
   /// answer is a listing or contains changes.
   bool OnStoreAnswered(event_context& context,
--- a/Libraries/LibDecision/decision_record.cc
+++ b/Libraries/LibDecision/decision_record.cc
@@ -50,6 +50,8 @@
       return "connection_dropped";
     case decision_kind::kStoreLost:
       return "store_lost";
+    case decision_kind::kStoreEraChanged:
+      return "store_era_changed";
     case decision_kind::kStoreRegained:
       return "store_regained";
     case decision_kind::kLoopDelayed:
@@ -90,6 +92,7 @@
     case decision_kind::kRoutesRejected:
     case decision_kind::kConnectionDropped:
     case decision_kind::kStoreLost:
+    case decision_kind::kStoreEraChanged:
     case decision_kind::kStoreRegained:
     case decision_kind::kLoopDelayed:
     case decision_kind::kStarted:
--- a/Libraries/LibDecision/decision_record.h
+++ b/Libraries/LibDecision/decision_record.h
@@ -41,6 +41,7 @@
   kRoutesRejected,     ///< Invalid routes are ignored.
   kConnectionDropped,  ///< An unresponsive connection is closed.
   kStoreLost,          ///< The key-value store is unavailable.
+  kStoreEraChanged,    ///< The key-value store has lost acknowledged writes.
   kStoreRegained,      ///< The key-value store is available again.
   kLoopDelayed,        ///< The node handles events late.
   kStarted,            ///< The node has started.
--- a/Libraries/LibDecision/ids.h
+++ b/Libraries/LibDecision/ids.h
@@ -54,6 +54,9 @@
 using change_id = strong_value<struct change_tag, std::string>;
 /// A lease of the key-value store; 0 means none.
 using store_lease = strong_value<struct store_lease_tag, std::uint64_t>;
+/// Rises each time that the key-value store has lost acknowledged writes and
+/// gives out revisions again; 0 if the store names none.
+using store_era = strong_value<struct store_era_tag, std::uint64_t>;
 /// The revision of a value in the key-value store; 0 means that the key is
 /// absent.
 using store_revision = strong_value<struct store_revision_tag, std::uint64_t>;
--- a/Libraries/LibDecision/reducer.cc
+++ b/Libraries/LibDecision/reducer.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <optional>
+#include <utility>
 #include <variant>
 
 #include "LibDecision/Calls/outgoing_calls.h"
@@ -53,6 +54,7 @@
   service_name local_service;
   bool is_stopped = false;
   bool is_store_unavailable = false;
+  store_era latest_store_era;
   std::optional<instant> view_requested_at;
   std::optional<instant> next_wakeup;
 
@@ -217,6 +219,16 @@
   }
 
   void On(event_context& context, const store_answered& answer) {
+    const store_era era = answer.result.era;
+    const bool is_outdated = era != store_era() && era < latest_store_era;
+    if (is_outdated) {
+      // Its revisions and leases mean nothing to the store any more.
+      return On(context, store_answered{answer.call,
+                                        {.status = store_status::kUnknown}});
+    }
+    if (era != store_era()) {
+      UpdateStoreEra(context, era);
+    }
     UpdateStoreAvailability(context, answer);
     members.OnStoreAnswered(context, answer);
     registry.OnStoreAnswered(context, answer);
@@ -299,6 +311,20 @@
     context.Emit(request_view{arrived.from_address});
   }
 
+  void UpdateStoreEra(event_context& context, store_era era) {
+    const store_era previous = std::exchange(latest_store_era, era);
+    if (previous == store_era() || previous == era) {
+      return;
+    }
+    context.Log({.kind = decision_kind::kStoreEraChanged});
+    if (options.discovery == discovery_mode::kRegistry) {
+      registry.OnStoreEraChanged(context);
+    }
+    if (options.settings == settings_source::kRoutes) {
+      routes_watcher.OnStoreEraChanged(context);
+    }
+  }
+
   void UpdateStoreAvailability(event_context& context,
                                const store_answered& answer) {
     const bool is_unavailable =
--- a/Libraries/LibDecision/store_call.h
+++ b/Libraries/LibDecision/store_call.h
@@ -90,6 +90,8 @@
   /// The lease that was granted, and its time to live.
   store_lease lease;
   duration time_to_live{};
+  /// The era of the revisions and leases in this answer.
+  store_era era;
 };
 
 }  // namespace auburnfold
--- a/Tests/LibDecision/registry_test.cc
+++ b/Tests/LibDecision/registry_test.cc
@@ -142,6 +142,78 @@
   std::string decoded_;
 };
 
+// The store was away and came back from an older copy of its data.
+class a_store_that_has_lost_writes : public a_node {
+ protected:
+  a_store_that_has_lost_writes() {
+    AnswerLists({EntryOf(Other(), 7)});
+    ReportEndpoint();
+    Register();
+    SeeEra(1);
+    calls_.clear();
+  }
+
+  /// An answer without changes, in this era.
+  void SeeEra(std::uint64_t era) {
+    ReportEndpoint();
+    Pass(4s);
+    ASSERT_TRUE(Next<store_renew_lease>());
+    Answer({.time_to_live = 9s, .era = store_era(era)});
+  }
+};
+
+TEST_F(a_store_that_has_lost_writes, GetsTheRecordAgainUnderANewLease) {
+  SeeEra(2);
+  ASSERT_TRUE(Next<store_grant_lease>());
+  Answer({.lease = store_lease(78), .time_to_live = 9s, .era = store_era(2)});
+  const auto write = Next<store_compare_and_swap>();
+  ASSERT_TRUE(write);
+  EXPECT_EQ(write->lease, store_lease(78));
+  EXPECT_EQ(write->expected, store_revision());
+}
+
+TEST_F(a_store_that_has_lost_writes, IsListedAgainAtOnce) {
+  SeeEra(2);
+  EXPECT_TRUE(Next<store_list>(kRegistryPrefix));
+  EXPECT_TRUE(Next<store_list>("routes"));
+}
+
+TEST_F(a_store_that_has_lost_writes, DoesNotMakeALeavingEndpointReadyAgain) {
+  member_record leaving = Other();
+  leaving.version = 1;
+  leaving.state = member_state::kLeaving;
+  SeeEra(2);
+  ASSERT_TRUE(Next<store_list>(kRegistryPrefix));
+  Answer({.entries = {EntryOf(leaving, 9)},
+          .revision = store_revision(9),
+          .era = store_era(2)});
+  EXPECT_EQ(StateOf(node_id(2)), member_state::kLeaving);
+  ASSERT_TRUE(Next<store_grant_lease>());
+  Answer({.lease = store_lease(78), .time_to_live = 9s, .era = store_era(3)});
+  ASSERT_TRUE(Next<store_list>(kRegistryPrefix));
+  Answer({.entries = {EntryOf(Other(), 7)},
+          .revision = store_revision(7),
+          .era = store_era(3)});
+  EXPECT_EQ(StateOf(node_id(2)), member_state::kLeaving);
+}
+
+TEST_F(a_store_that_has_lost_writes, IsNotListedAgainInTheSameEra) {
+  SeeEra(1);
+  EXPECT_FALSE(Next<store_list>(kRegistryPrefix));
+  EXPECT_FALSE(Next<store_grant_lease>());
+}
+
+TEST_F(a_store_that_has_lost_writes, IsNotBelievedInAnswersFromBefore) {
+  SeeEra(2);
+  ASSERT_TRUE(Next<store_list>(kRegistryPrefix));
+  member_record new_one = Other();
+  new_one.node = node_id(3);
+  Answer({.entries = {EntryOf(new_one, 12)},
+          .revision = store_revision(12),
+          .era = store_era(1)});
+  EXPECT_FALSE(StateOf(node_id(3)));
+}
+
 class its_own_record : public a_node {};
 
 TEST_F(its_own_record, IsWrittenUnderALeaseOnceItsEndpointIsKnown) {
--- a/Tests/platform/store_client_test.cc
+++ b/Tests/platform/store_client_test.cc
@@ -68,6 +68,19 @@
 
 const store_compare_and_swap kWrite{"table/a b/c", "new", store_revision(4)};
 
+class the_era_of_the_store : public a_store {};
+
+TEST_F(the_era_of_the_store, IsReadFromEachAnswer) {
+  for (const char* status :
+       {"200 OK", "412 Precondition Failed", "503 Service Unavailable"}) {
+    answer_ = "HTTP/1.1 " + std::string(status) +
+              "\r\nStore-Era: 3\r\nContent-Length: 0\r\n\r\n";
+    Serve();
+    EXPECT_EQ(Call(kWrite).era, store_era(3));
+    received_.clear();
+  }
+}
+
 class a_write : public a_store {};
 
 TEST_F(a_write, IsSentUnderItsConditionAndWithItsLease) {
