--- a/Libraries/LibDecision/Routing/endpoint_stats.h
+++ b/Libraries/LibDecision/Routing/endpoint_stats.h
@@ -42,8 +42,8 @@
   bool IsEjected(instant now) const {
     return now < ejected_until_ || now < unavailable_until_;
   }
-  /// What the endpoint's node last said about the endpoint; unset if that was
-  /// nothing special.
+  /// What the endpoint's node last said about the endpoint; unset if the
+  /// endpoint names no limit and is not leaving.
   const std::optional<endpoint_notice>& notice() const { return notice_; }
   /// When the next request may be sent, so that all senders together keep the
   /// endpoint's rate limit, if a request may be sent by `tolerance` of the send
--- a/Libraries/LibDecision/Routing/router.h
+++ b/Libraries/LibDecision/Routing/router.h
@@ -40,7 +40,8 @@
                   duration elapsed,
                   bool carried_notice = false);
   void OnCancelled(event_context& context, node_id node);
-  /// What `node` last said about its endpoint; unset if nothing special.
+  /// What `node` last said about its endpoint; unset if the endpoint names no
+  /// limit and is not leaving.
   std::optional<endpoint_notice> NoticeOf(node_id node) const;
   /// When `node` last answered an attempt; the clock's origin if never.
   instant LastAnsweredAt(node_id node) const;
--- a/Libraries/LibDecision/request_metadata.h
+++ b/Libraries/LibDecision/request_metadata.h
@@ -48,8 +48,8 @@
   std::optional<std::uint8_t> priority;
   std::optional<idempotency_key> key;
   request_purpose purpose = request_purpose::kExecute;
-  /// What the sender last heard about the receiver's endpoint; unset if that
-  /// was nothing special.
+  /// What the sender last heard about the receiver's endpoint; unset if the
+  /// endpoint names no limit and is not leaving.
   std::optional<endpoint_notice> notice;
 };
 
--- a/Tests/Scenarios/endpoint_signals_scenario_test.cc
+++ b/Tests/Scenarios/endpoint_signals_scenario_test.cc
@@ -132,6 +132,11 @@
   });
 }
 
+TEST_F(two_of_them_name_a_rate_limit, GetMoreWithoutTheMechanism) {
+  plan_.missing = taken_away::kSignals;
+  ForEverySeed([](figures seen) { EXPECT_GT(seen["runs_over_rate"], 0); });
+}
+
 class one_of_them_says_that_it_leaves : public endpoints_of_one_service {
  protected:
   one_of_them_says_that_it_leaves() {
@@ -146,6 +151,11 @@
   });
 }
 
+TEST_F(one_of_them_says_that_it_leaves, GetsMoreWithoutTheMechanism) {
+  plan_.missing = taken_away::kSignals;
+  ForEverySeed([](figures seen) { EXPECT_GT(seen["runs_after_leave"], 0); });
+}
+
 TEST_F(one_of_them_says_that_it_leaves, GetsNothingWhenItsNodeRestarts) {
   plan_.faults.push_back({5s, "replace-node", "node1"});
   plan_.faults.push_back({8s, "replace-node", "node1"});
--- a/Tests/Scenarios/scenario.h
+++ b/Tests/Scenarios/scenario.h
@@ -41,6 +41,7 @@
   kKeys,     ///< Keys get lost on the way to their home.
   kSent,     ///< Nodes are not told before bytes are written.
   kLeaving,  ///< Endpoints do not say that they leave.
+  kSignals,  ///< Nodes do not read what answers say about endpoints.
 };
 
 /// A scripted experiment on virtual time.
--- a/Tests/Scenarios/virtual_cluster.cc
+++ b/Tests/Scenarios/virtual_cluster.cc
@@ -500,7 +500,9 @@
   finished_bodies_[std::to_string(work.value())] =
       is_useful ? found->second.travel.root : "";
   found->second.signals = at.signals;
-  Happen(at, work_finished{work, {.signals = at.signals}});
+  const bool is_read = plan_.missing != taken_away::kSignals;
+  Happen(at, work_finished{
+                 work, {.signals = is_read ? at.signals : endpoint_signals{}}});
   const auto ended = works_.find(work);
   if (ended != works_.end() && ended->second.is_abandoned) {
     works_.erase(ended);
