--- a/Tests/Scenarios/virtual_cluster.cc
+++ b/Tests/Scenarios/virtual_cluster.cc
@@ -510,7 +510,7 @@
 }
 
 void virtual_cluster::EndAttempt(work_id work,
-                                 outcome result,
+                                 const outcome& result,
                                  std::string body) {
   const auto found = works_.find(work);
   if (found == works_.end()) {
--- a/Tests/Scenarios/virtual_cluster.h
+++ b/Tests/Scenarios/virtual_cluster.h
@@ -153,7 +153,7 @@
                     const refuse_call* refusal);
   bool CallDeeper(machine& from, work_id work);
   void FinishWork(machine& at, work_id work, bool is_useful);
-  void EndAttempt(work_id work, outcome result, std::string body);
+  void EndAttempt(work_id work, const outcome& result, std::string body);
   connection& TakeConnection(machine& from, std::size_t target);
   void FreeConnection(machine& from, const open_attempt& used, bool is_closed);
 
