Routes: Log where each version was read, and why one was not taken

No line told which call showed a version, at which revision and era of the store, nor that a version was read and not newer.

routes_taken, routes_ignored (new) and routes_rejected name source, revision, era and the time since the value was read; store_era_changed names the era. No behaviour changes.

--- a/Libraries/LibDecision/Routes/route_watcher.cc
+++ b/Libraries/LibDecision/Routes/route_watcher.cc
@@ -35,7 +35,13 @@
   for (const store_entry& entry : change->entries) {
     if (entry.key == key_ && !entry.is_removed) {
       value_ = entry.value;
-      context.Emit(decode_routes{entry.value});
+      const route_source source =
+          change->is_listing ? route_source::kListing : route_source::kWatch;
+      context.Emit(decode_routes{entry.value,
+                                 {.source = source,
+                                  .revision = entry.revision,
+                                  .era = answer.result.era,
+                                  .read_at = context.now()}});
     }
   }
 }
@@ -44,7 +50,8 @@
                                const std::string& value) {
   if (value_.empty() && !value.empty()) {
     value_ = value;
-    context.Emit(decode_routes{value});
+    context.Emit(decode_routes{
+        value, {.source = route_source::kPeer, .read_at = context.now()}});
   }
 }
 
--- a/Libraries/LibDecision/decision_record.cc
+++ b/Libraries/LibDecision/decision_record.cc
@@ -44,6 +44,8 @@
       return "endpoint_ejected";
     case decision_kind::kRoutesTaken:
       return "routes_taken";
+    case decision_kind::kRoutesIgnored:
+      return "routes_ignored";
     case decision_kind::kRoutesRejected:
       return "routes_rejected";
     case decision_kind::kConnectionDropped:
@@ -89,6 +91,7 @@
     case decision_kind::kRateLimitUnreadable:
     case decision_kind::kEndpointEjected:
     case decision_kind::kRoutesTaken:
+    case decision_kind::kRoutesIgnored:
     case decision_kind::kRoutesRejected:
     case decision_kind::kConnectionDropped:
     case decision_kind::kStoreLost:
--- a/Libraries/LibDecision/decision_record.h
+++ b/Libraries/LibDecision/decision_record.h
@@ -7,6 +7,7 @@
 
 #include "LibDecision/Retries/retry_decision.h"
 #include "LibDecision/Routes/route.h"
+#include "LibDecision/Routes/route_reading.h"
 #include "LibDecision/error_kind.h"
 #include "LibDecision/ids.h"
 #include "LibDecision/instant.h"
@@ -38,6 +39,7 @@
   kRateLimitUnreadable,    ///< It names one that is not a number.
   kEndpointEjected,    ///< An endpoint is temporarily excluded from routing.
   kRoutesTaken,        ///< New routes are in effect.
+  kRoutesIgnored,      ///< Routes that were read are not newer.
   kRoutesRejected,     ///< Invalid routes are ignored.
   kConnectionDropped,  ///< An unresponsive connection is closed.
   kStoreLost,          ///< The key-value store is unavailable.
@@ -76,7 +78,12 @@
   /// Why the last attempt was or was not retried.
   std::optional<retry_decision> retry;
   std::optional<route_version> routes;
-  /// Time since the failed attempt was started.
+  /// How a value of the route key was read.
+  std::optional<route_source> source;
+  std::optional<store_revision> revision;
+  /// The era of the key-value store.
+  std::optional<store_era> era;
+  /// Time since the failed attempt was started, or since a value was read.
   std::optional<duration> age;
   std::optional<duration> time_left;
   std::optional<duration> waited;
--- a/Libraries/LibDecision/effect.h
+++ b/Libraries/LibDecision/effect.h
@@ -7,6 +7,7 @@
 #include <variant>
 #include <vector>
 
+#include "LibDecision/Routes/route_reading.h"
 #include "LibDecision/admin_call.h"
 #include "LibDecision/answer_metadata.h"
 #include "LibDecision/counter.h"
@@ -152,9 +153,11 @@
   std::string path;
 };
 
-/// Decode the routes from the value of the route key. Report `routes_decoded`.
+/// Decode the routes from the value of the route key. Report `routes_decoded`
+/// with the same `value` and `reading`.
 struct decode_routes {
   std::string value;
+  route_reading reading;
 };
 
 /// Answer an administration request.
--- a/Libraries/LibDecision/event.h
+++ b/Libraries/LibDecision/event.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "LibDecision/Routes/route.h"
+#include "LibDecision/Routes/route_reading.h"
 #include "LibDecision/admin_call.h"
 #include "LibDecision/ids.h"
 #include "LibDecision/instant.h"
@@ -175,9 +176,12 @@
   store_result result;
 };
 
-/// The value of the route key was decoded. `config` is unset if it is invalid.
+/// The value of a `decode_routes` was decoded. `config` is unset if it is
+/// invalid.
 struct routes_decoded {
   std::optional<route_config> config;
+  std::string value;
+  route_reading reading;
 };
 
 /// Another node requested this node's view.
--- a/Libraries/LibDecision/reducer.cc
+++ b/Libraries/LibDecision/reducer.cc
@@ -239,20 +239,33 @@
   void On(event_context& context, const routes_decoded& decoded) {
     if (!decoded.config) {
       context.Count(counter::kRoutesRejected);
-      return context.Log({.kind = decision_kind::kRoutesRejected});
+      return LogRoutes(context, decision_kind::kRoutesRejected, decoded);
     }
     if (!routes.Apply(context.now(), *decoded.config)) {
-      return;
+      return LogRoutes(context, decision_kind::kRoutesIgnored, decoded);
     }
     context.Count(counter::kRoutesTaken);
-    context.Log({.kind = decision_kind::kRoutesTaken,
-                 .routes = decoded.config->version});
+    LogRoutes(context, decision_kind::kRoutesTaken, decoded);
     for (const route& configured_route : decoded.config->routes) {
       ApplyRouteSettings(context, decoded.config->version, configured_route);
     }
     ProbeEndpoint(context);
   }
 
+  static void LogRoutes(event_context& context,
+                        decision_kind kind,
+                        const routes_decoded& decoded) {
+    decision_record record{.kind = kind};
+    if (decoded.config) {
+      record.routes = decoded.config->version;
+    }
+    record.source = decoded.reading.source;
+    record.revision = decoded.reading.revision;
+    record.era = decoded.reading.era;
+    record.age = context.now() - decoded.reading.read_at;
+    context.Log(std::move(record));
+  }
+
   // A node that restarts while its endpoint keeps running would otherwise
   // refuse all work until the endpoint's next report.
   void ProbeEndpoint(event_context& context) {
@@ -316,7 +329,7 @@
     if (previous == store_era() || previous == era) {
       return;
     }
-    context.Log({.kind = decision_kind::kStoreEraChanged});
+    context.Log({.kind = decision_kind::kStoreEraChanged, .era = era});
     if (options.discovery == discovery_mode::kRegistry) {
       registry.OnStoreEraChanged(context);
     }
--- a/Libraries/LibRuntime/decision_log.cc
+++ b/Libraries/LibRuntime/decision_log.cc
@@ -90,6 +90,9 @@
   fields.Add("ran", record.execution ? NameOf(*record.execution) : "");
   fields.Add("retry", record.retry ? NameOf(*record.retry) : "");
   fields.Add("routes", record.routes);
+  fields.Add("source", record.source ? NameOf(*record.source) : "");
+  fields.Add("revision", record.revision);
+  fields.Add("era", record.era);
   fields.Add("age_ms", record.age);
   fields.Add("time_left_ms", record.time_left);
   fields.Add("waited_ms", record.waited);
--- a/Libraries/LibRuntime/node_runtime.cc
+++ b/Libraries/LibRuntime/node_runtime.cc
@@ -374,7 +374,7 @@
   if (config) {
     admin.OnRoutesAvailable();
   }
-  sink(routes_decoded{std::move(config)});
+  sink(routes_decoded{std::move(config), effect.value, effect.reading});
 }
 
 void node_runtime::impl::On(const log_message& effect) {
--- /dev/null
+++ b/Tests/LibDecision/route_log_test.cc
@@ -0,0 +1,131 @@
+#include <gtest/gtest.h>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "LibDecision/reducer.h"
+
+namespace auburnfold {
+namespace {
+
+using namespace std::chrono_literals;
+
+// A node that follows the routes, with a store that the test plays.
+class the_log_of_routes : public testing::Test {
+ protected:
+  the_log_of_routes()
+      : node_({.discovery = discovery_mode::kRegistry,
+               .settings = settings_source::kRoutes,
+               .route_key = "routes"}) {
+    Happen(node_started{.node = node_id(1), .run = incarnation(5)});
+  }
+
+  void Happen(event_content content) {
+    now_ += 1ms;
+    for (const effect& each :
+         Reduce(node_, {now_, ++entropy_, std::move(content)})) {
+      if (const auto* call = std::get_if<call_store>(&each)) {
+        Keep(*call);
+      }
+      if (const auto* decode = std::get_if<decode_routes>(&each)) {
+        decoding_ = *decode;
+      }
+      if (const auto* logged = std::get_if<log_decision>(&each)) {
+        lines_.push_back(logged->record);
+      }
+    }
+  }
+
+  void Keep(const call_store& call) {
+    const auto* list = std::get_if<store_list>(&call.request);
+    const auto* watch = std::get_if<store_watch>(&call.request);
+    const bool is_about_routes =
+        (list != nullptr && list->prefix == "routes") ||
+        (watch != nullptr && watch->prefix == "routes");
+    if (is_about_routes) {
+      last_call_ = call.call;
+    }
+  }
+
+  /// The store answers the last call about the routes.
+  void Show(std::uint64_t revision, std::uint64_t era = 3) {
+    Happen(store_answered{
+        last_call_,
+        {.entries = {{"routes", "text", store_revision(revision)}},
+         .revision = store_revision(revision),
+         .era = store_era(era)}});
+    // The next watch begins a moment after a change.
+    now_ += 1s;
+    Happen(time_passed{});
+  }
+
+  void Decode(std::optional<std::uint64_t> version) {
+    std::optional<route_config> config;
+    if (version) {
+      config = route_config{.version = route_version(*version)};
+    }
+    now_ += 9ms;
+    Happen(routes_decoded{config, decoding_.value, decoding_.reading});
+  }
+
+  std::optional<decision_record> Last(decision_kind kind) const {
+    for (auto line = lines_.rbegin(); line != lines_.rend(); ++line) {
+      if (line->kind == kind) {
+        return *line;
+      }
+    }
+    return std::nullopt;
+  }
+
+  node_state node_;
+  instant now_{};
+  std::uint64_t entropy_ = 0;
+  store_call_id last_call_;
+  decode_routes decoding_;
+  std::vector<decision_record> lines_;
+};
+
+TEST_F(the_log_of_routes, TellsFromWhereAVersionWasTaken) {
+  Show(40);
+  Decode(7);
+  const auto taken = Last(decision_kind::kRoutesTaken);
+  ASSERT_TRUE(taken);
+  EXPECT_EQ(taken->routes, route_version(7));
+  EXPECT_EQ(taken->source, route_source::kListing);
+  EXPECT_EQ(taken->revision, store_revision(40));
+  EXPECT_EQ(taken->era, store_era(3));
+  EXPECT_GE(taken->age, 9ms);
+  Show(41);
+  Decode(9);
+  EXPECT_EQ(Last(decision_kind::kRoutesTaken)->source, route_source::kWatch);
+}
+
+TEST_F(the_log_of_routes, TellsThatAVersionIsNotNewer) {
+  Show(40);
+  Decode(7);
+  Show(41);
+  Decode(6);
+  const auto ignored = Last(decision_kind::kRoutesIgnored);
+  ASSERT_TRUE(ignored);
+  EXPECT_EQ(ignored->routes, route_version(6));
+  EXPECT_EQ(ignored->revision, store_revision(41));
+}
+
+TEST_F(the_log_of_routes, TellsWhichValueIsInvalid) {
+  Show(40);
+  Decode(std::nullopt);
+  const auto rejected = Last(decision_kind::kRoutesRejected);
+  ASSERT_TRUE(rejected);
+  EXPECT_FALSE(rejected->routes);
+  EXPECT_EQ(rejected->revision, store_revision(40));
+}
+
+TEST_F(the_log_of_routes, TellsTheEraThatTheStoreHasReached) {
+  Show(40, 3);
+  Show(12, 4);
+  EXPECT_EQ(Last(decision_kind::kStoreEraChanged)->era, store_era(4));
+}
+
+}  // namespace
+}  // namespace auburnfold
