Routes: Give peers the routes in force

Callers of a node that had its routes from a peer could be routed by an older version: a node kept the last value that it had read, also one that was older than the routes in force (a store that came back from an older copy) or invalid, and gave that to nodes that start without the store.

The watcher now keeps the value of the routes in force only. A node that has read nothing but an invalid value takes the routes of a peer.

a_view.HoldsTheRoutesThatItsNodeUses and the_newest_valid_version.* failed before. The tests of a node that starts beside an older store now keep peers quiet until it has read that store, since a request that arrived first hid the fault; they still fail.

--- a/Libraries/LibDecision/Routes/route_watcher.cc
+++ b/Libraries/LibDecision/Routes/route_watcher.cc
@@ -34,7 +34,6 @@
   }
   for (const store_entry& entry : change->entries) {
     if (entry.key == key_ && !entry.is_removed) {
-      value_ = entry.value;
       const route_source source =
           change->is_listing ? route_source::kListing : route_source::kWatch;
       context.Emit(decode_routes{entry.value,
@@ -48,8 +47,7 @@
 
 void route_watcher::OnPeerView(event_context& context,
                                const std::string& value) {
-  if (value_.empty() && !value.empty()) {
-    value_ = value;
+  if (value_in_force_.empty() && !value.empty()) {
     context.Emit(decode_routes{
         value, {.source = route_source::kPeer, .read_at = context.now()}});
   }
--- a/Libraries/LibDecision/Routes/route_watcher.h
+++ b/Libraries/LibDecision/Routes/route_watcher.h
@@ -2,6 +2,7 @@
 #define LIBDECISION_ROUTES_ROUTE_WATCHER_H_
 
 #include <string>
+#include <utility>
 
 #include "LibDecision/Store/prefix_watch.h"
 #include "LibDecision/event.h"
@@ -22,12 +23,14 @@
   }
   void OnTimer(event_context& context) { watch_.OnTimer(context); }
 
-  /// Requests the decoding of a value that another node has read, unless this
-  /// node already has one.
+  /// Requests the decoding of a value that another node routes by, unless this
+  /// node already has routes.
   void OnPeerView(event_context& context, const std::string& value);
+  /// `value` was decoded and is in force now.
+  void OnTaken(std::string value) { value_in_force_ = std::move(value); }
 
-  /// The last known value; empty if there is none.
-  const std::string& value() const { return value_; }
+  /// The value of the routes in force; empty if there are none.
+  const std::string& value_in_force() const { return value_in_force_; }
   /// When the key-value store last answered.
   instant store_answered_at() const { return watch_.store_answered_at(); }
   /// Whether the last call to the key-value store failed.
@@ -35,7 +38,7 @@
 
  private:
   std::string key_;
-  std::string value_;
+  std::string value_in_force_;
   prefix_watch watch_;
 };
 
--- a/Libraries/LibDecision/peer_view.h
+++ b/Libraries/LibDecision/peer_view.h
@@ -11,7 +11,7 @@
 /// The routes and members that a node knows. Sent to a node that cannot reach
 /// the key-value store.
 struct peer_view {
-  /// The last value read from the route key; empty if none was read.
+  /// The value of the routes in force at the node; empty if there are none.
   std::string routes;
   std::vector<member_record> members;
 };
--- a/Libraries/LibDecision/reducer.cc
+++ b/Libraries/LibDecision/reducer.cc
@@ -244,6 +244,7 @@
     if (!routes.Apply(context.now(), *decoded.config)) {
       return LogRoutes(context, decision_kind::kRoutesIgnored, decoded);
     }
+    routes_watcher.OnTaken(decoded.value);
     context.Count(counter::kRoutesTaken);
     LogRoutes(context, decision_kind::kRoutesTaken, decoded);
     for (const route& configured_route : decoded.config->routes) {
@@ -295,7 +296,7 @@
   }
 
   void On(event_context& context, const view_requested& request) {
-    peer_view view{.routes = routes_watcher.value()};
+    peer_view view{.routes = routes_watcher.value_in_force()};
     for (const auto& [node, record] : members.list().members()) {
       view.members.push_back(record);
     }
--- a/Tests/LibDecision/routes_in_force_test.cc
+++ b/Tests/LibDecision/routes_in_force_test.cc
@@ -130,7 +130,12 @@
     nodes_->Disturb();
     nodes_->store().EndOutage(1);
     nodes_->Pass(300ms);
+    // The node reads the older version before any peer sends it a request.
+    nodes_->set_has_traffic(false);
+    nodes_->Pass(100ms);
     nodes_->Restart(0);
+    nodes_->Pass(100ms);
+    nodes_->set_has_traffic(true);
   }
 
   a_fleet nodes_;
