Routes: Notice a watch that has gone silent within three seconds

Requests were routed by a version up to 0.88 s longer than allowed after the key-value store, or the connections to it, went silent for a moment.

A watch that hears nothing failed 3 s after it had begun, plus 0.7 s in which the client of the store waits for the answer, plus the delay before the listing. All watches begin together after a change, so no node noticed earlier. Nodes count as undisturbed three seconds after the trouble, so the change was due before the listing. The bound had been computed from another moment (five seconds later).

--- a/Libraries/LibDecision/Routes/route_watcher.cc
+++ b/Libraries/LibDecision/Routes/route_watcher.cc
@@ -7,10 +7,11 @@
 
 namespace {
 
-// A change must be in force two seconds after it was accepted, or five seconds
-// later if the key-value store or a connection to it was disturbed. A watch
-// that no longer receives changes is replaced early enough for that.
-constexpr duration kMaxWatchDuration = std::chrono::seconds(3);
+// A change must be in force three seconds after the key-value store or a
+// connection to it was last disturbed. A watch whose connection went silent
+// fails only after this time and the response timeout of the client; the
+// listing that replaces it must arrive before the three seconds are over.
+constexpr duration kMaxWatchDuration = std::chrono::seconds(2);
 constexpr duration kRelistInterval = std::chrono::seconds(30);
 // An eighth of the two seconds within which a change must be in force.
 constexpr duration kWatchDelay = std::chrono::milliseconds(250);
