Routes: Learn of newer routes from peers

A node that started while the key-value store held an older copy of the routes used them until the operator had written the newer version again, beside peers that used the newer one all the while. So did a node whose watch heard nothing.

The store was the only source of a node that had once listed it; its position there said nothing about whether the store itself had gone back.

--- a/Libraries/LibDecision/Calls/outgoing_calls.cc
+++ b/Libraries/LibDecision/Calls/outgoing_calls.cc
@@ -382,6 +382,7 @@
   // Retries handed to the attempt count as spent until its answer returns them.
   call.attempt_allowance = std::exchange(call.allowance, std::uint16_t{0});
   metadata.allowance = call.attempt_allowance;
+  metadata.routes = routes_.version();
   metadata.notice = router_.NoticeOf(chosen->node);
   call.carries_notice = metadata.notice.has_value();
   context.Count(counter::kAttempts);
@@ -500,6 +501,14 @@
   calls_.erase(found);
 }
 
+std::optional<node_id> outgoing_calls::NodeOf(attempt_id attempt) const {
+  const auto found = calls_by_attempt_.find(attempt);
+  if (found == calls_by_attempt_.end()) {
+    return std::nullopt;
+  }
+  return calls_.at(found->second).history.tried_nodes.back();
+}
+
 std::vector<ended_child> outgoing_calls::TakeEndedChildCalls() {
   return std::exchange(ended_child_calls_, {});
 }
--- a/Libraries/LibDecision/Routes/route_watcher.cc
+++ b/Libraries/LibDecision/Routes/route_watcher.cc
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <optional>
+#include <utility>
 
 namespace auburnfold {
 
@@ -15,6 +16,9 @@
 constexpr duration kRelistInterval = std::chrono::seconds(30);
 // An eighth of the two seconds within which a change must be in force.
 constexpr duration kWatchDelay = std::chrono::milliseconds(250);
+// The store tells of a change within kWatchDelay and a round trip, so a peer is
+// asked only if the store has not told, or holds an older version.
+constexpr duration kNewerRoutesDelay = 2 * kWatchDelay;
 
 }  // namespace
 
@@ -46,9 +50,30 @@
   }
 }
 
+void route_watcher::OnPeerVersion(event_context& context,
+                                  route_version version,
+                                  const node_address& peer) {
+  const bool is_first = !newest_at_peers_;
+  if (is_first || version > newest_at_peers_->version) {
+    newest_at_peers_ = {version, peer};
+  }
+  if (is_first) {
+    context.timers().Schedule({timer_owner::kNewerRoutes},
+                              context.now() + kNewerRoutesDelay);
+  }
+}
+
+void route_watcher::OnNewerRoutesTimer(event_context& context,
+                                       std::optional<route_version> in_force) {
+  const auto newest = std::exchange(newest_at_peers_, std::nullopt);
+  if (newest && in_force < newest->version) {
+    context.Emit(request_view{newest->peer});
+  }
+}
+
 void route_watcher::OnPeerView(event_context& context,
                                const std::string& value) {
-  if (value_in_force_.empty() && !value.empty()) {
+  if (!value.empty() && value != value_in_force_) {
     context.Emit(decode_routes{
         value, {.source = route_source::kPeer, .read_at = context.now()}});
   }
--- a/Libraries/LibDecision/Routes/route_watcher.h
+++ b/Libraries/LibDecision/Routes/route_watcher.h
@@ -1,6 +1,7 @@
 #ifndef LIBDECISION_ROUTES_ROUTE_WATCHER_H_
 #define LIBDECISION_ROUTES_ROUTE_WATCHER_H_
 
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -23,8 +24,15 @@
   }
   void OnTimer(event_context& context) { watch_.OnTimer(context); }
 
-  /// Requests the decoding of a value that another node routes by, unless this
-  /// node already has routes.
+  /// The node at `peer` uses `version`. If this node does not learn of it from
+  /// the key-value store in time, it requests the view of that node.
+  void OnPeerVersion(event_context& context,
+                     route_version version,
+                     const node_address& peer);
+  /// `in_force` is the version that this node uses.
+  void OnNewerRoutesTimer(event_context& context,
+                          std::optional<route_version> in_force);
+  /// Requests the decoding of a value that another node uses.
   void OnPeerView(event_context& context, const std::string& value);
   /// `value` was decoded and is in force now.
   void OnTaken(std::string value) { value_in_force_ = std::move(value); }
@@ -38,7 +46,15 @@
 
  private:
   std::string key_;
+  struct peer_version {
+    route_version version;
+    node_address peer;
+  };
+
   std::string value_in_force_;
+  /// The newest version that peers were heard to use since the last request of
+  /// a view.
+  std::optional<peer_version> newest_at_peers_;
   prefix_watch watch_;
 };
 
--- a/Libraries/LibDecision/Timers/timer_service.h
+++ b/Libraries/LibDecision/Timers/timer_service.h
@@ -28,6 +28,7 @@
   kRegistryWatch,
   kRegistryLapse,
   kRouteWatch,
+  kNewerRoutes,
 };
 
 /// Identifies a timer: `key` distinguishes the timers of one owner.
--- a/Libraries/LibDecision/Work/incoming_work.cc
+++ b/Libraries/LibDecision/Work/incoming_work.cc
@@ -501,6 +501,11 @@
       pressure_.DependencyLevelFor(context.now(), item.metadata.request_class));
   metadata.allowance_left = allowance;
   metadata.has_failed_child_call = item.has_failed_child_call;
+  const bool has_newer_routes =
+      item.metadata.routes && item.metadata.routes < routes_.version();
+  if (has_newer_routes) {
+    metadata.newer_routes = routes_.version();
+  }
   if (rate_limit_.rate()) {
     metadata.send_interval =
         admission_.SendInterval(context.now(), senders_.Count(context.now()));
--- a/Libraries/LibDecision/Work/incoming_work.h
+++ b/Libraries/LibDecision/Work/incoming_work.h
@@ -12,6 +12,7 @@
 #include "LibDecision/Pressure/pressure_tracker.h"
 #include "LibDecision/Retries/retry_allowances.h"
 #include "LibDecision/Retries/service_retry_budgets.h"
+#include "LibDecision/Routes/route_table.h"
 #include "LibDecision/Table/policy_table.h"
 #include "LibDecision/Work/active_senders.h"
 #include "LibDecision/Work/local_endpoint.h"
@@ -29,10 +30,12 @@
 class incoming_work {
  public:
   incoming_work(const policy_table& policies,
+                const route_table& routes,
                 retry_allowances& allowances,
                 const pressure_tracker& pressure,
                 const node_options& options)
       : policies_(policies),
+        routes_(routes),
         allowances_(allowances),
         pressure_(pressure),
         stop_grace_(options.stop_grace),
@@ -154,6 +157,7 @@
                            const work_item& item) const;
 
   const policy_table& policies_;
+  const route_table& routes_;
   retry_allowances& allowances_;
   const pressure_tracker& pressure_;
   duration stop_grace_;
--- a/Libraries/LibDecision/answer_metadata.h
+++ b/Libraries/LibDecision/answer_metadata.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <optional>
 
+#include "LibDecision/Routes/route.h"
 #include "LibDecision/endpoint_notice.h"
 #include "LibDecision/instant.h"
 
@@ -33,6 +34,9 @@
   bool grants_retry = false;
   /// The endpoint started recently and gets a reduced share of the requests.
   bool is_cold = false;
+  /// Version of the routes at the answering node, if it is newer than that of
+  /// the receiver.
+  std::optional<route_version> newer_routes;
   /// Unset if the endpoint names no limit and is not leaving.
   std::optional<endpoint_notice> notice;
 };
--- a/Libraries/LibDecision/reducer.cc
+++ b/Libraries/LibDecision/reducer.cc
@@ -49,7 +49,7 @@
   pressure_tracker pressure;
   outgoing_calls calls{policies,   routes,   members,
                        allowances, pressure, options};
-  incoming_work work{policies, allowances, pressure, options};
+  incoming_work work{policies, routes, allowances, pressure, options};
   /// Service of the local endpoint as configured at the node; may be empty.
   service_name local_service;
   bool is_stopped = false;
@@ -152,6 +152,12 @@
   }
 
   void On(event_context& context, const attempt_finished& finished) {
+    const auto node = calls.NodeOf(finished.attempt);
+    const member_record* peer = node ? members.Find(*node) : nullptr;
+    if (peer != nullptr && finished.result.peer) {
+      NotePeerRoutes(context, finished.result.peer->newer_routes,
+                     peer->address);
+    }
     calls.OnAttemptFinished(context, finished);
   }
 
@@ -159,6 +165,7 @@
     if (options.discovery == discovery_mode::kRegistry) {
       RequestViewFromSender(context, arrived);
     }
+    NotePeerRoutes(context, arrived.metadata.routes, arrived.from_address);
     work.OnArrived(context, arrived);
     PublishEndpointChange(context);
   }
@@ -325,6 +332,17 @@
     context.Emit(request_view{arrived.from_address});
   }
 
+  // A node may hear nothing of a change although it reaches the key-value
+  // store: its watch has gone silent, or the store came back from an older
+  // copy.
+  void NotePeerRoutes(event_context& context,
+                      std::optional<route_version> version,
+                      const node_address& peer) {
+    if (version && routes.version() < version && !peer.host.empty()) {
+      routes_watcher.OnPeerVersion(context, *version, peer);
+    }
+  }
+
   void UpdateStoreEra(event_context& context, store_era era) {
     const store_era previous = std::exchange(latest_store_era, era);
     if (previous == store_era() || previous == era) {
@@ -399,6 +417,8 @@
         });
       case timer_owner::kRouteWatch:
         return routes_watcher.OnTimer(context);
+      case timer_owner::kNewerRoutes:
+        return routes_watcher.OnNewerRoutesTimer(context, routes.version());
     }
   }
 
--- a/Libraries/LibDecision/request_metadata.h
+++ b/Libraries/LibDecision/request_metadata.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <optional>
 
+#include "LibDecision/Routes/route.h"
 #include "LibDecision/endpoint_notice.h"
 #include "LibDecision/ids.h"
 #include "LibDecision/instant.h"
@@ -48,6 +49,8 @@
   std::optional<std::uint8_t> priority;
   std::optional<idempotency_key> key;
   request_purpose purpose = request_purpose::kExecute;
+  /// Version of the routes that the sender uses; unset if it has none.
+  std::optional<route_version> routes;
   /// What the sender last heard about the receiver's endpoint; unset if the
   /// endpoint names no limit and is not leaving.
   std::optional<endpoint_notice> notice;
--- a/Libraries/LibRuntime/headers.cc
+++ b/Libraries/LibRuntime/headers.cc
@@ -82,6 +82,12 @@
           .value_or(0));
 }
 
+std::optional<route_version> ReadRoutes(const http::fields& headers) {
+  const std::optional<std::uint64_t> version =
+      ParseDecimal(HeaderValue(headers, kRoutesHeader));
+  return version ? std::optional(route_version(*version)) : std::nullopt;
+}
+
 leaf::error_id Malformed(std::string_view reason) {
   return leaf::new_error(request_error{kMalformedRequest, reason});
 }
@@ -216,6 +222,7 @@
   if (!HeaderValue(headers, kForeignKeyHeader).empty()) {
     metadata.key.reset();
   }
+  metadata.routes = ReadRoutes(headers);
   metadata.notice = ReadNotice(headers);
   const std::string_view purpose = HeaderValue(headers, kPurposeHeader);
   if (purpose == kIssueKeyPurpose) {
@@ -235,6 +242,13 @@
   headers.set(name, std::to_string(value));
 }
 
+void WriteRoutes(http::fields& headers,
+                 const std::optional<route_version>& routes) {
+  if (routes) {
+    Set(headers, kRoutesHeader, routes->value());
+  }
+}
+
 void WriteNotice(http::fields& headers,
                  const std::optional<endpoint_notice>& notice) {
   if (!notice) {
@@ -289,6 +303,7 @@
       !HeaderValue(headers, kFailedBelowHeader).empty();
   metadata.grants_retry = !HeaderValue(headers, kRetryGrantedHeader).empty();
   metadata.is_cold = HeaderValue(headers, kColdHeader) == "1";
+  metadata.newer_routes = ReadRoutes(headers);
   metadata.notice = ReadNotice(headers);
   return metadata;
 }
@@ -377,6 +392,7 @@
   if (metadata.priority) {
     Set(headers, kPriorityHeader, *metadata.priority);
   }
+  WriteRoutes(headers, metadata.routes);
   WriteNotice(headers, metadata.notice);
   switch (metadata.purpose) {
     case request_purpose::kExecute:
@@ -423,6 +439,7 @@
   if (metadata.is_cold) {
     headers.set(kColdHeader, "1");
   }
+  WriteRoutes(headers, metadata.newer_routes);
   WriteNotice(headers, metadata.notice);
 }
 
--- a/Libraries/LibWire/header_names.h
+++ b/Libraries/LibWire/header_names.h
@@ -73,6 +73,8 @@
 /// endpoint, so that all senders together keep its rate limit.
 inline constexpr std::string_view kSendIntervalHeader =
     "Auburnfold-Send-Interval-Ms";
+/// Version of the routes that the sending node uses.
+inline constexpr std::string_view kRoutesHeader = "Auburnfold-Routes";
 /// Set if the endpoint started recently.
 inline constexpr std::string_view kColdHeader = "Auburnfold-Cold";
 
--- a/Tests/LibDecision/route_fleet.cc
+++ b/Tests/LibDecision/route_fleet.cc
@@ -166,7 +166,10 @@
       Happen(from, store_answered{call, result});
     }
   };
-  After(kStoreDelay / 2, [this, request = made.request, answer] {
+  After(kStoreDelay / 2, [this, &from, request = made.request, answer] {
+    if (from.is_cut) {
+      return;
+    }
     store_.Call(now_, request, [this, answer](const store_result& result) {
       After(kStoreDelay / 2, [answer, result] { answer(result); });
     });
--- a/Tests/LibDecision/route_fleet.h
+++ b/Tests/LibDecision/route_fleet.h
@@ -33,6 +33,8 @@
   /// once `kCalmAfter` has passed since the last such moment.
   void Disturb() { disturbed_at_ = now_; }
   void Pass(duration time);
+  /// The node reaches no store from now on.
+  void CutFromStore(std::size_t index) { nodes_[index]->is_cut = true; }
   /// Requests between nodes; none if false.
   void set_has_traffic(bool has_traffic) { has_traffic_ = has_traffic; }
 
@@ -51,6 +53,7 @@
     instant started_at{};
     std::uint64_t version = 0;
     std::uint64_t wake_ticket = 0;
+    bool is_cut = false;
     /// Store calls that were not answered yet.
     std::set<store_call_id> store_calls;
   };
--- a/Tests/LibDecision/routes_in_force_test.cc
+++ b/Tests/LibDecision/routes_in_force_test.cc
@@ -158,6 +158,18 @@
   }
 }
 
+class a_node_without_the_store : public testing::Test {};
+
+TEST_F(a_node_without_the_store, LearnsOfAChangeFromItsPeers) {
+  a_fleet nodes(500ms);
+  nodes->CutFromStore(0);
+  nodes->Pass(5s);
+  nodes->Change(9);
+  nodes->Pass(2s);
+  EXPECT_EQ(nodes->VersionOf(0), 9);
+  EXPECT_EQ(nodes->longest_delay(), duration::zero());
+}
+
 class a_view : public a_node_that_starts_beside_an_older_store {};
 
 TEST_F(a_view, HoldsTheRoutesThatItsNodeUses) {
--- a/Tests/LibRuntime/headers_test.cc
+++ b/Tests/LibRuntime/headers_test.cc
@@ -70,6 +70,20 @@
   EXPECT_EQ(headers.count("Auburnfold-Endpoint-Run"), 0U);
 }
 
+TEST(TheHeadersBetweenNodes, TellTheVersionOfTheRoutes) {
+  http::fields headers;
+  request_metadata metadata = Facts();
+  WriteForwardedHeaders(headers, metadata, node_id(1), incarnation(1));
+  EXPECT_FALSE(ReadForwardedHeaders(headers)->metadata.routes);
+  metadata.routes = route_version(12);
+  WriteForwardedHeaders(headers, metadata, node_id(1), incarnation(1));
+  EXPECT_EQ(ReadForwardedHeaders(headers)->metadata.routes, route_version(12));
+  http_response response;
+  response.set("Auburnfold-Result", "complete");
+  WriteAnswerMetadata(response, {.newer_routes = route_version(13)});
+  EXPECT_EQ(ReadPeerOutcome(response).peer->newer_routes, route_version(13));
+}
+
 TEST(AnAnswerOfAPeer, TellsWhatTheEndpointSaysOfItself) {
   answer_metadata metadata;
   metadata.notice =
