Runtime, Work: Tell a crash of the endpoint from a lost answer

Whether an endpoint had crashed or had closed one connection could not be told: both ended as answer-lost, and no line said which requests were at work, or that two requests were the same one.

When the endpoint closes a connection on which an answer is due, its node opens another: a crashed endpoint refuses it at once, and else the connection takes the next request. A refused one makes the outcome endpoint-crashed, which is retried and ejected like answer-lost. endpoint_crashed is logged once for each crash; the lines of its requests name their digest, a hash of method, host, path, query, caller and body that each node computes itself.

--- a/Libraries/LibDecision/Calls/outgoing_calls.cc
+++ b/Libraries/LibDecision/Calls/outgoing_calls.cc
@@ -223,6 +223,9 @@
       Describe(context, decision_kind::kAttemptFailed, call);
   failed.error = result.error;
   failed.execution = result.execution;
+  if (result.error == error_kind::kEndpointCrashed) {
+    failed.digest = call.metadata.digest;
+  }
   failed.age = context.now() - call.attempt_started;
   context.Log(std::move(failed));
   if (MayHaveReachedEndpoint(result)) {
--- a/Libraries/LibDecision/Routing/endpoint_stats.cc
+++ b/Libraries/LibDecision/Routing/endpoint_stats.cc
@@ -44,11 +44,13 @@
          kind == error_kind::kEndpointLeaving ||
          kind == error_kind::kEndpointReplaced ||
          kind == error_kind::kNodeStopping ||
-         kind == error_kind::kEndpointUnreachable;
+         kind == error_kind::kEndpointUnreachable ||
+         kind == error_kind::kEndpointCrashed;
 }
 
 bool IsEndpointFailure(error_kind kind) {
   return kind == error_kind::kEndpointUnreachable ||
+         kind == error_kind::kEndpointCrashed ||
          kind == error_kind::kAnswerLost ||
          kind == error_kind::kAnswerTruncated;
 }
--- a/Libraries/LibDecision/Work/incoming_work.cc
+++ b/Libraries/LibDecision/Work/incoming_work.cc
@@ -161,7 +161,11 @@
                                           : execution_state::kNotExecuted;
     const bool is_unavailable =
         finished.result.error == error_kind::kEndpointUnreachable ||
-        finished.result.error == error_kind::kEndpointReplaced;
+        finished.result.error == error_kind::kEndpointReplaced ||
+        finished.result.error == error_kind::kEndpointCrashed;
+    if (finished.result.error == error_kind::kEndpointCrashed) {
+      OnCrashed(context, item);
+    }
     if (is_unavailable) {
       endpoint_.OnUnreachable(context);
     }
@@ -170,6 +174,21 @@
   ApplyDecisions(context, decisions);
 }
 
+// The requests that were at work end one after the other, all of them started
+// before the crash.
+void incoming_work::OnCrashed(event_context& context, const work_item& item) {
+  if (crashed_at_ && item.started <= *crashed_at_) {
+    return;
+  }
+  crashed_at_ = context.now();
+  context.Count(counter::kEndpointCrashes);
+  context.Log({.kind = decision_kind::kEndpointCrashed,
+               .service = item.metadata.service,
+               .endpoint = endpoint_.name(),
+               .run = endpoint_.current_run().run,
+               .running = admission_.running() + 1});
+}
+
 void incoming_work::OnSignals(event_context& context,
                               const work_item& item,
                               const outcome& result) {
@@ -443,6 +462,9 @@
       Describe(context, decision_kind::kWorkRefused, item);
   refused.error = kind;
   refused.execution = execution;
+  if (kind == error_kind::kEndpointCrashed) {
+    refused.digest = item.metadata.digest;
+  }
   refused.level = metadata.level;
   refused.retry_after = metadata.retry_after;
   if (metadata.grants_retry) {
@@ -466,7 +488,8 @@
           .is_idempotent;
   const bool may_have_reached_endpoint =
       kind == error_kind::kEndpointBusy ||
-      (kind == error_kind::kAnswerLost &&
+      ((kind == error_kind::kAnswerLost ||
+        kind == error_kind::kEndpointCrashed) &&
        execution == execution_state::kUnknown && is_idempotent);
   return counts_arrivals_ && may_have_reached_endpoint &&
          !item.is_caller_gone && item.metadata.allowance > 0 &&
--- a/Libraries/LibDecision/Work/incoming_work.h
+++ b/Libraries/LibDecision/Work/incoming_work.h
@@ -122,6 +122,8 @@
   void OnDeadline(event_context& context, work_id id);
   /// Ends running work without waiting for its outcome.
   void Abandon(event_context& context, work_id id, error_kind kind);
+  /// `item` was at work when the endpoint ended without notice.
+  void OnCrashed(event_context& context, const work_item& item);
   /// Handles what a response of the endpoint to `item` says about the endpoint.
   void OnSignals(event_context& context,
                  const work_item& item,
@@ -175,6 +177,8 @@
   /// Work that was handed to the endpoint, by the id of its request.
   std::unordered_map<request_id, work_id> executing_by_request_id_;
   std::vector<work_id> ended_;
+  /// When the endpoint last ended without notice.
+  std::optional<instant> crashed_at_;
   bool is_endpoint_changed_ = false;
 };
 
--- a/Libraries/LibDecision/counter.cc
+++ b/Libraries/LibDecision/counter.cc
@@ -24,6 +24,8 @@
       return "dropped_from_queue";
     case counter::kWorkStarted:
       return "work_started";
+    case counter::kEndpointCrashes:
+      return "endpoint_crashes";
     case counter::kUnreadableRateLimits:
       return "unreadable_rate_limits";
     case counter::kCancelledDown:
--- a/Libraries/LibDecision/counter.h
+++ b/Libraries/LibDecision/counter.h
@@ -18,6 +18,7 @@
   kRefusedByRateLimit,  ///< Work refused since the endpoint's rate was used up.
   kDroppedFromQueue,    ///< Work that could not start in time.
   kWorkStarted,         ///< Work handed over to the local endpoint.
+  kEndpointCrashes,     ///< Ends of the local endpoint without notice.
   kUnreadableRateLimits,  ///< Answers whose rate limit is not a number.
   kCancelledDown,         ///< Child calls cancelled since their parent ended.
   kRequestsAbandoned,     ///< Requests read after their sender had left.
--- a/Libraries/LibDecision/decision_record.cc
+++ b/Libraries/LibDecision/decision_record.cc
@@ -32,6 +32,8 @@
       return "member_lapsed";
     case decision_kind::kEndpointChanged:
       return "endpoint_changed";
+    case decision_kind::kEndpointCrashed:
+      return "endpoint_crashed";
     case decision_kind::kEndpointReportIgnored:
       return "endpoint_report_ignored";
     case decision_kind::kRateLimitChanged:
@@ -85,6 +87,7 @@
     case decision_kind::kMemberChanged:
     case decision_kind::kMemberLapsed:
     case decision_kind::kEndpointChanged:
+    case decision_kind::kEndpointCrashed:
     case decision_kind::kEndpointReportIgnored:
     case decision_kind::kRateLimitChanged:
     case decision_kind::kRateLimitEnded:
--- a/Libraries/LibDecision/decision_record.h
+++ b/Libraries/LibDecision/decision_record.h
@@ -33,6 +33,7 @@
   kMemberChanged,    ///< The record of another node changed.
   kMemberLapsed,     ///< A record's lease expired, but the node did not leave.
   kEndpointChanged,  ///< The state of the local endpoint changed.
+  kEndpointCrashed,  ///< The local endpoint ended while requests were at work.
   kEndpointReportIgnored,  ///< A report about the local endpoint had no effect.
   kRateLimitChanged,       ///< The local endpoint names another rate limit.
   kRateLimitEnded,         ///< The local endpoint no longer names a rate limit.
@@ -70,6 +71,7 @@
   request_id root;
   service_name service;
   class_name request_class;
+  std::optional<request_digest> digest;
   endpoint_name endpoint;
   std::optional<node_id> node;
   std::optional<incarnation> run;
--- a/Libraries/LibDecision/error_kind.cc
+++ b/Libraries/LibDecision/error_kind.cc
@@ -57,6 +57,8 @@
      retry_advice::kAfterPressureDelay},
     {kEndpointUnreachable, "endpoint-unreachable", 502, kNotExecuted, true,
      retry_advice::kAfterFixedDelay},
+    {kEndpointCrashed, "endpoint-crashed", 502, kUnknown, false,
+     retry_advice::kNever},
     {kAnswerLost, "answer-lost", 502, kUnknown, false, retry_advice::kNever},
     {kAnswerTruncated, "answer-truncated", 502, kUnknown, false,
      retry_advice::kNever},
--- a/Libraries/LibDecision/error_kind.h
+++ b/Libraries/LibDecision/error_kind.h
@@ -34,6 +34,7 @@
   kKeyInProgress,
   kKeyMemoryFull,
   kEndpointUnreachable,
+  kEndpointCrashed,
   kAnswerLost,
   kAnswerTruncated,
   kAnswerTooLarge,
--- a/Libraries/LibDecision/request_metadata.h
+++ b/Libraries/LibDecision/request_metadata.h
@@ -25,6 +25,7 @@
   tenant_name tenant;
   /// The request's own id, if it differs from the root's.
   request_id own_id;
+  request_digest digest;
   /// Time until the deadline, counted from the event's `now`. A later answer is
   /// useless.
   duration time_left{};
--- a/Libraries/LibRuntime/call_handler.cc
+++ b/Libraries/LibRuntime/call_handler.cc
@@ -10,6 +10,7 @@
 #include "LibRuntime/hexadecimal.h"
 #include "LibRuntime/http_responses.h"
 #include "LibRuntime/parent_token.h"
+#include "LibRuntime/request_digest.h"
 #include "LibRuntime/work_handler.h"
 #include "LibWire/header_names.h"
 
@@ -93,6 +94,7 @@
   }
   StripHeaders(request);
   dialect_.AddOriginHeaders(request);
+  metadata.digest = DigestOf(request, dialect_.CallerOf(request, metadata));
   calls_.emplace(
       arrived.call,
       open_call{session, std::make_shared<http_request>(std::move(request)),
--- a/Libraries/LibRuntime/client_connection.cc
+++ b/Libraries/LibRuntime/client_connection.cc
@@ -56,6 +56,12 @@
   }
 }
 
+void client_connection::StopConnecting() {
+  if (state_ == state::kConnecting) {
+    Close();
+  }
+}
+
 void client_connection::Cancel() {
   request_.on_finished = nullptr;
   if (state_ == state::kConnecting) {
@@ -107,11 +113,17 @@
   }
   socket_.set_option(tcp::no_delay(true), error);
   SetTcpTimeouts(socket_);
-  if (is_cancelled_) {
+  if (is_cancelled_ || request_.is_connect_only) {
+    const auto on_finished = std::move(request_.on_finished);
+    request_ = {};
     state_ = state::kIdle;
     idle_deadline_ = clock::now() + kIdleTimeout;
     Read();
-    return handlers_.on_idle(shared_from_this());
+    handlers_.on_idle(shared_from_this());
+    if (on_finished) {
+      on_finished({});
+    }
+    return;
   }
   Write();
 }
@@ -309,7 +321,8 @@
   const auto on_finished = std::move(request_.on_finished);
   CloseSocket(by_peer);
   if (on_finished) {
-    on_finished({.error = kind, .execution = execution});
+    on_finished(
+        {.error = kind, .execution = execution, .is_closed_by_peer = by_peer});
   }
 }
 
--- a/Libraries/LibRuntime/client_connection.h
+++ b/Libraries/LibRuntime/client_connection.h
@@ -44,6 +44,8 @@
   /// Closes the connection. The current request ends with `kAnswerTimeout`, or
   /// with `kEndpointUnreachable` if the connection is not yet made.
   void TimeOut();
+  /// Closes the connection if it is not yet made.
+  void StopConnecting();
   /// Cancels the current request; `on_finished` is not called. A connection
   /// that is still being made is kept for other requests, else it is closed.
   void Cancel();
--- a/Libraries/LibRuntime/client_request.h
+++ b/Libraries/LibRuntime/client_request.h
@@ -20,6 +20,8 @@
   /// Whether the peer executed the request, as far as the bytes written and
   /// read show.
   execution_state execution = execution_state::kExecuted;
+  /// The peer closed the connection, or refused it.
+  bool is_closed_by_peer = false;
   http_response response;
 };
 
@@ -32,6 +34,9 @@
   std::string echoed_value;
   /// A response without a length ends when the peer closes the connection.
   bool allows_close_delimited_response = false;
+  /// Only opens a connection, which then takes other requests. Ends without an
+  /// error once it is open.
+  bool is_connect_only = false;
   /// Keeps the memory alive that the body of `message` points to.
   std::shared_ptr<const void> body_owner;
   /// Called right before the first byte is written.
--- a/Libraries/LibRuntime/connection_pool.cc
+++ b/Libraries/LibRuntime/connection_pool.cc
@@ -50,6 +50,26 @@
   return connection;
 }
 
+void connection_pool::TestPeer(std::chrono::milliseconds timeout,
+                               std::function<void(bool is_refused)> done) {
+  auto connection =
+      std::make_shared<client_connection>(io_, next_id_(), handlers_);
+  open_.emplace(connection->id(), connection);
+  client_request test{.is_connect_only = true};
+  test.on_finished = [done = std::move(done)](const client_result& result) {
+    done(result.error && result.is_closed_by_peer);
+  };
+  const auto timer = std::make_shared<asio::steady_timer>(io_, timeout);
+  timer->async_wait(
+      [timer, tested = std::weak_ptr(connection)](error_code error) {
+        const auto open = tested.lock();
+        if (!error && open) {
+          open->StopConnecting();
+        }
+      });
+  connection->Connect(to_, std::move(test));
+}
+
 bool connection_pool::Close(connection_id id) {
   const auto found = open_.find(id);
   if (found == open_.end()) {
--- a/Libraries/LibRuntime/connection_pool.h
+++ b/Libraries/LibRuntime/connection_pool.h
@@ -32,6 +32,11 @@
   /// Sends `request` over an idle connection, or over a new one. Returns the
   /// connection, through which the request can be cancelled or timed out.
   std::weak_ptr<client_connection> Send(client_request request);
+  /// Opens one more connection and reports whether the peer refused it. The
+  /// connection then takes requests. A peer that has not accepted it after
+  /// `timeout` has not refused it.
+  void TestPeer(std::chrono::milliseconds timeout,
+                std::function<void(bool is_refused)> done);
   /// Closes the connection; false if it is not in this pool.
   bool Close(connection_id id);
   /// Closes connections that were idle for too long. Call it about once a
--- a/Libraries/LibRuntime/decision_log.cc
+++ b/Libraries/LibRuntime/decision_log.cc
@@ -8,6 +8,7 @@
 #include <string_view>
 
 #include "LibDecision/hash.h"
+#include "LibRuntime/hexadecimal.h"
 
 namespace auburnfold {
 
@@ -83,6 +84,8 @@
   }
   fields.Add("service", record.service.value());
   fields.Add("class", record.request_class.value());
+  fields.Add("digest",
+             record.digest ? ToHexadecimal(record.digest->value()) : "");
   fields.Add("endpoint", record.endpoint.value());
   fields.Add("node", record.node);
   fields.Add("run", record.run);
--- a/Libraries/LibRuntime/wire_dialect.h
+++ b/Libraries/LibRuntime/wire_dialect.h
@@ -58,6 +58,7 @@
                                 http_response& response,
                                 const endpoint_request& forwarded,
                                 const caller_error& error,
+                                const request_metadata& metadata,
                                 const request_id& id) {
   /// Reads a caller's request. Fails with `request_error`.
   {
@@ -65,6 +66,8 @@
     } -> std::same_as<leaf::result<caller_request>>;
   /// Adds headers that tell the endpoint where the request originated.
   { dialect.AddOriginHeaders(headers) } -> std::same_as<void>;
+  /// Who sends a request that has the origin headers.
+  { dialect.CallerOf(request, metadata) } -> std::same_as<std::string_view>;
   /// Adds the headers that the endpoint reads.
   { dialect.AddEndpointHeaders(headers, forwarded) } -> std::same_as<void>;
   /// The request header that a response repeats; empty if there is none.
@@ -104,6 +107,10 @@
   void AddOriginHeaders(http::fields& headers) const {
     dialect_->AddOriginHeaders(headers);
   }
+  std::string_view CallerOf(const http_request& request,
+                            const request_metadata& metadata) const {
+    return dialect_->CallerOf(request, metadata);
+  }
   void AddEndpointHeaders(http::fields& headers,
                           const endpoint_request& forwarded) const {
     dialect_->AddEndpointHeaders(headers, forwarded);
@@ -138,6 +145,9 @@
     virtual leaf::result<caller_request> ReadCallerRequest(
         const http_request& request) const = 0;
     virtual void AddOriginHeaders(http::fields& headers) const = 0;
+    virtual std::string_view CallerOf(
+        const http_request& request,
+        const request_metadata& metadata) const = 0;
     virtual void AddEndpointHeaders(
         http::fields& headers,
         const endpoint_request& forwarded) const = 0;
@@ -165,6 +175,10 @@
     void AddOriginHeaders(http::fields& headers) const override {
       dialect.AddOriginHeaders(headers);
     }
+    std::string_view CallerOf(const http_request& request,
+                              const request_metadata& metadata) const override {
+      return dialect.CallerOf(request, metadata);
+    }
     void AddEndpointHeaders(http::fields& headers,
                             const endpoint_request& forwarded) const override {
       dialect.AddEndpointHeaders(headers, forwarded);
--- a/Libraries/LibRuntime/work_handler.cc
+++ b/Libraries/LibRuntime/work_handler.cc
@@ -8,6 +8,7 @@
 #include "LibRuntime/headers.h"
 #include "LibRuntime/http_responses.h"
 #include "LibRuntime/parent_token.h"
+#include "LibRuntime/request_digest.h"
 #include "LibWire/header_names.h"
 
 namespace auburnfold {
@@ -18,6 +19,10 @@
 /// next report tells more.
 constexpr std::chrono::seconds kProbeTimeout{1};
 
+/// The endpoint runs on the same VM, so a connection is refused at once. Until
+/// then the callers of lost answers wait.
+constexpr std::chrono::milliseconds kEndpointTestTimeout{50};
+
 }  // namespace
 
 work_handler::work_handler(asio::io_context& io,
@@ -63,6 +68,7 @@
   }
   const work_id id(next_work_++);
   StripHeaders(request);
+  metadata.digest = DigestOf(request, dialect_.CallerOf(request, metadata));
   open_work& open = open_work_[id];
   open.session = session;
   open.request = std::move(request);
@@ -308,9 +314,32 @@
       found->second.response = std::move(result.response);
     }
   }
+  const bool is_answer_lost = result.error == error_kind::kAnswerLost ||
+                              result.error == error_kind::kAnswerTruncated;
+  if (is_answer_lost && result.is_closed_by_peer && pool_) {
+    return ReportAfterTest(work, ended);
+  }
   sink_(work_finished{work, ended});
 }
 
+// All connections of an endpoint that crashes close, and it accepts no new one.
+void work_handler::ReportAfterTest(work_id work, const outcome& ended) {
+  untested_.push_back({work, ended});
+  if (untested_.size() == 1) {
+    pool_->TestPeer(kEndpointTestTimeout,
+                    [this](bool is_refused) { OnEndpointTested(is_refused); });
+  }
+}
+
+void work_handler::OnEndpointTested(bool is_refused) {
+  for (work_finished& finished : std::exchange(untested_, {})) {
+    if (is_refused) {
+      finished.result.error = error_kind::kEndpointCrashed;
+    }
+    sink_(std::move(finished));
+  }
+}
+
 void work_handler::SendResponse(work_id work,
                                 http_response response,
                                 const answer_metadata& metadata) {
--- a/Libraries/LibRuntime/work_handler.h
+++ b/Libraries/LibRuntime/work_handler.h
@@ -84,6 +84,10 @@
               incarnation expected_run);
   void OnForwarderDisconnected(work_id work);
   void OnExecutionFinished(work_id work, client_result result);
+  /// Reports the outcome of `work` once it is known whether the endpoint still
+  /// accepts connections.
+  void ReportAfterTest(work_id work, const outcome& ended);
+  void OnEndpointTested(bool is_refused);
   void SendResponse(work_id work,
                     http_response response,
                     const answer_metadata& metadata);
@@ -104,6 +108,8 @@
   std::unique_ptr<connection_pool> pool_;
   std::weak_ptr<client_connection> probe_;
   clock::time_point probe_deadline_{};
+  /// Outcomes that wait for a test of the endpoint.
+  std::vector<work_finished> untested_;
   /// Pools for the endpoint's former addresses, kept until they are empty.
   std::vector<std::unique_ptr<connection_pool>> former_pools_;
   bool is_stopping_ = false;
