Tests: Add failing tests of requests that crash endpoints

The fleet of nodes on virtual time gets endpoints that crash 50 to 100 ms after they began to run a given request and return after one to four seconds, and clients that retry once.

--- a/Tests/LibDecision/route_store.cc
+++ b/Tests/LibDecision/leased_store.cc
@@ -1,4 +1,4 @@
-#include "route_store.h"
+#include "leased_store.h"
 
 #include <algorithm>
 #include <utility>
@@ -6,9 +6,9 @@
 
 namespace auburnfold {
 
-void route_store::Call(instant now,
-                       const store_request& request,
-                       reply_function reply) {
+void leased_store::Call(instant now,
+                        const store_request& request,
+                        reply_function reply) {
   if (outage_ == outage_kind::kSilent) {
     return;
   }
@@ -40,7 +40,7 @@
                 .time_to_live = std::chrono::seconds(9)}));
 }
 
-void route_store::Pass(instant now) {
+void leased_store::Pass(instant now) {
   std::vector<waiting_watch> ended;
   std::erase_if(watches_, [&](const waiting_watch& watch) {
     const bool is_over = watch.ends_at <= now;
@@ -54,12 +54,12 @@
   }
 }
 
-void route_store::WriteRoutes(const std::string& value) {
+void leased_store::WriteRoutes(const std::string& value) {
   operator_value_ = value;
   Put({.key = route_key_, .value = value});
 }
 
-void route_store::BeginOutage(outage_kind kind) {
+void leased_store::BeginOutage(outage_kind kind) {
   outage_ = kind;
   switch (kind) {
     case outage_kind::kRefuses:
@@ -71,7 +71,7 @@
   }
 }
 
-void route_store::EndOutage(std::uint64_t writes_lost) {
+void leased_store::EndOutage(std::uint64_t writes_lost) {
   outage_.reset();
   if (writes_lost == 0) {
     return;
@@ -88,25 +88,25 @@
   }
 }
 
-void route_store::WriteElsewhere(int count) {
+void leased_store::WriteElsewhere(int count) {
   for (int i = 0; i < count; ++i) {
     Put({.key = "elsewhere"});
   }
 }
 
-void route_store::SilenceConnections() {
+void leased_store::SilenceConnections() {
   for (waiting_watch& watch : watches_) {
     watch.is_silent = true;
   }
 }
 
-void route_store::ForgetHistory() {
+void leased_store::ForgetHistory() {
   is_deaf_ = false;
   oldest_revision_ = revision_;
   CutWatches();
 }
 
-store_result route_store::Write(const store_compare_and_swap& write) {
+store_result leased_store::Write(const store_compare_and_swap& write) {
   if (write.lease.value() != 0 && write.lease.value() < oldest_lease_) {
     return {.status = store_status::kLeaseExpired};
   }
@@ -124,7 +124,7 @@
   return {.entries = {entries_.at(write.key)}};
 }
 
-void route_store::Put(const store_entry& entry) {
+void leased_store::Put(const store_entry& entry) {
   store_entry written = entry;
   written.revision = store_revision(++revision_);
   entries_[written.key] = written;
@@ -132,7 +132,7 @@
   WakeWatches();
 }
 
-store_result route_store::Listing(const std::string& prefix) const {
+store_result leased_store::Listing(const std::string& prefix) const {
   store_result listing;
   for (const auto& [key, entry] : entries_) {
     if (key.starts_with(prefix)) {
@@ -142,7 +142,7 @@
   return listing;
 }
 
-std::vector<store_entry> route_store::ChangesAfter(
+std::vector<store_entry> leased_store::ChangesAfter(
     const store_watch& wanted) const {
   std::vector<store_entry> found;
   for (const change& made : changes_) {
@@ -155,7 +155,7 @@
   return found;
 }
 
-void route_store::WakeWatches() {
+void leased_store::WakeWatches() {
   if (is_deaf_ || outage_) {
     return;
   }
@@ -172,7 +172,7 @@
   }
 }
 
-void route_store::CutWatches() {
+void leased_store::CutWatches() {
   for (const waiting_watch& watch : std::exchange(watches_, {})) {
     if (!watch.is_silent) {
       watch.reply({.status = store_status::kUnavailable});
@@ -180,7 +180,7 @@
   }
 }
 
-store_result route_store::Finish(store_result result) const {
+store_result leased_store::Finish(store_result result) const {
   result.revision = store_revision(revision_);
   result.era = store_era(era_);
   return result;
--- a/Tests/LibDecision/route_store.h
+++ b/Tests/LibDecision/leased_store.h
@@ -1,5 +1,5 @@
-#ifndef TESTS_LIBDECISION_ROUTE_STORE_H_
-#define TESTS_LIBDECISION_ROUTE_STORE_H_
+#ifndef TESTS_LIBDECISION_LEASED_STORE_H_
+#define TESTS_LIBDECISION_LEASED_STORE_H_
 
 #include <cstdint>
 #include <functional>
@@ -22,11 +22,11 @@
 
 /// The key-value store on virtual time, with histories that can be lost. It
 /// answers through `reply`, or not at all.
-class route_store {
+class leased_store {
  public:
   using reply_function = std::function<void(const store_result&)>;
 
-  explicit route_store(std::string route_key)
+  explicit leased_store(std::string route_key)
       : route_key_(std::move(route_key)) {}
 
   void Call(instant now, const store_request& request, reply_function reply);
@@ -50,6 +50,7 @@
   /// Cuts all watches; what was written until now is no longer reported.
   void ForgetHistory();
 
+  std::uint64_t revision() const { return revision_; }
   bool is_down() const { return outage_.has_value(); }
 
  private:
@@ -88,4 +89,4 @@
 
 }  // namespace auburnfold
 
-#endif  // TESTS_LIBDECISION_ROUTE_STORE_H_
+#endif  // TESTS_LIBDECISION_LEASED_STORE_H_
--- a/Tests/LibDecision/route_fleet.h
+++ b/Tests/LibDecision/registry_fleet.h
@@ -1,5 +1,5 @@
-#ifndef TESTS_LIBDECISION_ROUTE_FLEET_H_
-#define TESTS_LIBDECISION_ROUTE_FLEET_H_
+#ifndef TESTS_LIBDECISION_REGISTRY_FLEET_H_
+#define TESTS_LIBDECISION_REGISTRY_FLEET_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -13,18 +13,33 @@
 #include <utility>
 #include <vector>
 
+#include "LibDecision/hash.h"
 #include "LibDecision/reducer.h"
-#include "route_store.h"
+#include "leased_store.h"
 
 namespace auburnfold {
 
-/// Nodes on virtual time that follow the routes in a store that fails, and send
-/// each other requests. Records which version each of them routes by.
-class route_fleet {
+/// What became of all requests with one digest.
+struct request_record {
+  /// When endpoints began to run it, and when they ended under it.
+  std::vector<instant> runs;
+  std::vector<instant> crashes;
+  /// Refusals that name this as the reason.
+  std::uint64_t quarantined = 0;
+  /// Runs later than `calm_after` after it has crashed the third endpoint.
+  std::size_t RunsAfterThirdCrash(duration calm_after) const;
+};
+
+/// Nodes on virtual time, with a store that fails and endpoints that crash.
+/// Clients send requests to every node and retry once. Records which version
+/// each node routes by, and what becomes of the requests.
+class registry_fleet {
  public:
-  route_fleet(std::size_t node_count, std::uint64_t seed);
+  static constexpr std::uint64_t kHotDigest = 7;
+
+  registry_fleet(std::size_t node_count, std::uint64_t seed);
 
-  route_store& store() { return store_; }
+  leased_store& store() { return store_; }
   /// The operator changes the routes; the store acknowledges the change.
   void Change(std::uint64_t version);
   /// Starts a new run of the node.
@@ -35,8 +50,28 @@
   void Pass(duration time);
   /// The node reaches no store from now on.
   void CutFromStore(std::size_t index) { nodes_[index]->is_cut = true; }
-  /// Requests between nodes; none if false.
+  /// Requests of clients; none if false.
   void set_has_traffic(bool has_traffic) { has_traffic_ = has_traffic; }
+  /// Each node gets a request this often.
+  void set_traffic_interval(duration interval) { interval_ = interval; }
+  /// One in this many requests of clients is equal to `kHotDigest`; 0 for none.
+  void set_hot_share(std::uint64_t one_in) { hot_one_in_ = one_in; }
+
+  /// From now on, this request crashes each endpoint that begins to run it, and
+  /// some node gets it this often.
+  void AddPoison(request_digest digest, duration interval);
+  /// Crashes the endpoint of a node for another reason.
+  void CrashEndpoint(std::size_t index);
+  /// One request of a client.
+  void Send(std::size_t index, request_digest digest);
+  const request_record& RecordOf(request_digest digest) {
+    return records_[digest];
+  }
+  /// Innocent requests, and how many of them got an answer, or were refused as
+  /// if they crashed endpoints.
+  std::uint64_t innocent_requests() const { return innocents_.sent; }
+  std::uint64_t innocents_served() const { return innocents_.served; }
+  std::uint64_t innocents_quarantined() const { return innocents_.quarantined; }
 
   std::uint64_t VersionOf(std::size_t index) const;
   /// The routes in the view that the node gives to others.
@@ -46,6 +81,15 @@
   duration longest_delay() const { return longest_delay_; }
 
  private:
+  struct client_request {
+    request_digest digest;
+    bool is_retry = false;
+  };
+  struct tally {
+    std::uint64_t sent = 0;
+    std::uint64_t served = 0;
+    std::uint64_t quarantined = 0;
+  };
   struct node {
     std::size_t index = 0;
     std::uint64_t run = 0;
@@ -54,6 +98,11 @@
     std::uint64_t version = 0;
     std::uint64_t wake_ticket = 0;
     bool is_cut = false;
+    bool is_endpoint_up = true;
+    std::uint64_t endpoint_run = 1;
+    /// What runs at the endpoint.
+    std::map<work_id, request_digest> executing;
+    std::map<call_id, client_request> calls;
     /// Store calls that were not answered yet.
     std::set<store_call_id> store_calls;
   };
@@ -69,6 +118,7 @@
     std::size_t from = 0;
     std::uint64_t from_run = 0;
     attempt_id attempt;
+    request_digest digest;
   };
   struct acknowledged {
     std::uint64_t version = 0;
@@ -78,6 +128,14 @@
   void After(duration delay, std::function<void()> action);
   void Happen(node& to, event_content content);
   void SendRequests();
+  void SendPoison(request_digest digest, duration interval);
+  void Send(node& entry, const client_request& request);
+  void FinishRun(node& at, work_id work);
+  void Report(node& which);
+  std::uint64_t Random() { return MixBits(++entropy_); }
+  bool IsPoison(request_digest digest) const {
+    return poisons_.contains(digest);
+  }
   void ReportEndpoints();
   /// Records calm nodes that do not route by a version that is due.
   void Judge();
@@ -88,6 +146,9 @@
   void Do(node& from, const log_decision& made);
   void Do(node& from, const send_attempt& made);
   void Do(node& from, const execute_work& made);
+  void Do(node& from, const cancel_work& made);
+  void Do(node& from, const relay_answer& made);
+  void Do(node& from, const refuse_call& made);
   void Do(node& from, const relay_work_answer& made);
   void Do(node& from, const refuse_work& made);
   void Do(node& from, const request_view& made);
@@ -96,11 +157,16 @@
   void EndAttempt(work_id work, const outcome& result);
   peer_view ViewOf(const node& which);
 
-  route_store store_;
+  leased_store store_;
   std::uint64_t entropy_;
   instant now_{};
   instant disturbed_at_{};
   bool has_traffic_ = true;
+  duration interval_ = std::chrono::milliseconds(25);
+  std::uint64_t hot_one_in_ = 0;
+  std::set<request_digest> poisons_;
+  std::map<request_digest, request_record> records_;
+  tally innocents_;
   std::uint64_t next_id_ = 1;
   std::uint64_t next_order_ = 0;
   std::priority_queue<scheduled, std::vector<scheduled>, std::greater<>>
@@ -113,4 +179,4 @@
 
 }  // namespace auburnfold
 
-#endif  // TESTS_LIBDECISION_ROUTE_FLEET_H_
+#endif  // TESTS_LIBDECISION_REGISTRY_FLEET_H_
--- a/Tests/LibDecision/routes_in_force_test.cc
+++ b/Tests/LibDecision/routes_in_force_test.cc
@@ -5,7 +5,7 @@
 #include <random>
 #include <string>
 
-#include "route_fleet.h"
+#include "registry_fleet.h"
 
 namespace auburnfold {
 namespace {
@@ -30,10 +30,10 @@
     nodes_.Pass(phase);
   }
 
-  route_fleet* operator->() { return &nodes_; }
+  registry_fleet* operator->() { return &nodes_; }
 
  private:
-  route_fleet nodes_;
+  registry_fleet nodes_;
 };
 
 /// What the store does from the start of the trouble.
@@ -182,7 +182,7 @@
 TEST_F(the_newest_valid_version, IsInForceAfterEachSequenceOfValues) {
   std::mt19937_64 random(7);
   for (int sequence = 0; sequence < 50; ++sequence) {
-    route_fleet nodes(1, random());
+    registry_fleet nodes(1, random());
     std::uint64_t newest = 0;
     for (int i = 0; i < 12; ++i) {
       const bool is_valid = random() % 4 != 0;
