Runtime: Identify requests by where they go, not by the node's address

The digest of equal requests differed from node to node in the product's own interface: it included Host, which there is the address of the node that takes the request. Service, class and tenant identify it there now; on the platform host and caller still do.

--- a/Libraries/LibRuntime/call_handler.cc
+++ b/Libraries/LibRuntime/call_handler.cc
@@ -94,7 +94,7 @@
   }
   StripHeaders(request);
   dialect_.AddOriginHeaders(request);
-  metadata.digest = DigestOf(request, dialect_.CallerOf(request, metadata));
+  metadata.digest = DigestOf(request, dialect_.IdentityOf(request, metadata));
   calls_.emplace(
       arrived.call,
       open_call{session, std::make_shared<http_request>(std::move(request)),
--- a/Libraries/LibRuntime/own_dialect.cc
+++ b/Libraries/LibRuntime/own_dialect.cc
@@ -1,6 +1,7 @@
 #include "LibRuntime/own_dialect.h"
 
 #include <boost/leaf/result.hpp>
+#include <string>
 #include <utility>
 
 #include "LibRuntime/headers.h"
@@ -25,6 +26,13 @@
   return read;
 }
 
+// The host is the address of a node, any of which takes the request.
+std::string own_dialect::IdentityOf(const http_request&,
+                                    const request_metadata& metadata) const {
+  return metadata.service.value() + '\n' + metadata.request_class.value() +
+         '\n' + metadata.tenant.value();
+}
+
 void own_dialect::AddEndpointHeaders(http::fields& headers,
                                      const endpoint_request& forwarded) const {
   WriteEndpointHeaders(headers, forwarded.metadata, forwarded.time_left,
--- a/Libraries/LibRuntime/own_dialect.h
+++ b/Libraries/LibRuntime/own_dialect.h
@@ -16,10 +16,8 @@
   leaf::result<caller_request> ReadCallerRequest(
       const http_request& request) const;
   void AddOriginHeaders(http::fields&) const {}
-  std::string_view CallerOf(const http_request&,
-                            const request_metadata& metadata) const {
-    return metadata.tenant.value();
-  }
+  std::string IdentityOf(const http_request& request,
+                         const request_metadata& metadata) const;
   void AddEndpointHeaders(http::fields& headers,
                           const endpoint_request& forwarded) const;
   std::string_view echoed_header() const { return {}; }
--- a/Libraries/LibRuntime/request_digest.cc
+++ b/Libraries/LibRuntime/request_digest.cc
@@ -17,12 +17,12 @@
 
 }  // namespace
 
-request_digest DigestOf(const http_request& request, std::string_view caller) {
+request_digest DigestOf(const http_request& request,
+                        std::string_view identity) {
   std::uint64_t digest = 0;
   digest = AddPart(digest, request.method_string());
-  digest = AddPart(digest, request[http::field::host]);
   digest = AddPart(digest, request.target());
-  digest = AddPart(digest, caller);
+  digest = AddPart(digest, identity);
   digest = AddPart(digest, request.body());
   return request_digest(std::max<std::uint64_t>(digest, 1));
 }
--- a/Libraries/LibRuntime/request_digest.h
+++ b/Libraries/LibRuntime/request_digest.h
@@ -8,9 +8,9 @@
 
 namespace auburnfold {
 
-/// The digest of `request` as sent by `caller`. Headers other than `Host` do
-/// not count. Never 0.
-request_digest DigestOf(const http_request& request, std::string_view caller);
+/// The digest of method, target, body and `identity`, which names where the
+/// request goes and who sends it. Never 0.
+request_digest DigestOf(const http_request& request, std::string_view identity);
 
 }  // namespace auburnfold
 
--- a/Libraries/LibRuntime/wire_dialect.h
+++ b/Libraries/LibRuntime/wire_dialect.h
@@ -66,8 +66,9 @@
     } -> std::same_as<leaf::result<caller_request>>;
   /// Adds headers that tell the endpoint where the request originated.
   { dialect.AddOriginHeaders(headers) } -> std::same_as<void>;
-  /// Who sends a request that has the origin headers.
-  { dialect.CallerOf(request, metadata) } -> std::same_as<std::string_view>;
+  /// What tells requests with the same method, target and body apart: where
+  /// they go and who sends them. The request has its origin headers.
+  { dialect.IdentityOf(request, metadata) } -> std::same_as<std::string>;
   /// Adds the headers that the endpoint reads.
   { dialect.AddEndpointHeaders(headers, forwarded) } -> std::same_as<void>;
   /// The request header that a response repeats; empty if there is none.
@@ -107,9 +108,9 @@
   void AddOriginHeaders(http::fields& headers) const {
     dialect_->AddOriginHeaders(headers);
   }
-  std::string_view CallerOf(const http_request& request,
-                            const request_metadata& metadata) const {
-    return dialect_->CallerOf(request, metadata);
+  std::string IdentityOf(const http_request& request,
+                         const request_metadata& metadata) const {
+    return dialect_->IdentityOf(request, metadata);
   }
   void AddEndpointHeaders(http::fields& headers,
                           const endpoint_request& forwarded) const {
@@ -145,9 +146,8 @@
     virtual leaf::result<caller_request> ReadCallerRequest(
         const http_request& request) const = 0;
     virtual void AddOriginHeaders(http::fields& headers) const = 0;
-    virtual std::string_view CallerOf(
-        const http_request& request,
-        const request_metadata& metadata) const = 0;
+    virtual std::string IdentityOf(const http_request& request,
+                                   const request_metadata& metadata) const = 0;
     virtual void AddEndpointHeaders(
         http::fields& headers,
         const endpoint_request& forwarded) const = 0;
@@ -175,9 +175,9 @@
     void AddOriginHeaders(http::fields& headers) const override {
       dialect.AddOriginHeaders(headers);
     }
-    std::string_view CallerOf(const http_request& request,
-                              const request_metadata& metadata) const override {
-      return dialect.CallerOf(request, metadata);
+    std::string IdentityOf(const http_request& request,
+                           const request_metadata& metadata) const override {
+      return dialect.IdentityOf(request, metadata);
     }
     void AddEndpointHeaders(http::fields& headers,
                             const endpoint_request& forwarded) const override {
--- a/Libraries/LibRuntime/work_handler.cc
+++ b/Libraries/LibRuntime/work_handler.cc
@@ -68,7 +68,7 @@
   }
   const work_id id(next_work_++);
   StripHeaders(request);
-  metadata.digest = DigestOf(request, dialect_.CallerOf(request, metadata));
+  metadata.digest = DigestOf(request, dialect_.IdentityOf(request, metadata));
   open_work& open = open_work_[id];
   open.session = session;
   open.request = std::move(request);
--- a/Tests/platform/platform_dialect_test.cc
+++ b/Tests/platform/platform_dialect_test.cc
@@ -52,6 +52,20 @@
   EXPECT_EQ(headers["X-Expect-Instance"], "i-7");
 }
 
+TEST_F(a_callers_request, IsIdentifiedByHostAndCaller) {
+  http_request request(http::verb::get, "/a/b", 11);
+  request.set(http::field::host, "h.example");
+  request.set("X-Caller-Service", "own");
+  const std::string identity = dialect_.IdentityOf(request, {});
+  request.set("X-Request-Id", "id-2");
+  EXPECT_EQ(dialect_.IdentityOf(request, {}), identity);
+  request.set("X-Caller-Service", "other");
+  EXPECT_NE(dialect_.IdentityOf(request, {}), identity);
+  request.set("X-Caller-Service", "own");
+  request.set(http::field::host, "i.example");
+  EXPECT_NE(dialect_.IdentityOf(request, {}), identity);
+}
+
 class an_endpoints_answer : public the_dialect {
  protected:
   outcome Read(unsigned status, const char* header = nullptr) {
