Quarantine: Stop requests that crash the endpoints that run them

Callers of a service, and all who call it, got nothing for seconds at a time: a request ended each endpoint that began to run it, and was sent again to each one that came back, by its client and by the nodes' own retries.

Cause: nothing identified a request beyond one attempt of its client, and what a node learned from a failure was about the endpoint, never about the request.

The node of an endpoint that crashes records which requests were at work. All nodes read these records from the key-value store, or from each other, and derive which request was at work during three crashes as no other was. That one is refused as not executed, at the entry. Requests are cleared by an answer; those at work during two crashes run one at a time, and are not retried.

--- a/Libraries/LibDecision/Calls/outgoing_call.h
+++ b/Libraries/LibDecision/Calls/outgoing_call.h
@@ -37,6 +37,8 @@
   bool has_executed = false;
   /// An endpoint gave a complete answer that reports no failure.
   bool has_useful_answer = false;
+  /// Endpoints that crashed while they ran an attempt.
+  std::uint16_t crashes = 0;
   /// Attempts that are known to have reached no endpoint.
   std::uint16_t unreached_attempts = 0;
   instant arrived;
--- a/Libraries/LibDecision/Calls/outgoing_calls.cc
+++ b/Libraries/LibDecision/Calls/outgoing_calls.cc
@@ -87,6 +87,11 @@
     return Refuse(context, arrived.call, error_kind::kDeadlineExpired,
                   duration::zero());
   }
+  if (quarantine_.VerdictOn(metadata.digest) == crash_verdict::kQuarantined) {
+    quarantine_.OnRefused(context, metadata.digest);
+    return Refuse(context, arrived.call, error_kind::kQuarantined,
+                  duration::zero());
+  }
   context.timers().Schedule({timer_owner::kCalls, arrived.call.value()},
                             call.deadline);
   if (ShouldRefuseEarly(context, call)) {
@@ -215,6 +220,9 @@
   }
   if (result.is_complete()) {
     call.has_useful_answer = !result.is_failure;
+    if (call.has_useful_answer) {
+      quarantine_.OnAnswered(context, call.metadata.digest);
+    }
     context.Log(Describe(context, decision_kind::kCallAnswered, call));
     context.Emit(relay_answer{id, finished.attempt, call.allowance});
     return Close(context, id);
@@ -223,9 +231,10 @@
       Describe(context, decision_kind::kAttemptFailed, call);
   failed.error = result.error;
   failed.execution = result.execution;
-  if (result.error == error_kind::kEndpointCrashed) {
+  if (IsAboutCrashes(*result.error)) {
     failed.digest = call.metadata.digest;
   }
+  call.crashes += result.error == error_kind::kEndpointCrashed ? 1 : 0;
   failed.age = context.now() - call.attempt_started;
   context.Log(std::move(failed));
   if (MayHaveReachedEndpoint(result)) {
@@ -386,6 +395,7 @@
   call.attempt_allowance = std::exchange(call.allowance, std::uint16_t{0});
   metadata.allowance = call.attempt_allowance;
   metadata.routes = routes_.version();
+  metadata.crash_checksum = quarantine_.checksum();
   metadata.notice = router_.NoticeOf(chosen->node);
   call.carries_notice = metadata.notice.has_value();
   context.Count(counter::kAttempts);
@@ -470,6 +480,9 @@
   refused.retry_after = retry_after;
   refused.level = pressure_.LevelFor(context.now(), ServiceClassOf(call));
   refused.retry = call.last_retry_decision;
+  if (IsAboutCrashes(kind)) {
+    refused.digest = call.metadata.digest;
+  }
   context.Log(std::move(refused));
   context.Emit(refuse_call{id, kind, execution, retry_after, call.allowance});
   Close(context, id);
--- a/Libraries/LibDecision/Calls/outgoing_calls.h
+++ b/Libraries/LibDecision/Calls/outgoing_calls.h
@@ -11,6 +11,7 @@
 #include "LibDecision/Idempotency/idempotency_key_registry.h"
 #include "LibDecision/Membership/membership.h"
 #include "LibDecision/Pressure/pressure_tracker.h"
+#include "LibDecision/Quarantine/quarantine.h"
 #include "LibDecision/Retries/retry_allowances.h"
 #include "LibDecision/Retries/retry_policy.h"
 #include "LibDecision/Routes/route_table.h"
@@ -39,12 +40,14 @@
                  route_table& routes,
                  const membership& members,
                  retry_allowances& allowances,
+                 quarantine& crashes,
                  pressure_tracker& pressure,
                  const node_options& options)
       : policies_(policies),
         routes_(routes),
         members_(members),
         allowances_(allowances),
+        quarantine_(crashes),
         pressure_(pressure),
         options_(options),
         retry_policy_(pressure, options),
@@ -146,6 +149,7 @@
   route_table& routes_;
   const membership& members_;
   retry_allowances& allowances_;
+  quarantine& quarantine_;
   pressure_tracker& pressure_;
   const node_options& options_;
   retry_policy retry_policy_;
--- a/Libraries/LibDecision/Registry/node_registry.cc
+++ b/Libraries/LibDecision/Registry/node_registry.cc
@@ -31,8 +31,9 @@
 
 }  // namespace
 
-node_registry::node_registry(membership& members)
+node_registry::node_registry(membership& members, quarantine& crashes)
     : members_(members),
+      quarantine_(crashes),
       watch_({.prefix = std::string(kRegistryPrefix),
               .owner = timer_owner::kRegistryWatch,
               .caller = store_caller::kRegistryWatch,
@@ -56,6 +57,7 @@
   for (const store_entry& entry : update->entries) {
     ApplyEntry(context, entry);
   }
+  quarantine_.OnStoreEntries(context, update->entries, update->is_listing);
   if (update->is_listing) {
     MarkUnlistedAsLapsed(context, update->entries);
     may_list_older_records_ = false;
@@ -65,6 +67,7 @@
 
 void node_registry::OnStoreEraChanged(event_context& context) {
   may_list_older_records_ = true;
+  quarantine_.OnStoreEraChanged();
   registration_.OnStoreEraChanged(context);
   watch_.OnStoreEraChanged(context);
 }
--- a/Libraries/LibDecision/Registry/node_registry.h
+++ b/Libraries/LibDecision/Registry/node_registry.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "LibDecision/Membership/membership.h"
+#include "LibDecision/Quarantine/quarantine.h"
 #include "LibDecision/Registry/registration.h"
 #include "LibDecision/Store/prefix_watch.h"
 #include "LibDecision/event.h"
@@ -20,7 +21,7 @@
 /// a member as long as it answers calls.
 class node_registry {
  public:
-  explicit node_registry(membership& members);
+  node_registry(membership& members, quarantine& crashes);
 
   void Start(event_context& context);
   void OnStoreAnswered(event_context& context, const store_answered& answer);
@@ -71,6 +72,7 @@
   void ScheduleLapseCheck(event_context& context);
 
   membership& members_;
+  quarantine& quarantine_;
   prefix_watch watch_;
   registration registration_;
   member_record published_;
--- a/Libraries/LibDecision/Routing/endpoint_stats.cc
+++ b/Libraries/LibDecision/Routing/endpoint_stats.cc
@@ -120,7 +120,7 @@
   }
   if (IsEndpointFailure(*result.error)) {
     ++consecutive_failures_;
-  } else {
+  } else if (!IsAboutCrashes(*result.error)) {
     refused_at_ = now;
   }
 }
--- a/Libraries/LibDecision/Timers/timer_service.h
+++ b/Libraries/LibDecision/Timers/timer_service.h
@@ -29,6 +29,8 @@
   kRegistryLapse,
   kRouteWatch,
   kNewerRoutes,
+  kCrashRecords,
+  kCrashViews,
 };
 
 /// Identifies a timer: `key` distinguishes the timers of one owner.
--- a/Libraries/LibDecision/Work/incoming_work.cc
+++ b/Libraries/LibDecision/Work/incoming_work.cc
@@ -68,7 +68,30 @@
   if (arrived.metadata.time_left <= duration::zero()) {
     return error_kind::kDeadlineExpired;
   }
-  return std::nullopt;
+  return RefusalForCrashes(arrived.work, arrived.metadata.digest);
+}
+
+// One suspect at a time: the next crash then shows which of them it is.
+std::optional<error_kind> incoming_work::RefusalForCrashes(
+    work_id work,
+    request_digest digest) const {
+  switch (quarantine_.VerdictOn(digest)) {
+    case crash_verdict::kUnsuspected:
+    case crash_verdict::kSuspected:
+      return std::nullopt;
+    case crash_verdict::kQuarantined:
+      return error_kind::kQuarantined;
+    case crash_verdict::kIsolated:
+      break;
+  }
+  const bool is_other_isolated = std::any_of(
+      work_items_.begin(), work_items_.end(), [&](const auto& entry) {
+        return entry.first != work &&
+               quarantine_.VerdictOn(entry.second.metadata.digest) ==
+                   crash_verdict::kIsolated;
+      });
+  return is_other_isolated ? std::optional(error_kind::kIsolated)
+                           : std::nullopt;
 }
 
 bool incoming_work::ClaimKey(event_context& context,
@@ -144,6 +167,9 @@
       admission_.OnFinished(context, finished.work, finished.result);
   if (finished.result.is_complete()) {
     endpoint_.OnAnswered(context);
+    if (!finished.result.is_failure) {
+      quarantine_.OnAnswered(context, item.metadata.digest);
+    }
     if (item.holds_key) {
       keys_.OnFinished(context, *item.metadata.key, finished.work,
                        finished.result);
@@ -187,6 +213,17 @@
                .endpoint = endpoint_.name(),
                .run = endpoint_.current_run().run,
                .running = admission_.running() + 1});
+  // An endpoint that leaves may end while requests are still at work.
+  if (endpoint_.is_leaving()) {
+    return;
+  }
+  std::vector<request_digest> suspects;
+  for (const auto& [id, other] : work_items_) {
+    if (other.is_sent && other.metadata.digest != request_digest()) {
+      suspects.push_back(other.metadata.digest);
+    }
+  }
+  quarantine_.OnCrash(context, std::move(suspects));
 }
 
 void incoming_work::OnSignals(event_context& context,
@@ -462,7 +499,10 @@
       Describe(context, decision_kind::kWorkRefused, item);
   refused.error = kind;
   refused.execution = execution;
-  if (kind == error_kind::kEndpointCrashed) {
+  if (kind == error_kind::kQuarantined) {
+    quarantine_.OnRefused(context, item.metadata.digest);
+  }
+  if (IsAboutCrashes(kind)) {
     refused.digest = item.metadata.digest;
   }
   refused.level = metadata.level;
@@ -529,6 +569,9 @@
   if (has_newer_routes) {
     metadata.newer_routes = routes_.version();
   }
+  if (item.metadata.crash_checksum != quarantine_.checksum()) {
+    metadata.crash_checksum = quarantine_.checksum();
+  }
   if (rate_limit_.rate()) {
     metadata.send_interval =
         admission_.SendInterval(context.now(), senders_.Count(context.now()));
--- a/Libraries/LibDecision/Work/incoming_work.h
+++ b/Libraries/LibDecision/Work/incoming_work.h
@@ -10,6 +10,7 @@
 #include "LibDecision/Admission/admission_controller.h"
 #include "LibDecision/Idempotency/idempotency_key_registry.h"
 #include "LibDecision/Pressure/pressure_tracker.h"
+#include "LibDecision/Quarantine/quarantine.h"
 #include "LibDecision/Retries/retry_allowances.h"
 #include "LibDecision/Retries/service_retry_budgets.h"
 #include "LibDecision/Routes/route_table.h"
@@ -32,11 +33,13 @@
   incoming_work(const policy_table& policies,
                 const route_table& routes,
                 retry_allowances& allowances,
+                quarantine& crashes,
                 const pressure_tracker& pressure,
                 const node_options& options)
       : policies_(policies),
         routes_(routes),
         allowances_(allowances),
+        quarantine_(crashes),
         pressure_(pressure),
         stop_grace_(options.stop_grace),
         checks_expected_run_(options.discovery == discovery_mode::kGossip),
@@ -113,6 +116,9 @@
   /// Why arriving work is refused; unset if it is accepted.
   std::optional<error_kind> RefusalFor(instant now,
                                        const work_arrived& arrived) const;
+  /// Why a request is refused for the crashes that it may cause.
+  std::optional<error_kind> RefusalForCrashes(work_id work,
+                                              request_digest digest) const;
   /// Claims the idempotency key of new work, or ends the work. Returns whether
   /// it may be executed.
   bool ClaimKey(event_context& context, work_id id, work_item& item);
@@ -161,6 +167,7 @@
   const policy_table& policies_;
   const route_table& routes_;
   retry_allowances& allowances_;
+  quarantine& quarantine_;
   const pressure_tracker& pressure_;
   duration stop_grace_;
   bool checks_expected_run_;
--- a/Libraries/LibDecision/Work/local_endpoint.h
+++ b/Libraries/LibDecision/Work/local_endpoint.h
@@ -76,6 +76,8 @@
   /// Whether the current run leaves for good: whatever it reports, it does not
   /// become ready again.
   bool has_departed() const { return report_ && departed_ == current_run(); }
+  /// Whether the endpoint has announced that it leaves.
+  bool is_leaving() const { return leaving_since_.has_value(); }
   /// The last report that was not ignored.
   const std::optional<endpoint_reported>& report() const { return report_; }
 
--- a/Libraries/LibDecision/answer_metadata.h
+++ b/Libraries/LibDecision/answer_metadata.h
@@ -37,6 +37,9 @@
   /// Version of the routes at the answering node, if it is newer than that of
   /// the receiver.
   std::optional<route_version> newer_routes;
+  /// Checksum of the crashes that the answering node knows of, if it differs
+  /// from that of the receiver; otherwise 0.
+  std::uint64_t crash_checksum = 0;
   /// Unset if the endpoint names no limit and is not leaving.
   std::optional<endpoint_notice> notice;
 };
--- a/Libraries/LibDecision/counter.cc
+++ b/Libraries/LibDecision/counter.cc
@@ -20,6 +20,8 @@
       return "refused_by_limit";
     case counter::kRefusedByRateLimit:
       return "refused_by_rate_limit";
+    case counter::kRefusedByQuarantine:
+      return "refused_by_quarantine";
     case counter::kDroppedFromQueue:
       return "dropped_from_queue";
     case counter::kWorkStarted:
--- a/Libraries/LibDecision/counter.h
+++ b/Libraries/LibDecision/counter.h
@@ -16,9 +16,10 @@
   kRefusedEarly,        ///< Calls refused since a dependency would refuse them.
   kRefusedByLimit,      ///< Work refused since a limit or the queue was full.
   kRefusedByRateLimit,  ///< Work refused since the endpoint's rate was used up.
-  kDroppedFromQueue,    ///< Work that could not start in time.
-  kWorkStarted,         ///< Work handed over to the local endpoint.
-  kEndpointCrashes,     ///< Ends of the local endpoint without notice.
+  kRefusedByQuarantine,   ///< Refused since the request crashes endpoints.
+  kDroppedFromQueue,      ///< Work that could not start in time.
+  kWorkStarted,           ///< Work handed over to the local endpoint.
+  kEndpointCrashes,       ///< Ends of the local endpoint without notice.
   kUnreadableRateLimits,  ///< Answers whose rate limit is not a number.
   kCancelledDown,         ///< Child calls cancelled since their parent ended.
   kRequestsAbandoned,     ///< Requests read after their sender had left.
--- a/Libraries/LibDecision/decision_record.cc
+++ b/Libraries/LibDecision/decision_record.cc
@@ -34,6 +34,10 @@
       return "endpoint_changed";
     case decision_kind::kEndpointCrashed:
       return "endpoint_crashed";
+    case decision_kind::kRequestQuarantined:
+      return "request_quarantined";
+    case decision_kind::kRequestReleased:
+      return "request_released";
     case decision_kind::kEndpointReportIgnored:
       return "endpoint_report_ignored";
     case decision_kind::kRateLimitChanged:
@@ -88,6 +92,8 @@
     case decision_kind::kMemberLapsed:
     case decision_kind::kEndpointChanged:
     case decision_kind::kEndpointCrashed:
+    case decision_kind::kRequestQuarantined:
+    case decision_kind::kRequestReleased:
     case decision_kind::kEndpointReportIgnored:
     case decision_kind::kRateLimitChanged:
     case decision_kind::kRateLimitEnded:
--- a/Libraries/LibDecision/decision_record.h
+++ b/Libraries/LibDecision/decision_record.h
@@ -34,6 +34,9 @@
   kMemberLapsed,     ///< A record's lease expired, but the node did not leave.
   kEndpointChanged,  ///< The state of the local endpoint changed.
   kEndpointCrashed,  ///< The local endpoint ended while requests were at work.
+  kRequestQuarantined,     ///< Requests with this digest crash endpoints.
+  kRequestReleased,        ///< Other requests explain the crashes, or it was
+                           ///< answered.
   kEndpointReportIgnored,  ///< A report about the local endpoint had no effect.
   kRateLimitChanged,       ///< The local endpoint names another rate limit.
   kRateLimitEnded,         ///< The local endpoint no longer names a rate limit.
--- a/Libraries/LibDecision/error_kind.h
+++ b/Libraries/LibDecision/error_kind.h
@@ -26,6 +26,8 @@
   kEndpointLeaving,
   kEndpointBusy,
   kEndpointReplaced,
+  kQuarantined,
+  kIsolated,
   kNodeStopping,
   kCallerGone,
   kKeyNotIssued,
@@ -72,6 +74,12 @@
   retry_advice advice;
 };
 
+/// Whether `kind` concerns requests that may crash endpoints.
+constexpr bool IsAboutCrashes(error_kind kind) {
+  return kind == error_kind::kEndpointCrashed ||
+         kind == error_kind::kQuarantined || kind == error_kind::kIsolated;
+}
+
 /// The properties of `kind`.
 const error_traits& TraitsOf(error_kind kind);
 
--- a/Libraries/LibDecision/ids.h
+++ b/Libraries/LibDecision/ids.h
@@ -47,11 +47,14 @@
 /// The `Idempotency-Key` header of a request, as sent by the caller.
 using idempotency_key = strong_value<struct key_tag, std::string>;
 
-/// Hash of what makes two requests the same one: method, host, path with query,
-/// caller and body. Equal requests have the same digest at every node; 0 means
+/// Hash of what makes two requests the same one: method, path with query, body,
+/// where it goes and who sends it. Equal requests have the same digest at every node; 0 means
 /// unknown.
 using request_digest = strong_value<struct digest_tag, std::uint64_t>;
 
+/// Identifies one crash of an endpoint; unique over all nodes.
+using crash_id = strong_value<struct crash_tag, std::uint64_t>;
+
 /// Version of a table row; each accepted change increments it by one.
 using row_version = strong_value<struct row_version_tag, std::uint64_t>;
 /// Identifies one change of the table. The author chooses it, so that a retried
--- a/Libraries/LibDecision/reducer.cc
+++ b/Libraries/LibDecision/reducer.cc
@@ -9,6 +9,7 @@
 #include "LibDecision/Calls/outgoing_calls.h"
 #include "LibDecision/Membership/membership.h"
 #include "LibDecision/Pressure/pressure_tracker.h"
+#include "LibDecision/Quarantine/quarantine.h"
 #include "LibDecision/Registry/node_registry.h"
 #include "LibDecision/Retries/retry_allowances.h"
 #include "LibDecision/Routes/route_table.h"
@@ -44,12 +45,13 @@
   route_table routes;
   route_watcher routes_watcher{options.route_key};
   membership members{policies, options.discovery};
-  node_registry registry{members};
+  quarantine crashes{options};
+  node_registry registry{members, crashes};
   retry_allowances allowances;
   pressure_tracker pressure;
-  outgoing_calls calls{policies,   routes,   members,
-                       allowances, pressure, options};
-  incoming_work work{policies, routes, allowances, pressure, options};
+  outgoing_calls calls{policies, routes,   members, allowances,
+                       crashes,  pressure, options};
+  incoming_work work{policies, routes, allowances, crashes, pressure, options};
   /// Service of the local endpoint as configured at the node; may be empty.
   service_name local_service;
   bool is_stopped = false;
@@ -77,6 +79,7 @@
         routes_watcher.Start(context);
         break;
     }
+    crashes.Start(self);
     work.Start(context, self);
     local_service = self.service;
   }
@@ -157,6 +160,8 @@
     if (peer != nullptr && finished.result.peer) {
       NotePeerRoutes(context, finished.result.peer->newer_routes,
                      peer->address);
+      crashes.OnPeerChecksum(context, finished.result.peer->crash_checksum,
+                             peer->address);
     }
     calls.OnAttemptFinished(context, finished);
   }
@@ -166,6 +171,8 @@
       RequestViewFromSender(context, arrived);
     }
     NotePeerRoutes(context, arrived.metadata.routes, arrived.from_address);
+    crashes.OnPeerChecksum(context, arrived.metadata.crash_checksum,
+                           arrived.from_address);
     work.OnArrived(context, arrived);
     PublishEndpointChange(context);
   }
@@ -239,6 +246,7 @@
     UpdateStoreAvailability(context, answer);
     members.OnStoreAnswered(context, answer);
     registry.OnStoreAnswered(context, answer);
+    crashes.OnStoreAnswered(context, answer);
     routes_watcher.OnStoreAnswered(context, answer);
     policies.OnStoreAnswered(context, answer);
   }
@@ -303,7 +311,8 @@
   }
 
   void On(event_context& context, const view_requested& request) {
-    peer_view view{.routes = routes_watcher.value_in_force()};
+    peer_view view{.routes = routes_watcher.value_in_force(),
+                   .crashes = crashes.Records(context.now())};
     for (const auto& [node, record] : members.list().members()) {
       view.members.push_back(record);
     }
@@ -311,8 +320,13 @@
   }
 
   void On(event_context& context, const view_received& received) {
-    routes_watcher.OnPeerView(context, received.view.routes);
-    registry.OnPeerView(context, received.view.members);
+    if (options.settings == settings_source::kRoutes) {
+      routes_watcher.OnPeerView(context, received.view.routes);
+    }
+    if (options.discovery == discovery_mode::kRegistry) {
+      registry.OnPeerView(context, received.view.members);
+    }
+    crashes.OnPeerView(context, received.view.crashes);
   }
 
   // A node that starts while the key-value store is unavailable knows no other
@@ -417,6 +431,9 @@
         });
       case timer_owner::kRouteWatch:
         return routes_watcher.OnTimer(context);
+      case timer_owner::kCrashRecords:
+      case timer_owner::kCrashViews:
+        return crashes.OnTimer(context, due.owner);
       case timer_owner::kNewerRoutes:
         return routes_watcher.OnNewerRoutesTimer(context, routes.version());
     }
--- a/Libraries/LibDecision/request_metadata.h
+++ b/Libraries/LibDecision/request_metadata.h
@@ -52,6 +52,8 @@
   request_purpose purpose = request_purpose::kExecute;
   /// Version of the routes that the sender uses; unset if it has none.
   std::optional<route_version> routes;
+  /// Checksum of the crashes that the sender knows of; 0 if there are none.
+  std::uint64_t crash_checksum = 0;
   /// What the sender last heard about the receiver's endpoint; unset if the
   /// endpoint names no limit and is not leaving.
   std::optional<endpoint_notice> notice;
--- a/Libraries/LibRuntime/headers.cc
+++ b/Libraries/LibRuntime/headers.cc
@@ -88,6 +88,16 @@
   return version ? std::optional(route_version(*version)) : std::nullopt;
 }
 
+void WriteCrashChecksum(http::fields& headers, std::uint64_t checksum) {
+  if (checksum != 0) {
+    headers.set(kCrashesHeader, ToHexadecimal(checksum));
+  }
+}
+
+std::uint64_t ReadCrashChecksum(const http::fields& headers) {
+  return ParseHexadecimal(HeaderValue(headers, kCrashesHeader)).value_or(0);
+}
+
 leaf::error_id Malformed(std::string_view reason) {
   return leaf::new_error(request_error{kMalformedRequest, reason});
 }
@@ -223,6 +233,7 @@
     metadata.key.reset();
   }
   metadata.routes = ReadRoutes(headers);
+  metadata.crash_checksum = ReadCrashChecksum(headers);
   metadata.notice = ReadNotice(headers);
   const std::string_view purpose = HeaderValue(headers, kPurposeHeader);
   if (purpose == kIssueKeyPurpose) {
@@ -304,6 +315,7 @@
   metadata.grants_retry = !HeaderValue(headers, kRetryGrantedHeader).empty();
   metadata.is_cold = HeaderValue(headers, kColdHeader) == "1";
   metadata.newer_routes = ReadRoutes(headers);
+  metadata.crash_checksum = ReadCrashChecksum(headers);
   metadata.notice = ReadNotice(headers);
   return metadata;
 }
@@ -393,6 +405,7 @@
     Set(headers, kPriorityHeader, *metadata.priority);
   }
   WriteRoutes(headers, metadata.routes);
+  WriteCrashChecksum(headers, metadata.crash_checksum);
   WriteNotice(headers, metadata.notice);
   switch (metadata.purpose) {
     case request_purpose::kExecute:
@@ -440,6 +453,7 @@
     headers.set(kColdHeader, "1");
   }
   WriteRoutes(headers, metadata.newer_routes);
+  WriteCrashChecksum(headers, metadata.crash_checksum);
   WriteNotice(headers, metadata.notice);
 }
 
--- a/Libraries/LibRuntime/view_codec.cc
+++ b/Libraries/LibRuntime/view_codec.cc
@@ -1,5 +1,6 @@
 #include "LibRuntime/view_codec.h"
 
+#include "LibDecision/Quarantine/crash_codec.h"
 #include "LibDecision/Registry/member_codec.h"
 #include "LibDecision/text_words.h"
 
@@ -13,6 +14,12 @@
     text += EncodeMember(record);
     text += '\n';
   }
+  for (const crash_record& record : view.crashes) {
+    text += CrashKey(record.id);
+    text += '\t';
+    text += EncodeCrash(record);
+    text += '\n';
+  }
   text += '\n';
   text += view.routes;
   return text;
@@ -28,11 +35,14 @@
   while (!lines.is_empty()) {
     word_reader line(lines.TakeUntil('\n'));
     const std::string_view key = line.TakeUntil('\t');
-    auto record = DecodeMember(key, line.TakeUntil('\n'));
-    if (!record) {
+    const std::string_view value = line.TakeUntil('\n');
+    if (auto record = DecodeMember(key, value)) {
+      view.members.push_back(*std::move(record));
+    } else if (auto crash = DecodeCrash(key, value)) {
+      view.crashes.push_back(*std::move(crash));
+    } else {
       return std::nullopt;
     }
-    view.members.push_back(*std::move(record));
   }
   view.routes = std::string(text.substr(end + (end == 0 ? 1 : 2)));
   return view;
--- a/Libraries/LibWire/header_names.h
+++ b/Libraries/LibWire/header_names.h
@@ -75,6 +75,9 @@
     "Auburnfold-Send-Interval-Ms";
 /// Version of the routes that the sending node uses.
 inline constexpr std::string_view kRoutesHeader = "Auburnfold-Routes";
+/// Checksum of the crashes of endpoints that the sending node knows of, in
+/// hexadecimal.
+inline constexpr std::string_view kCrashesHeader = "Auburnfold-Crashes";
 /// Set if the endpoint started recently.
 inline constexpr std::string_view kColdHeader = "Auburnfold-Cold";
 
--- a/Tests/LibRuntime/headers_test.cc
+++ b/Tests/LibRuntime/headers_test.cc
@@ -84,6 +84,21 @@
   EXPECT_EQ(ReadPeerOutcome(response).peer->newer_routes, route_version(13));
 }
 
+TEST(TheHeadersBetweenNodes, TellTheChecksumOfTheCrashes) {
+  http::fields headers;
+  request_metadata metadata = Facts();
+  WriteForwardedHeaders(headers, metadata, node_id(1), incarnation(1));
+  EXPECT_EQ(headers.count("Auburnfold-Crashes"), 0U);
+  EXPECT_EQ(ReadForwardedHeaders(headers)->metadata.crash_checksum, 0);
+  metadata.crash_checksum = 0xabcdef;
+  WriteForwardedHeaders(headers, metadata, node_id(1), incarnation(1));
+  EXPECT_EQ(ReadForwardedHeaders(headers)->metadata.crash_checksum, 0xabcdef);
+  http_response response;
+  response.set("Auburnfold-Result", "complete");
+  WriteAnswerMetadata(response, {.crash_checksum = 0x123});
+  EXPECT_EQ(ReadPeerOutcome(response).peer->crash_checksum, 0x123);
+}
+
 TEST(AnAnswerOfAPeer, TellsWhatTheEndpointSaysOfItself) {
   answer_metadata metadata;
   metadata.notice =
--- a/Tests/LibRuntime/scripted_server.cc
+++ b/Tests/LibRuntime/scripted_server.cc
@@ -87,6 +87,9 @@
 scripted_server::~scripted_server() {
   parts_->io.stop();
   parts_->accepting.join();
+  // As when a process ends: nothing is accepted once connections close.
+  error_code ignored_close;
+  parts_->acceptor.close(ignored_close);
   for (const auto& connection : parts_->connections) {
     error_code ignored;
     connection->socket.shutdown(tcp::socket::shutdown_both, ignored);
--- a/Tests/LibRuntime/view_codec_test.cc
+++ b/Tests/LibRuntime/view_codec_test.cc
@@ -22,6 +22,17 @@
   EXPECT_EQ(read->members, view.members);
 }
 
+TEST(a_view, HoldsCrashesOfEndpoints) {
+  const crash_record crash{.id = crash_id(7),
+                           .suspects = {request_digest(3), request_digest(9)},
+                           .time_left = std::chrono::seconds(500)};
+  const auto read =
+      DecodeView(EncodeView({.members = {Member(1)}, .crashes = {crash}}));
+  ASSERT_TRUE(read);
+  EXPECT_EQ(read->members, std::vector{Member(1)});
+  EXPECT_EQ(read->crashes, std::vector{crash});
+}
+
 TEST(a_view, MayHaveNoMembers) {
   const auto read = DecodeView(EncodeView({.routes = "{}"}));
   ASSERT_TRUE(read);
@@ -32,6 +43,8 @@
 TEST(a_view, IsRefusedIfItIsMalformed) {
   EXPECT_FALSE(DecodeView("nonsense"));
   EXPECT_FALSE(DecodeView("key\tvalue\n\nroutes"));
+  EXPECT_FALSE(
+      DecodeView("auburnfold/nodes/crashes/7\tauburnfold-crash-1 x \n\n"));
 }
 
 }  // namespace
--- /dev/null
+++ b/Tests/Processes/crashing_request.sh
@@ -0,0 +1,71 @@
+#!/usr/bin/env bash
+# A request ends each endpoint that begins to run it, and comes again at every
+# node. It is stopped, and nodes that are killed and replaced learn of it.
+. "$(dirname "$0")/common.inc"
+StartChain
+nodes=("${!call_port_of[@]}")
+crashes=0
+
+RunBooking() {
+  StartEndpoint "$1" "$1-node" booking --slots 20 --service-ms 20 --leave-ms 4000
+  WaitUntil 100 Fetch "http://$host:${endpoint_port_of[$1]}/test/summary" || Fail "$1 is not back"
+  SetFaults "$1" '{"crash_on_body": "culprit"}'
+}
+
+# Starts the endpoints that have ended again, and counts them.
+ReplaceEnded() {
+  local name
+  for name in "${booking[@]}"; do
+    if HasEnded "${pid_of[$name]}"; then
+      crashes=$((crashes + 1))
+      RunBooking "$name"
+    fi
+  done
+}
+
+# Sends the request through the node named $1; prints the result that it names.
+SendCulprit() {
+  curl -s -m 5 -o "$work/answer" -D - -X POST -H 'Auburnfold-Service: booking' \
+    -H 'Auburnfold-Class: book' -H 'Auburnfold-Timeout-Ms: 2000' -d culprit \
+    "http://$host:${call_port_of[$1]}/book" | tr -d '\r' |
+    awk 'tolower($1) == "auburnfold-result:" {print $2}'
+}
+
+# Whether every node refuses the request for this reason.
+IsStoppedEverywhere() {
+  local name
+  for name in "${nodes[@]}"; do
+    [ "$(SendCulprit "$name")" = quarantined ] || return 1
+  done
+}
+
+# Requests between nodes tell them of crashes.
+KnowsOfCrashes() {
+  CallThrough "$1" booking book >/dev/null || true
+  Fetch "http://$host:$((call_port_of[$1] + 1))/auburnfold/v1/view" | grep -q crashes/
+}
+
+for name in "${booking[@]}"; do
+  SetFaults "$name" '{"crash_on_body": "culprit"}'
+done
+for ((round = 0; round < 100; round++)); do
+  IsStoppedEverywhere && break
+  ReplaceEnded
+  WaitForService booking book
+done
+IsStoppedEverywhere || Fail "the request is not stopped"
+# Two crashes at each endpoint are enough even for nodes that know of no other.
+ExpectAbove "crashes" "$crashes" 1
+ExpectAbove "7 less crashes" "$((7 - crashes))" 0
+
+for name in "${nodes[@]}"; do
+  kill -KILL "${pid_of[$name]}"
+  WaitUntil 100 HasEnded "${pid_of[$name]}"
+  RunNode "$name"
+  WaitForService booking book
+  WaitUntil 200 KnowsOfCrashes "$name" || Fail "$name learns of no crash"
+  ExpectEqual "$name refuses it" "$([ "$(SendCulprit "$name")" = quarantined ] && echo 1 || echo 0)" 1
+done
+before=$crashes
+ReplaceEnded
+ExpectEqual "crashes after the nodes were replaced" "$((crashes - before))" 0
--- a/Tests/StandIns/endpoint_faults.cc
+++ b/Tests/StandIns/endpoint_faults.cc
@@ -37,6 +37,7 @@
   ReadOptional(fields, "fixed_healthy", changed.fixed_healthy);
   fields.Read("truncate_next", changed.truncate_next);
   fields.Read("lose_next", changed.lose_next);
+  fields.Read("crash_on_body", changed.crash_on_body);
   fields.Read("silence_share", changed.silence_share);
   fields.RefuseOthers();
   faults = changed;
--- a/Tests/StandIns/endpoint_faults.h
+++ b/Tests/StandIns/endpoint_faults.h
@@ -4,6 +4,7 @@
 #include <boost/json/object.hpp>
 #include <cstdint>
 #include <optional>
+#include <string>
 
 namespace auburnfold {
 
@@ -24,6 +25,9 @@
   std::uint32_t truncate_next = 0;
   /// So many of the next answers are lost after the work was done.
   std::uint32_t lose_next = 0;
+  /// The process ends soon after it began to run a request with this body;
+  /// empty for none.
+  std::string crash_on_body;
   /// Share of the present connections that fall silent for good, once.
   double silence_share = 0.0;
 };
--- a/Tests/StandIns/endpoint_process.cc
+++ b/Tests/StandIns/endpoint_process.cc
@@ -4,6 +4,7 @@
 #include <boost/json/value_from.hpp>
 #include <charconv>
 #include <csignal>
+#include <cstdlib>
 #include <utility>
 
 #include "StandIns/answers.h"
@@ -18,6 +19,7 @@
 using clock = std::chrono::steady_clock;
 
 constexpr std::chrono::milliseconds kDefaultTimeout{10'000};
+constexpr std::chrono::milliseconds kTimeToCrash{70};
 // Served on any connection, also above the connection limit.
 constexpr const char* kTestPrefix = "/test/";
 
@@ -166,6 +168,12 @@
   for (const started_run& started : model_.StartDue(Now(), expired)) {
     active_run& run = runs_.at(started.run);
     run.has_started = true;
+    const std::string& crash_on_body = model_.faults().crash_on_body;
+    if (!crash_on_body.empty() && run.request.body() == crash_on_body) {
+      WaitUntil(started.run, clock::now() + kTimeToCrash,
+                &endpoint_process::Crash);
+      continue;
+    }
     const auto end = clock::now() + started.service_time;
     if (end < run.deadline) {
       WaitUntil(started.run, end, &endpoint_process::OnWorked);
@@ -175,6 +183,11 @@
   static_cast<void>(expired);
 }
 
+// Without any clean-up, as a process that is killed.
+void endpoint_process::Crash(run_number) {
+  std::_Exit(EXIT_FAILURE);
+}
+
 void endpoint_process::OnWorked(run_number run) {
   active_run& active = runs_.at(run);
   if (settings_.deeper.empty() || !node_) {
--- a/Tests/StandIns/endpoint_process.h
+++ b/Tests/StandIns/endpoint_process.h
@@ -49,6 +49,7 @@
                              const http_request& request);
   void OnClosed(http_session& session);
   void StartDue();
+  void Crash(run_number run);
   void OnWorked(run_number run);
   void OnDeeperEnd(run_number run, const deeper_end& end);
   void Finish(run_number run, http_response answer);
