Calls: Ask the quarantine before each retry

A request that was quarantined while it ran was sent once more, to a node that then refused it. The caller's node now knows before it spends a retry. a_callers_node.DoesNotRetryWhatWasQuarantinedMeanwhile fails without this.

--- a/Libraries/LibDecision/Calls/outgoing_calls.cc
+++ b/Libraries/LibDecision/Calls/outgoing_calls.cc
@@ -253,7 +253,9 @@
                                    call_id id,
                                    call_state& call,
                                    const outcome& result) {
-  if (TryRetry(context, call, result)) {
+  const bool is_quarantined = quarantine_.VerdictOn(call.metadata.digest) ==
+                              crash_verdict::kQuarantined;
+  if (!is_quarantined && TryRetry(context, call, result)) {
     context.Count(counter::kRetries);
     return Send(context, id, call);
   }
--- a/Tests/LibDecision/quarantine_test.cc
+++ b/Tests/LibDecision/quarantine_test.cc
@@ -151,5 +151,112 @@
   EXPECT_EQ(Arrive(kCulprit), std::nullopt);
 }
 
+// A node that calls two others, and knows of crashes from one of them.
+class a_callers_node : public testing::Test {
+ protected:
+  a_callers_node() {
+    Happen(node_started{.node = node_id(1), .run = incarnation(7)});
+    member_update members;
+    for (const std::uint64_t node : {2, 3, 4}) {
+      members.records.push_back({.node = node_id(node),
+                                 .run = incarnation(1),
+                                 .state = member_state::kReady,
+                                 .address = {.host = "10.0.0.1"},
+                                 .service = service_name("listings")});
+    }
+    peer_message message{.from = node_id(2), .from_run = incarnation(1)};
+    message.content = members;
+    Happen(message_received{message});
+    row_update rows;
+    rows.rows.push_back({.service = service_name("listings"),
+                         .request_class = class_name("browse"),
+                         .version = row_version(1)});
+    rows.rows.back().settings.is_idempotent = true;
+    rows.rows.back().settings.retry_allowance = 9;
+    message.content = rows;
+    Happen(message_received{message});
+  }
+
+  void Happen(event_content content) {
+    now_ += 1ms;
+    for (const effect& each :
+         Reduce(state_, {now_, ++entropy_, std::move(content)})) {
+      if (const auto* sent = std::get_if<send_attempt>(&each)) {
+        attempt_ = sent->attempt;
+        ++sent_;
+      }
+      if (const auto* refused = std::get_if<refuse_call>(&each)) {
+        refused_ = *refused;
+      }
+    }
+  }
+
+  void Call() {
+    call_arrived arrived{.call = call_id(++last_call_)};
+    arrived.metadata.service = service_name("listings");
+    arrived.metadata.request_class = class_name("browse");
+    arrived.metadata.digest = kCulprit;
+    arrived.metadata.time_left = 5s;
+    Happen(arrived);
+  }
+
+  /// The endpoint crashes while it runs the attempt.
+  void Crash() {
+    const attempt_id crashed = attempt_;
+    Happen(attempt_sent{crashed, connection_id(1)});
+    Happen(attempt_finished{crashed,
+                            {.error = error_kind::kEndpointCrashed,
+                             .execution = execution_state::kUnknown,
+                             .peer = answer_metadata{.allowance_left = 5}}});
+  }
+
+  void LearnOfCrashes() {
+    peer_view view;
+    for (const std::uint64_t id : {1, 2}) {
+      view.crashes.push_back(
+          {.id = crash_id(id), .suspects = {kCulprit}, .time_left = 500s});
+    }
+    Happen(view_received{view});
+  }
+
+  node_state state_;
+  instant now_{};
+  std::uint64_t entropy_ = 0;
+  std::uint64_t last_call_ = 0;
+  attempt_id attempt_;
+  int sent_ = 0;
+  std::optional<refuse_call> refused_;
+};
+
+TEST_F(a_callers_node, RetriesAfterOneCrashButNotAfterTheSecond) {
+  Call();
+  Crash();
+  EXPECT_EQ(sent_, 2);
+  Crash();
+  EXPECT_EQ(sent_, 2);
+  ASSERT_TRUE(refused_);
+  EXPECT_EQ(refused_->kind, error_kind::kEndpointCrashed);
+  EXPECT_EQ(refused_->execution, execution_state::kUnknown);
+}
+
+TEST_F(a_callers_node, RefusesARequestInQuarantineAtOnce) {
+  LearnOfCrashes();
+  Call();
+  EXPECT_EQ(sent_, 0);
+  ASSERT_TRUE(refused_);
+  EXPECT_EQ(refused_->kind, error_kind::kQuarantined);
+  EXPECT_EQ(refused_->execution, execution_state::kNotExecuted);
+  EXPECT_EQ(refused_->retry_after, duration::zero());
+}
+
+TEST_F(a_callers_node, DoesNotRetryWhatWasQuarantinedMeanwhile) {
+  Call();
+  LearnOfCrashes();
+  Crash();
+  EXPECT_EQ(sent_, 1);
+  ASSERT_TRUE(refused_);
+  EXPECT_EQ(refused_->execution, execution_state::kUnknown);
+}
+
 }  // namespace
 }  // namespace auburnfold
