--- a/Libraries/LibDecision/Quarantine/crash_ledger.cc
+++ b/Libraries/LibDecision/Quarantine/crash_ledger.cc
@@ -76,7 +76,7 @@
   if (suspected == suspected_of_.end()) {
     return {};
   }
-  const std::vector<crash_id> cleared = suspected->second;
+  std::vector<crash_id> cleared = suspected->second;
   for (const crash_id id : cleared) {
     RemoveSuspect(crashes_.at(id), id, digest);
   }
--- a/Libraries/LibDecision/ids.h
+++ b/Libraries/LibDecision/ids.h
@@ -48,8 +48,8 @@
 using idempotency_key = strong_value<struct key_tag, std::string>;
 
 /// Hash of what makes two requests the same one: method, path with query, body,
-/// where it goes and who sends it. Equal requests have the same digest at every node; 0 means
-/// unknown.
+/// where it goes and who sends it. Equal requests have the same digest at every
+/// node; 0 means unknown.
 using request_digest = strong_value<struct digest_tag, std::uint64_t>;
 
 /// Identifies one crash of an endpoint; unique over all nodes.
