--- a/Libraries/LibDecision/Registry/registration.h
+++ b/Libraries/LibDecision/Registry/registration.h
@@ -29,10 +29,10 @@
   void Withdraw(event_context& context);
 
   void OnStoreAnswered(event_context& context, const store_answered& answer);
-  /// A renewal or a retry is due.
   /// The store has lost writes, maybe the lease and the latest record: grants a
   /// new lease and writes the record again.
   void OnStoreEraChanged(event_context& context);
+  /// A renewal or a retry is due.
   void OnTimer(event_context& context);
 
  private:
