Quarantine: Forget crashes when their lifetime ends, and bound the view

A crash was forgotten only when another one was added, so a quarantine could outlast its ten minutes, and the next request of the culprit would have begun them anew. A timer ends it now. A view holds the 64 records that matter most: with 512 of the largest ones it would have exceeded the limit of a response, and a node without the store would have got no routes either. Repeated suspects in a stored record count once.

--- a/Libraries/LibDecision/Quarantine/crash_codec.cc
+++ b/Libraries/LibDecision/Quarantine/crash_codec.cc
@@ -50,6 +50,9 @@
     record.suspects.emplace_back(suspect);
   }
   std::sort(record.suspects.begin(), record.suspects.end());
+  record.suspects.erase(
+      std::unique(record.suspects.begin(), record.suspects.end()),
+      record.suspects.end());
   return record;
 }
 
--- a/Libraries/LibDecision/Quarantine/crash_ledger.cc
+++ b/Libraries/LibDecision/Quarantine/crash_ledger.cc
@@ -20,6 +20,9 @@
 constexpr std::size_t kMaxCrashes = 512;
 constexpr std::size_t kMaxSuspects = 256;
 constexpr std::size_t kMaxAnswered = 16384;
+// With the largest records, a view that also holds routes stays well below the
+// limit of a response.
+constexpr std::size_t kMaxCrashesInView = 64;
 // A request that was answered within this time is no suspect. Requests that
 // come often enough are therefore never suspected.
 constexpr duration kAnsweredPeriod = std::chrono::seconds(15);
@@ -116,6 +119,14 @@
   Release();
 }
 
+std::optional<instant> crash_ledger::next_expiry() const {
+  std::optional<instant> next;
+  for (const auto& [id, crash] : crashes_) {
+    next = std::min(next.value_or(crash.expires_at), crash.expires_at);
+  }
+  return next;
+}
+
 void crash_ledger::Remove(crash_id crash) {
   const auto found = crashes_.find(crash);
   if (found != crashes_.end()) {
@@ -150,6 +161,21 @@
   return records;
 }
 
+std::vector<crash_record> crash_ledger::RecordsForView(instant now) const {
+  std::vector<crash_record> records = Records(now);
+  if (records.size() <= kMaxCrashesInView) {
+    return records;
+  }
+  std::partial_sort(
+      records.begin(), records.begin() + kMaxCrashesInView, records.end(),
+      [this](const crash_record& left, const crash_record& right) {
+        return std::pair(Convicts(crashes_.at(left.id)), left.time_left) >
+               std::pair(Convicts(crashes_.at(right.id)), right.time_left);
+      });
+  records.resize(kMaxCrashesInView);
+  return records;
+}
+
 crash_record crash_ledger::RecordOf(instant now, crash_id crash) const {
   const auto found = crashes_.find(crash);
   if (found == crashes_.end()) {
@@ -163,21 +189,22 @@
   if (crashes_.size() < kMaxCrashes) {
     return;
   }
-  const auto convicts = [this](const known_crash& crash) {
-    return std::any_of(crash.suspects.begin(), crash.suspects.end(),
-                       [this](request_digest suspect) {
-                         return quarantined_.contains(suspect);
-                       });
-  };
   const auto first = std::min_element(
       crashes_.begin(), crashes_.end(),
-      [&](const auto& left, const auto& right) {
-        return std::pair(convicts(left.second), left.second.expires_at) <
-               std::pair(convicts(right.second), right.second.expires_at);
+      [this](const auto& left, const auto& right) {
+        return std::pair(Convicts(left.second), left.second.expires_at) <
+               std::pair(Convicts(right.second), right.second.expires_at);
       });
   Erase(first);
 }
 
+bool crash_ledger::Convicts(const known_crash& crash) const {
+  return std::any_of(crash.suspects.begin(), crash.suspects.end(),
+                     [this](request_digest suspect) {
+                       return quarantined_.contains(suspect);
+                     });
+}
+
 crash_ledger::crash_map::iterator crash_ledger::Erase(
     crash_map::iterator crash) {
   for (const request_digest suspect : crash->second.suspects) {
--- a/Libraries/LibDecision/Quarantine/crash_ledger.h
+++ b/Libraries/LibDecision/Quarantine/crash_ledger.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <unordered_map>
 #include <unordered_set>
@@ -52,12 +53,16 @@
   std::vector<crash_id> Extend(instant now, request_digest digest);
   /// Forgets the crashes whose lifetime is over.
   void Expire(instant now);
+  /// When the next lifetime is over; unset if no crash is known.
+  std::optional<instant> next_expiry() const;
   void Remove(crash_id crash);
 
   crash_verdict VerdictOn(request_digest digest) const;
   /// The requests in quarantine.
   const std::set<request_digest>& quarantined() const { return quarantined_; }
   std::vector<crash_record> Records(instant now) const;
+  /// The records that matter most, as many as fit in a view.
+  std::vector<crash_record> RecordsForView(instant now) const;
   /// The record of `crash` with no suspects if it is not known.
   crash_record RecordOf(instant now, crash_id crash) const;
   bool Knows(crash_id crash) const { return crashes_.contains(crash); }
@@ -79,6 +84,8 @@
   };
 
   void MakeRoom();
+  /// Whether a request in quarantine is a suspect of `crash`.
+  bool Convicts(const known_crash& crash) const;
   crash_map::iterator Erase(crash_map::iterator crash);
   void RemoveSuspect(known_crash& crash, crash_id id, request_digest digest);
   /// Decides about the suspects of `changed`.
--- a/Libraries/LibDecision/Quarantine/crash_publisher.cc
+++ b/Libraries/LibDecision/Quarantine/crash_publisher.cc
@@ -30,10 +30,11 @@
 }
 
 // Another node may have written the same record while it waited here.
-void crash_publisher::OnStored(const crash_record& stored,
+void crash_publisher::OnStored(instant now,
+                               const crash_record& stored,
                                store_revision revision) {
   revisions_[stored.id] = revision;
-  const crash_record known = ledger_.RecordOf(instant(), stored.id);
+  const crash_record known = ledger_.RecordOf(now, stored.id);
   if (known.suspects == stored.suspects) {
     waiting_.erase(stored.id);
   }
--- a/Libraries/LibDecision/Quarantine/crash_publisher.h
+++ b/Libraries/LibDecision/Quarantine/crash_publisher.h
@@ -22,7 +22,9 @@
   /// so by then.
   void Publish(event_context& context, crash_id crash, duration delay);
   /// The store holds `stored` at `revision`.
-  void OnStored(const crash_record& stored, store_revision revision);
+  void OnStored(instant now,
+                const crash_record& stored,
+                store_revision revision);
   /// The store holds no record of `crash`.
   void OnMissing(crash_id crash) { revisions_.erase(crash); }
   /// Nothing that was read or granted before means anything to the store.
--- a/Libraries/LibDecision/Quarantine/quarantine.cc
+++ b/Libraries/LibDecision/Quarantine/quarantine.cc
@@ -56,6 +56,9 @@
   const std::set<request_digest> before = ledger_.quarantined();
   const std::vector<crash_id> cleared =
       ledger_.OnAnswered(context.now(), digest);
+  if (cleared.empty()) {
+    return;
+  }
   LogChanges(context, before);
   if (verdict < crash_verdict::kIsolated) {
     return;
@@ -70,6 +73,7 @@
   for (const crash_id crash : ledger_.Extend(context.now(), digest)) {
     PublishSoon(context, crash);
   }
+  ScheduleExpiry(context);
 }
 
 void quarantine::OnStoreEntries(event_context& context,
@@ -86,7 +90,7 @@
     } else if (const auto record = DecodeCrash(entry.key, entry.value)) {
       listed.insert(*crash);
       Add(context, *record);
-      publisher_.OnStored(*record, entry.revision);
+      publisher_.OnStored(context.now(), *record, entry.revision);
     }
   }
   if (!is_listing) {
@@ -113,8 +117,11 @@
   if (owner == timer_owner::kCrashRecords) {
     return publisher_.OnTimer(context);
   }
+  if (owner == timer_owner::kCrashExpiry) {
+    ledger_.Expire(context.now());
+    return ScheduleExpiry(context);
+  }
   const auto peer = std::exchange(differing_peer_, std::nullopt);
-  ledger_.Expire(context.now());
   if (peer && peer->checksum != ledger_.checksum()) {
     ++useless_views_;
     context.Emit(request_view{peer->peer});
@@ -147,9 +154,16 @@
   const std::set<request_digest> before = ledger_.quarantined();
   const bool is_changed = ledger_.Add(context.now(), record);
   LogChanges(context, before);
+  ScheduleExpiry(context);
   return is_changed;
 }
 
+void quarantine::ScheduleExpiry(event_context& context) {
+  if (const std::optional<instant> next = ledger_.next_expiry()) {
+    context.timers().Schedule({timer_owner::kCrashExpiry}, *next);
+  }
+}
+
 void quarantine::LogChanges(event_context& context,
                             const std::set<request_digest>& before) {
   const std::set<request_digest>& after = ledger_.quarantined();
--- a/Libraries/LibDecision/Quarantine/quarantine.h
+++ b/Libraries/LibDecision/Quarantine/quarantine.h
@@ -51,8 +51,8 @@
   void OnPeerChecksum(event_context& context,
                       std::uint64_t checksum,
                       const node_address& peer);
-  std::vector<crash_record> Records(instant now) const {
-    return ledger_.Records(now);
+  std::vector<crash_record> RecordsForView(instant now) const {
+    return ledger_.RecordsForView(now);
   }
   void OnPeerView(event_context& context,
                   const std::vector<crash_record>& records);
@@ -67,6 +67,7 @@
   bool Add(event_context& context, const crash_record& record);
   void LogChanges(event_context& context,
                   const std::set<request_digest>& before);
+  void ScheduleExpiry(event_context& context);
   void PublishSoon(event_context& context, crash_id crash);
   void OnRemoved(event_context& context, crash_id crash);
 
--- a/Libraries/LibDecision/Timers/timer_service.h
+++ b/Libraries/LibDecision/Timers/timer_service.h
@@ -31,6 +31,7 @@
   kNewerRoutes,
   kCrashRecords,
   kCrashViews,
+  kCrashExpiry,
 };
 
 /// Identifies a timer: `key` distinguishes the timers of one owner.
--- a/Libraries/LibDecision/reducer.cc
+++ b/Libraries/LibDecision/reducer.cc
@@ -312,7 +312,7 @@
 
   void On(event_context& context, const view_requested& request) {
     peer_view view{.routes = routes_watcher.value_in_force(),
-                   .crashes = crashes.Records(context.now())};
+                   .crashes = crashes.RecordsForView(context.now())};
     for (const auto& [node, record] : members.list().members()) {
       view.members.push_back(record);
     }
@@ -433,6 +433,7 @@
         return routes_watcher.OnTimer(context);
       case timer_owner::kCrashRecords:
       case timer_owner::kCrashViews:
+      case timer_owner::kCrashExpiry:
         return crashes.OnTimer(context, due.owner);
       case timer_owner::kNewerRoutes:
         return routes_watcher.OnNewerRoutesTimer(context, routes.version());
--- a/Tests/LibDecision/crash_ledger_test.cc
+++ b/Tests/LibDecision/crash_ledger_test.cc
@@ -173,6 +173,9 @@
   }
   EXPECT_EQ(VerdictOn(1), crash_verdict::kQuarantined);
   EXPECT_LE(ledger_.Records(now_).size(), 512);
+  const std::vector<crash_record> view = ledger_.RecordsForView(now_);
+  EXPECT_LE(view.size(), 64);
+  EXPECT_EQ(view.front().suspects, std::vector{kCulprit});
 }
 
 TEST_F(a_crash, CountsInAChecksumThatIsTheSameInEachOrder) {
--- a/Tests/LibDecision/quarantine_test.cc
+++ b/Tests/LibDecision/quarantine_test.cc
@@ -4,6 +4,7 @@
 #include <string>
 #include <vector>
 
+#include "LibDecision/Quarantine/crash_ledger.h"
 #include "LibDecision/reducer.h"
 
 namespace auburnfold {
@@ -143,6 +144,29 @@
   EXPECT_EQ(Arrive(kCulprit), std::nullopt);
 }
 
+TEST_F(an_endpoints_node, ForgetsARequestThatHasNotComeForALongTime) {
+  for (int i = 0; i < 2; ++i) {
+    Arrive(kCulprit);
+    Crash();
+  }
+  EXPECT_EQ(Arrive(kCulprit), error_kind::kQuarantined);
+  now_ += kCrashLifetime;
+  Report(endpoint_state::kReady);
+  EXPECT_EQ(Arrive(kCulprit), std::nullopt);
+}
+
+TEST_F(an_endpoints_node, RemembersARequestThatKeepsComing) {
+  for (int i = 0; i < 2; ++i) {
+    Arrive(kCulprit);
+    Crash();
+  }
+  for (int i = 0; i < 5; ++i) {
+    now_ += kCrashLifetime * 2 / 3;
+    Report(endpoint_state::kReady);
+    EXPECT_EQ(Arrive(kCulprit), error_kind::kQuarantined);
+  }
+}
+
 TEST_F(an_endpoints_node, CountsOneCrashHoweverManyRequestsWereAtWork) {
   for (std::uint64_t i = 0; i < 10; ++i) {
     Arrive(kCulprit);
