--- a/Tests/LibDecision/crashing_requests_test.cc
+++ b/Tests/LibDecision/crashing_requests_test.cc
@@ -10,7 +10,7 @@
 using namespace std::chrono_literals;
 
 constexpr std::size_t kNodes = 6;
-const request_digest kPoison(666);
+const request_digest kCulprit(666);
 /// A request is quarantined at all nodes this long after its third crash.
 constexpr duration kCalmAfter = 3s;
 /// Runs that are allowed after that.
@@ -38,25 +38,25 @@
 TEST_F(a_request_that_crashes_endpoints, IsNotRunAgainAndAgain) {
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
     a_loaded_fleet nodes(seed);
-    nodes->AddPoison(kPoison, 150ms);
+    nodes->AddCulprit(kCulprit, 150ms);
     nodes->Pass(20s);
-    EXPECT_LE(nodes->RecordOf(kPoison).RunsAfterThirdCrash(kCalmAfter),
+    EXPECT_LE(nodes->RecordOf(kCulprit).RunsAfterThirdCrash(kCalmAfter),
               kMaxLaterRuns)
         << "seed " << seed;
-    EXPECT_LE(nodes->RecordOf(kPoison).crashes.size(), 6) << "seed " << seed;
+    EXPECT_LE(nodes->RecordOf(kCulprit).crashes.size(), 6) << "seed " << seed;
   }
 }
 
 TEST_F(a_request_that_crashes_endpoints, IsRefusedForThisReason) {
   a_loaded_fleet nodes(1);
-  nodes->AddPoison(kPoison, 150ms);
+  nodes->AddCulprit(kCulprit, 150ms);
   nodes->Pass(20s);
-  EXPECT_GE(nodes->RecordOf(kPoison).quarantined, 100);
+  EXPECT_GE(nodes->RecordOf(kCulprit).quarantined, 100);
 }
 
 TEST_F(a_request_that_crashes_endpoints, LeavesTheOthersTheirEndpoints) {
   a_loaded_fleet nodes(1);
-  nodes->AddPoison(kPoison, 150ms);
+  nodes->AddCulprit(kCulprit, 150ms);
   nodes->Pass(10s);
   const std::uint64_t sent = nodes->innocent_requests();
   const std::uint64_t served = nodes->innocents_served();
@@ -70,14 +70,14 @@
 TEST_F(a_request_that_crashes_endpoints, IsRememberedWhenAllNodesRestart) {
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
     a_loaded_fleet nodes(seed);
-    nodes->AddPoison(kPoison, 150ms);
+    nodes->AddCulprit(kCulprit, 150ms);
     nodes->Pass(15s);
-    const std::size_t crashes = nodes->RecordOf(kPoison).crashes.size();
+    const std::size_t crashes = nodes->RecordOf(kCulprit).crashes.size();
     for (std::size_t i = 0; i < kNodes; ++i) {
       nodes->Restart(i);
     }
     nodes->Pass(10s);
-    EXPECT_LE(nodes->RecordOf(kPoison).crashes.size(), crashes + 1)
+    EXPECT_LE(nodes->RecordOf(kCulprit).crashes.size(), crashes + 1)
         << "seed " << seed;
   }
 }
@@ -87,9 +87,9 @@
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
     a_loaded_fleet nodes(seed);
     const std::uint64_t revision = nodes->store().revision();
-    nodes->AddPoison(kPoison, 150ms);
+    nodes->AddCulprit(kCulprit, 150ms);
     nodes->Pass(15s);
-    const std::size_t crashes = nodes->RecordOf(kPoison).crashes.size();
+    const std::size_t crashes = nodes->RecordOf(kCulprit).crashes.size();
     nodes->store().BeginOutage(outage_kind::kRefuses);
     nodes->Pass(1s);
     nodes->Disturb();
@@ -99,7 +99,7 @@
       nodes->Restart(i);
     }
     nodes->Pass(10s);
-    EXPECT_LE(nodes->RecordOf(kPoison).crashes.size(), crashes + 1)
+    EXPECT_LE(nodes->RecordOf(kCulprit).crashes.size(), crashes + 1)
         << "seed " << seed;
   }
 }
@@ -108,18 +108,18 @@
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
     a_loaded_fleet nodes(seed);
     nodes->store().BeginOutage(outage_kind::kRefuses);
-    nodes->AddPoison(kPoison, 150ms);
+    nodes->AddCulprit(kCulprit, 150ms);
     nodes->Pass(15s);
-    EXPECT_LE(nodes->RecordOf(kPoison).RunsAfterThirdCrash(kCalmAfter),
+    EXPECT_LE(nodes->RecordOf(kCulprit).RunsAfterThirdCrash(kCalmAfter),
               kMaxLaterRuns)
         << "seed " << seed;
-    const std::size_t crashes = nodes->RecordOf(kPoison).crashes.size();
+    const std::size_t crashes = nodes->RecordOf(kCulprit).crashes.size();
     // One after the other, so that the others know what each has forgotten.
     for (std::size_t i = 0; i < kNodes; ++i) {
       nodes->Restart(i);
       nodes->Pass(3s);
     }
-    EXPECT_LE(nodes->RecordOf(kPoison).crashes.size(), crashes + 2)
+    EXPECT_LE(nodes->RecordOf(kCulprit).crashes.size(), crashes + 2)
         << "seed " << seed;
   }
 }
@@ -130,7 +130,7 @@
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
     a_loaded_fleet nodes(seed);
     for (std::uint64_t i = 0; i < 4; ++i) {
-      nodes->AddPoison(request_digest(1000 + i), 300ms);
+      nodes->AddCulprit(request_digest(1000 + i), 300ms);
     }
     nodes->Pass(40s);
     for (std::uint64_t i = 0; i < 4; ++i) {
@@ -152,7 +152,7 @@
   for (std::uint64_t seed = GetParam(); seed < GetParam() + kSeeds; ++seed) {
     a_loaded_fleet nodes(seed, 4ms);
     nodes->set_hot_share(5);
-    nodes->AddPoison(kPoison, 100ms);
+    nodes->AddCulprit(kCulprit, 100ms);
     nodes->Pass(6s);
     EXPECT_EQ(nodes->innocents_quarantined(), 0) << "seed " << seed;
   }
--- a/Tests/LibDecision/registry_fleet.cc
+++ b/Tests/LibDecision/registry_fleet.cc
@@ -129,13 +129,13 @@
   }
 }
 
-void registry_fleet::AddPoison(request_digest digest, duration interval) {
-  poisons_.insert(digest);
-  SendPoison(digest, interval);
+void registry_fleet::AddCulprit(request_digest digest, duration interval) {
+  culprits_.insert(digest);
+  SendCulprit(digest, interval);
 }
 
-void registry_fleet::SendPoison(request_digest digest, duration interval) {
-  After(interval, [this, digest, interval] { SendPoison(digest, interval); });
+void registry_fleet::SendCulprit(request_digest digest, duration interval) {
+  After(interval, [this, digest, interval] { SendCulprit(digest, interval); });
   Send(Random() % nodes_.size(), digest);
 }
 
@@ -173,7 +173,7 @@
 }
 
 void registry_fleet::Send(node& entry, const client_request& request) {
-  if (!IsPoison(request.digest) && !request.is_retry) {
+  if (!IsCulprit(request.digest) && !request.is_retry) {
     ++innocents_.sent;
   }
   const call_id call(next_id_++);
@@ -188,7 +188,7 @@
 
 void registry_fleet::Do(node& from, const relay_answer& made) {
   const auto answered = from.calls.extract(made.call);
-  if (answered && !IsPoison(answered.mapped().digest)) {
+  if (answered && !IsCulprit(answered.mapped().digest)) {
     ++innocents_.served;
   }
 }
@@ -199,10 +199,10 @@
     return;
   }
   const client_request request = refused.mapped();
-  const bool is_poison = IsPoison(request.digest);
+  const bool is_culprit = IsCulprit(request.digest);
   if (TraitsOf(made.kind).name == "quarantined") {
     ++records_[request.digest].quarantined;
-    innocents_.quarantined += is_poison ? 0 : 1;
+    innocents_.quarantined += is_culprit ? 0 : 1;
   }
   if (!request.is_retry) {
     After(std::max<duration>(made.retry_after, kRetryDelay),
@@ -322,8 +322,8 @@
   const request_digest digest = open->second.digest;
   from.executing[made.work] = digest;
   records_[digest].runs.push_back(now_);
-  const duration time = IsPoison(digest) ? 50ms + Random() % 50 * 1ms
-                                         : 10ms + Random() % 50 * 1ms;
+  const duration time = IsCulprit(digest) ? 50ms + Random() % 50 * 1ms
+                                          : 10ms + Random() % 50 * 1ms;
   After(time, [this, &from, work = made.work, run = from.run] {
     if (from.run == run) {
       FinishRun(from, work);
@@ -337,7 +337,7 @@
     return;
   }
   const request_digest digest = running->second;
-  if (IsPoison(digest)) {
+  if (IsCulprit(digest)) {
     records_[digest].crashes.push_back(now_);
     return CrashEndpoint(at.index);
   }
--- a/Tests/LibDecision/registry_fleet.h
+++ b/Tests/LibDecision/registry_fleet.h
@@ -59,7 +59,7 @@
 
   /// From now on, this request crashes each endpoint that begins to run it, and
   /// some node gets it this often.
-  void AddPoison(request_digest digest, duration interval);
+  void AddCulprit(request_digest digest, duration interval);
   /// Crashes the endpoint of a node for another reason.
   void CrashEndpoint(std::size_t index);
   /// One request of a client.
@@ -128,13 +128,13 @@
   void After(duration delay, std::function<void()> action);
   void Happen(node& to, event_content content);
   void SendRequests();
-  void SendPoison(request_digest digest, duration interval);
+  void SendCulprit(request_digest digest, duration interval);
   void Send(node& entry, const client_request& request);
   void FinishRun(node& at, work_id work);
   void Report(node& which);
   std::uint64_t Random() { return MixBits(++entropy_); }
-  bool IsPoison(request_digest digest) const {
-    return poisons_.contains(digest);
+  bool IsCulprit(request_digest digest) const {
+    return culprits_.contains(digest);
   }
   void ReportEndpoints();
   /// Records calm nodes that do not route by a version that is due.
@@ -164,7 +164,7 @@
   bool has_traffic_ = true;
   duration interval_ = std::chrono::milliseconds(25);
   std::uint64_t hot_one_in_ = 0;
-  std::set<request_digest> poisons_;
+  std::set<request_digest> culprits_;
   std::map<request_digest, request_record> records_;
   tally innocents_;
   std::uint64_t next_id_ = 1;
