--- a/Libraries/LibDecision/Quarantine/crash_ledger.h
+++ b/Libraries/LibDecision/Quarantine/crash_ledger.h
@@ -63,9 +63,8 @@
   std::vector<crash_record> Records(instant now) const;
   /// The records that matter most, as many as fit in a view.
   std::vector<crash_record> RecordsForView(instant now) const;
-  /// The record of `crash` with no suspects if it is not known.
+  /// The record of `crash`; without suspects and lifetime if it is not known.
   crash_record RecordOf(instant now, crash_id crash) const;
-  bool Knows(crash_id crash) const { return crashes_.contains(crash); }
   /// The same at nodes that know the same crashes; 0 if there are none.
   std::uint64_t checksum() const { return checksum_; }
 
--- a/Tests/LibDecision/crash_ledger_test.cc
+++ b/Tests/LibDecision/crash_ledger_test.cc
@@ -17,7 +17,7 @@
 class a_ledger : public testing::Test {
  protected:
   /// A crash with these requests at work.
-  bool Crash(std::uint64_t id, std::vector<std::uint64_t> suspects) {
+  bool Crash(std::uint64_t id, const std::vector<std::uint64_t>& suspects) {
     crash_record record{.id = crash_id(id), .time_left = kCrashLifetime};
     for (const std::uint64_t suspect : suspects) {
       record.suspects.emplace_back(suspect);
--- a/Tests/LibDecision/route_log_test.cc
+++ b/Tests/LibDecision/route_log_test.cc
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <optional>
 #include <string>
 #include <vector>
@@ -70,12 +71,10 @@
   }
 
   std::optional<decision_record> Last(decision_kind kind) const {
-    for (auto line = lines_.rbegin(); line != lines_.rend(); ++line) {
-      if (line->kind == kind) {
-        return *line;
-      }
-    }
-    return std::nullopt;
+    const auto found = std::find_if(
+        lines_.rbegin(), lines_.rend(),
+        [kind](const decision_record& line) { return line.kind == kind; });
+    return found == lines_.rend() ? std::nullopt : std::optional(*found);
   }
 
   node_state node_;
