Quarantine: Name the quarantine where it is used, and test a restart without it

The reducer held it as crashes, and two limits of different things were both called kMaxCrashes. No behaviour changes.

New test: all nodes are killed while the store is away, and it returns later.

--- a/Libraries/LibDecision/Registry/node_registry.cc
+++ b/Libraries/LibDecision/Registry/node_registry.cc
@@ -31,9 +31,10 @@
 
 }  // namespace
 
-node_registry::node_registry(membership& members, quarantine& crashes)
+node_registry::node_registry(membership& members,
+                             quarantine& request_quarantine)
     : members_(members),
-      quarantine_(crashes),
+      quarantine_(request_quarantine),
       watch_({.prefix = std::string(kRegistryPrefix),
               .owner = timer_owner::kRegistryWatch,
               .caller = store_caller::kRegistryWatch,
--- a/Libraries/LibDecision/Registry/node_registry.h
+++ b/Libraries/LibDecision/Registry/node_registry.h
@@ -21,7 +21,7 @@
 /// a member as long as it answers calls.
 class node_registry {
  public:
-  node_registry(membership& members, quarantine& crashes);
+  node_registry(membership& members, quarantine& request_quarantine);
 
   void Start(event_context& context);
   void OnStoreAnswered(event_context& context, const store_answered& answer);
--- a/Libraries/LibDecision/Retries/retry_policy.cc
+++ b/Libraries/LibDecision/Retries/retry_policy.cc
@@ -16,7 +16,7 @@
 
 // One crash may have another cause. After the second, a retry risks one more
 // endpoint for a request that has probably crashed both.
-constexpr std::uint16_t kMaxCrashes = 2;
+constexpr std::uint16_t kMaxCrashesPerCall = 2;
 
 bool IsOverloadError(error_kind kind) {
   return kind == error_kind::kOverloaded ||
@@ -42,7 +42,7 @@
 bool retry_policy::IsSafeToRetry(instant now,
                                  const outgoing_call& open,
                                  const outcome& result) {
-  if (open.deadline <= now || open.crashes >= kMaxCrashes) {
+  if (open.deadline <= now || open.crashes >= kMaxCrashesPerCall) {
     return false;
   }
   const bool is_bound_to_home =
--- a/Libraries/LibDecision/reducer.cc
+++ b/Libraries/LibDecision/reducer.cc
@@ -45,13 +45,14 @@
   route_table routes;
   route_watcher routes_watcher{options.route_key};
   membership members{policies, options.discovery};
-  quarantine crashes{options};
-  node_registry registry{members, crashes};
+  quarantine request_quarantine{options};
+  node_registry registry{members, request_quarantine};
   retry_allowances allowances;
   pressure_tracker pressure;
-  outgoing_calls calls{policies, routes,   members, allowances,
-                       crashes,  pressure, options};
-  incoming_work work{policies, routes, allowances, crashes, pressure, options};
+  outgoing_calls calls{policies,           routes,   members, allowances,
+                       request_quarantine, pressure, options};
+  incoming_work work{policies,           routes,   allowances,
+                     request_quarantine, pressure, options};
   /// Service of the local endpoint as configured at the node; may be empty.
   service_name local_service;
   bool is_stopped = false;
@@ -79,7 +80,7 @@
         routes_watcher.Start(context);
         break;
     }
-    crashes.Start(self);
+    request_quarantine.Start(self);
     work.Start(context, self);
     local_service = self.service;
   }
@@ -160,8 +161,8 @@
     if (peer != nullptr && finished.result.peer) {
       NotePeerRoutes(context, finished.result.peer->newer_routes,
                      peer->address);
-      crashes.OnPeerChecksum(context, finished.result.peer->crash_checksum,
-                             peer->address);
+      request_quarantine.OnPeerChecksum(
+          context, finished.result.peer->crash_checksum, peer->address);
     }
     calls.OnAttemptFinished(context, finished);
   }
@@ -171,8 +172,8 @@
       RequestViewFromSender(context, arrived);
     }
     NotePeerRoutes(context, arrived.metadata.routes, arrived.from_address);
-    crashes.OnPeerChecksum(context, arrived.metadata.crash_checksum,
-                           arrived.from_address);
+    request_quarantine.OnPeerChecksum(context, arrived.metadata.crash_checksum,
+                                      arrived.from_address);
     work.OnArrived(context, arrived);
     PublishEndpointChange(context);
   }
@@ -246,7 +247,7 @@
     UpdateStoreAvailability(context, answer);
     members.OnStoreAnswered(context, answer);
     registry.OnStoreAnswered(context, answer);
-    crashes.OnStoreAnswered(context, answer);
+    request_quarantine.OnStoreAnswered(context, answer);
     routes_watcher.OnStoreAnswered(context, answer);
     policies.OnStoreAnswered(context, answer);
   }
@@ -312,7 +313,7 @@
 
   void On(event_context& context, const view_requested& request) {
     peer_view view{.routes = routes_watcher.value_in_force(),
-                   .crashes = crashes.RecordsForView(context.now())};
+                   .crashes = request_quarantine.RecordsForView(context.now())};
     for (const auto& [node, record] : members.list().members()) {
       view.members.push_back(record);
     }
@@ -326,7 +327,7 @@
     if (options.discovery == discovery_mode::kRegistry) {
       registry.OnPeerView(context, received.view.members);
     }
-    crashes.OnPeerView(context, received.view.crashes);
+    request_quarantine.OnPeerView(context, received.view.crashes);
   }
 
   // A node that starts while the key-value store is unavailable knows no other
@@ -434,7 +435,7 @@
       case timer_owner::kCrashRecords:
       case timer_owner::kCrashViews:
       case timer_owner::kCrashExpiry:
-        return crashes.OnTimer(context, due.owner);
+        return request_quarantine.OnTimer(context, due.owner);
       case timer_owner::kNewerRoutes:
         return routes_watcher.OnNewerRoutesTimer(context, routes.version());
     }
--- a/Tests/LibDecision/crashing_requests_test.cc
+++ b/Tests/LibDecision/crashing_requests_test.cc
@@ -82,6 +82,30 @@
   }
 }
 
+TEST_F(a_request_that_crashes_endpoints,
+       IsRememberedWhenAllNodesRestartWithoutTheStore) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    a_loaded_fleet nodes(seed);
+    nodes->AddCulprit(kCulprit, 150ms);
+    nodes->Pass(15s);
+    const std::size_t crashes = nodes->RecordOf(kCulprit).crashes.size();
+    nodes->store().BeginOutage(outage_kind::kRefuses);
+    for (std::size_t i = 0; i < kNodes; ++i) {
+      nodes->Restart(i);
+    }
+    nodes->Pass(5s);
+    nodes->Disturb();
+    nodes->store().EndOutage(0);
+    nodes->Pass(10s);
+    EXPECT_LE(nodes->RecordOf(kCulprit).crashes.size(), crashes + 1)
+        << "seed " << seed;
+    EXPECT_LE(nodes->RecordOf(kCulprit).RunsAfterThirdCrash(kCalmAfter),
+              kMaxLaterRuns)
+        << "seed " << seed;
+    EXPECT_GT(nodes->RecordOf(kCulprit).quarantined, 100) << "seed " << seed;
+  }
+}
+
 TEST_F(a_request_that_crashes_endpoints,
        IsRememberedWhenTheStoreComesBackOlder) {
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
