Routes, platform: Keep routes in force beside parts that are not understood

The same held for each malformed or missing field, and a view with one record of another format was rejected whole.

Each part is now read by itself. A route without a service that is understood stays in the table and refuses its requests as not executed, since they would otherwise match a shorter prefix. What was not read is logged as config_field_unread and counted by field. Member records may have more fields, and views more kinds of records.

--- a/Libraries/LibDecision/Calls/outgoing_calls.cc
+++ b/Libraries/LibDecision/Calls/outgoing_calls.cc
@@ -113,9 +113,12 @@
   if (found == nullptr) {
     return error_kind::kUnknownRoute;
   }
-  metadata.service = routes_.NextService(*found);
   metadata.request_class = found->name;
   metadata.objective = found->objective;
+  if (found->services.empty()) {
+    return error_kind::kNoEndpoint;
+  }
+  metadata.service = routes_.NextService(*found);
   return std::nullopt;
 }
 
--- a/Libraries/LibDecision/Registry/member_codec.cc
+++ b/Libraries/LibDecision/Registry/member_codec.cc
@@ -56,8 +56,9 @@
                          fields.TakeNumber(record.address.control_port);
   record.domain = domain_name(std::string(fields.TakeUntil(' ')));
   record.service = service_name(std::string(fields.TakeUntil(' ')));
-  const bool is_complete = fields.TakeNumber(record.slots) && fields.is_empty();
-  if (!has_ports || !is_complete || record.address.host.empty()) {
+  // A later version may append fields.
+  const bool has_slots = fields.TakeNumber(record.slots);
+  if (!has_ports || !has_slots || record.address.host.empty()) {
     return std::nullopt;
   }
   return record;
--- a/Libraries/LibDecision/Routes/route.h
+++ b/Libraries/LibDecision/Routes/route.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "LibDecision/Routes/unread_field.h"
 #include "LibDecision/ids.h"
 #include "LibDecision/instant.h"
 
@@ -26,7 +27,7 @@
   std::string host;
   /// Path prefix; begins and ends with a slash.
   std::string prefix;
-  /// Never empty.
+  /// If empty, requests are refused as not executed.
   std::vector<weighted_service> services;
   /// Executing a request twice does no harm.
   bool is_idempotent = false;
@@ -63,6 +64,8 @@
   std::vector<route> routes;
   std::vector<service_config> services;
   caller_limits limits;
+  /// What could not be read; the rest is in force all the same.
+  std::vector<unread_field> unread;
 };
 
 }  // namespace auburnfold
--- a/Libraries/LibDecision/decision_record.cc
+++ b/Libraries/LibDecision/decision_record.cc
@@ -54,6 +54,8 @@
       return "routes_ignored";
     case decision_kind::kRoutesRejected:
       return "routes_rejected";
+    case decision_kind::kConfigFieldUnread:
+      return "config_field_unread";
     case decision_kind::kConnectionDropped:
       return "connection_dropped";
     case decision_kind::kStoreLost:
@@ -102,6 +104,7 @@
     case decision_kind::kRoutesTaken:
     case decision_kind::kRoutesIgnored:
     case decision_kind::kRoutesRejected:
+    case decision_kind::kConfigFieldUnread:
     case decision_kind::kConnectionDropped:
     case decision_kind::kStoreLost:
     case decision_kind::kStoreEraChanged:
--- a/Libraries/LibDecision/decision_record.h
+++ b/Libraries/LibDecision/decision_record.h
@@ -45,6 +45,7 @@
   kRoutesTaken,        ///< New routes are in effect.
   kRoutesIgnored,      ///< Routes that were read are not newer.
   kRoutesRejected,     ///< Invalid routes are ignored.
+  kConfigFieldUnread,  ///< A part of the routes in effect is not understood.
   kConnectionDropped,  ///< An unresponsive connection is closed.
   kStoreLost,          ///< The key-value store is unavailable.
   kStoreEraChanged,    ///< The key-value store has lost acknowledged writes.
@@ -105,6 +106,8 @@
   std::optional<std::uint32_t> candidates;
   /// The `endpoint_state` of the local endpoint, as a number.
   std::optional<std::uint32_t> state;
+  /// The part of the configuration that is not understood.
+  std::optional<unread_field> config;
 };
 
 }  // namespace auburnfold
--- a/Libraries/LibDecision/reducer.cc
+++ b/Libraries/LibDecision/reducer.cc
@@ -263,6 +263,7 @@
     routes_watcher.OnTaken(decoded.value);
     context.Count(counter::kRoutesTaken);
     LogRoutes(context, decision_kind::kRoutesTaken, decoded);
+    LogUnreadFields(context, *decoded.config);
     for (const route& configured_route : decoded.config->routes) {
       ApplyRouteSettings(context, decoded.config->version, configured_route);
     }
@@ -283,6 +284,16 @@
     context.Log(std::move(record));
   }
 
+  static void LogUnreadFields(event_context& context,
+                              const route_config& config) {
+    for (const unread_field& unread : config.unread) {
+      context.Log({.kind = decision_kind::kConfigFieldUnread,
+                   .request_class = class_name(unread.entry),
+                   .routes = config.version,
+                   .config = unread});
+    }
+  }
+
   // A node that restarts while its endpoint keeps running would otherwise
   // refuse all work until the endpoint's next report.
   void ProbeEndpoint(event_context& context) {
--- a/Libraries/LibRuntime/decision_log.cc
+++ b/Libraries/LibRuntime/decision_log.cc
@@ -109,6 +109,10 @@
   fields.Add("rate", record.rate);
   fields.Add("candidates", record.candidates);
   fields.Add("state", record.state);
+  if (record.config) {
+    fields.Add("field", NameOf(record.config->field));
+    fields.Add("value", record.config->value);
+  }
   return line;
 }
 
--- a/Libraries/LibRuntime/node_metrics.cc
+++ b/Libraries/LibRuntime/node_metrics.cc
@@ -103,12 +103,23 @@
       const std::string_view name = TraitsOf(static_cast<error_kind>(i)).name;
       errors[i] = &errors_family.Add({{"kind", std::string(name)}});
     }
+    auto& unread_family =
+        prometheus::BuildCounter()
+            .Name("auburnfold_config_fields_unread_total")
+            .Help("Parts of decoded routes that are not understood.")
+            .Register(registry);
+    for (std::size_t i = 0; i < kConfigFieldCount; ++i) {
+      const std::string_view name =
+          auburnfold::NameOf(static_cast<config_field>(i));
+      unread_fields[i] = &unread_family.Add({{"field", std::string(name)}});
+    }
   }
 
   prometheus::Registry registry;
   std::array<prometheus::Counter*, kCounterCount> counters{};
   std::array<prometheus::Counter*, kRuntimeCounterCount> runtime_counters{};
   std::array<prometheus::Counter*, kErrorKindCount> errors{};
+  std::array<prometheus::Counter*, kConfigFieldCount> unread_fields{};
   prometheus::Gauge& calls_in_flight;
   prometheus::Gauge& work_items_in_flight;
   labelled_histograms call_seconds_by_class;
@@ -136,6 +147,10 @@
   impl_->errors[static_cast<std::size_t>(kind)]->Increment();
 }
 
+void node_metrics::CountUnreadField(config_field field) {
+  impl_->unread_fields[static_cast<std::size_t>(field)]->Increment();
+}
+
 void node_metrics::ObserveCall(const class_name& request_class,
                                const tenant_name& tenant,
                                elapsed latency) {
--- a/Libraries/LibRuntime/node_metrics.h
+++ b/Libraries/LibRuntime/node_metrics.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <string_view>
 
+#include "LibDecision/Routes/unread_field.h"
 #include "LibDecision/counter.h"
 #include "LibDecision/error_kind.h"
 #include "LibDecision/ids.h"
@@ -43,6 +44,8 @@
   void Count(counter which, std::uint64_t amount);
   void Count(runtime_counter which, std::uint64_t amount = 1);
   void CountError(error_kind kind);
+  /// Counts a part of a decoded configuration that is not understood.
+  void CountUnreadField(config_field field);
   void ObserveCall(const class_name& request_class,
                    const tenant_name& tenant,
                    elapsed latency);
--- a/Libraries/LibRuntime/node_runtime.cc
+++ b/Libraries/LibRuntime/node_runtime.cc
@@ -373,6 +373,9 @@
       decode_route_config ? decode_route_config(effect.value) : std::nullopt;
   if (config) {
     admin.OnRoutesAvailable();
+    for (const unread_field& unread : config->unread) {
+      metrics.CountUnreadField(unread.field);
+    }
   }
   sink(routes_decoded{std::move(config), effect.value, effect.reading});
 }
--- a/Libraries/LibRuntime/view_codec.cc
+++ b/Libraries/LibRuntime/view_codec.cc
@@ -40,9 +40,8 @@
       view.members.push_back(*std::move(record));
     } else if (auto crash = DecodeCrash(key, value)) {
       view.crashes.push_back(*std::move(crash));
-    } else {
-      return std::nullopt;
     }
+    // A later version may add kinds of records.
   }
   view.routes = std::string(text.substr(end + (end == 0 ? 1 : 2)));
   return view;
--- a/Tests/LibDecision/registry_test.cc
+++ b/Tests/LibDecision/registry_test.cc
@@ -433,6 +433,16 @@
   EXPECT_EQ(DecodeMember(MemberKey(record.node), EncodeMember(record)), record);
 }
 
+TEST_F(a_record, MayHaveFieldsOfALaterVersion) {
+  const member_record record{.node = node_id(7),
+                             .address = {.host = "10.0.0.7"},
+                             .service = service_name("s"),
+                             .slots = 12};
+  EXPECT_EQ(
+      DecodeMember(MemberKey(record.node), EncodeMember(record) + "later 7 "),
+      record);
+}
+
 TEST_F(a_record, OfAnotherWriterNamesNobody) {
   EXPECT_FALSE(DecodeMember("auburnfold/nodes/7", "nonsense"));
   EXPECT_FALSE(DecodeMember("auburnfold/nodes/x", "auburnfold-node-1 "));
