Store: Watch longer in larger fleets, and list crashes before routes

Half and more of the prices on the large mesh were calls of the store: each node watched the routes for 2 s and the registry for 8 s, and began a watch half a second after each change of a member.

A watch now lasts a random time of up to 0.3 s for each node, 30 s at most, so that the fleet ends a watch every 0.3 s whatever its size. A connection that goes silent is reported by TCP within two seconds instead of by the end of the watch; the fake store of the tests models that. A watch whose answer was lost is found by the first node whose watch ends, and requests carry the version to the others. While changes follow each other the next watch of the registry begins up to 20 ms a node later, 2 s at most, unless crashes were among them. Listings follow every 60 s. While the store is away the watch of the routes finds its return for the others.

A node that restarts lists the registry, and with it the crashes, before the routes.

--- a/Libraries/LibDecision/Registry/node_registry.cc
+++ b/Libraries/LibDecision/Registry/node_registry.cc
@@ -1,9 +1,11 @@
 #include "LibDecision/Registry/node_registry.h"
 
+#include <algorithm>
 #include <chrono>
 #include <set>
 #include <utility>
 
+#include "LibDecision/Quarantine/crash_codec.h"
 #include "LibDecision/Registry/member_codec.h"
 
 namespace auburnfold {
@@ -15,12 +17,20 @@
 // A watch that no longer receives changes is replaced after this time, which
 // need not be short: callers also learn from an endpoint's node that the
 // endpoint is leaving.
-constexpr duration kMaxWatchDuration = seconds(8);
-constexpr duration kRelistInterval = seconds(30);
+constexpr duration kMinWatchDuration = seconds(8);
+constexpr duration kRelistInterval = seconds(60);
 // Nodes that start together register within one heartbeat interval of their
 // endpoints, and a caller that learns of a change half a second later loses at
 // most one attempt.
 constexpr duration kDelayAfterChange = std::chrono::milliseconds(500);
+// Each request to an endpoint that has left meanwhile is refused by its node as
+// not executed, and goes elsewhere.
+constexpr duration kMaxDelayPerNode = std::chrono::milliseconds(20);
+constexpr duration kMaxDelayAfterChange = seconds(2);
+// Shorter than the two seconds within which records are back. The watch of the
+// routes retries more often, and its success ends the wait.
+constexpr backoff_policy kRetryBackoff{std::chrono::milliseconds(200),
+                                       std::chrono::milliseconds(1600), 3};
 // Time from the expiry of a record until its node may be removed. Nodes that
 // are alive and reach the store restore their records within two seconds after
 // it is available again.
@@ -38,8 +48,11 @@
       watch_({.prefix = std::string(kRegistryPrefix),
               .owner = timer_owner::kRegistryWatch,
               .caller = store_caller::kRegistryWatch,
-              .max_wait = kMaxWatchDuration,
+              .min_wait = kMinWatchDuration,
               .delay_after_change = kDelayAfterChange,
+              .max_delay_per_node = kMaxDelayPerNode,
+              .max_delay_after_change = kMaxDelayAfterChange,
+              .retry_backoff = kRetryBackoff,
               .relist_interval = kRelistInterval}) {}
 
 void node_registry::Start(event_context& context) {
@@ -49,6 +62,7 @@
 void node_registry::OnStoreAnswered(event_context& context,
                                     const store_answered& answer) {
   std::optional<prefix_update> update;
+  watch_.set_node_count(members_.list().members().size());
   if (!watch_.OnStoreAnswered(context, answer, update)) {
     return registration_.OnStoreAnswered(context, answer);
   }
@@ -59,6 +73,12 @@
     ApplyEntry(context, entry);
   }
   quarantine_.OnStoreEntries(context, update->entries, update->is_listing);
+  const bool has_crashes = std::any_of(
+      update->entries.begin(), update->entries.end(),
+      [](const store_entry& entry) { return ParseCrashKey(entry.key); });
+  if (has_crashes) {
+    watch_.ShortenDelay(context);
+  }
   if (update->is_listing) {
     MarkUnlistedAsLapsed(context, update->entries);
     may_list_older_records_ = false;
@@ -73,6 +93,11 @@
   watch_.OnStoreEraChanged(context);
 }
 
+void node_registry::OnStoreRegained(event_context& context) {
+  watch_.RetryNow(context);
+  registration_.RetryNow(context);
+}
+
 void node_registry::OnTimer(event_context& context, timer_owner owner) {
   if (owner == timer_owner::kRegistryWatch) {
     return watch_.OnTimer(context);
--- a/Libraries/LibDecision/Registry/node_registry.h
+++ b/Libraries/LibDecision/Registry/node_registry.h
@@ -27,6 +27,8 @@
   void OnStoreAnswered(event_context& context, const store_answered& answer);
   /// The store has lost writes and may hold older records.
   void OnStoreEraChanged(event_context& context);
+  /// A call of the store has succeeded after one that has not.
+  void OnStoreRegained(event_context& context);
   void OnTimer(event_context& context, timer_owner owner);
   /// The process is about to exit.
   void OnStopped(event_context& context) { registration_.Withdraw(context); }
--- a/Libraries/LibDecision/Registry/registration.h
+++ b/Libraries/LibDecision/Registry/registration.h
@@ -32,6 +32,12 @@
   /// The store has lost writes, maybe the lease and the latest record: grants a
   /// new lease and writes the record again.
   void OnStoreEraChanged(event_context& context);
+  /// The store is available again: makes a call that waits for its retry.
+  void RetryNow(event_context& context) {
+    if (failures_ > 0) {
+      StartNextCall(context);
+    }
+  }
   /// A renewal or a retry is due.
   void OnTimer(event_context& context);
 
--- a/Libraries/LibDecision/Routes/route_watcher.cc
+++ b/Libraries/LibDecision/Routes/route_watcher.cc
@@ -9,11 +9,16 @@
 namespace {
 
 // A change must be in force three seconds after the key-value store or a
-// connection to it was last disturbed. A watch whose connection went silent
-// fails only after this time and the response timeout of the client; the
-// listing that replaces it must arrive before the three seconds are over.
-constexpr duration kMaxWatchDuration = std::chrono::seconds(2);
-constexpr duration kRelistInterval = std::chrono::seconds(30);
+// connection to it was last disturbed. The operating system reports a
+// connection that went silent within two seconds. A watch whose answer was lost
+// ends by itself; the listing that replaces the first one to end in the fleet
+// must arrive early enough for requests to carry the version to the others.
+constexpr duration kMinWatchDuration = std::chrono::seconds(2);
+constexpr duration kRelistInterval = std::chrono::seconds(60);
+// This watch detects first that the store is available again. The maximum is
+// small enough that a node is up to date well within two seconds after that.
+constexpr backoff_policy kRetryBackoff{std::chrono::milliseconds(100),
+                                       std::chrono::milliseconds(400), 2};
 // An eighth of the two seconds within which a change must be in force.
 constexpr duration kWatchDelay = std::chrono::milliseconds(250);
 // The store tells of a change within kWatchDelay and a round trip, so a peer is
@@ -27,8 +32,9 @@
       watch_({.prefix = key,
               .owner = timer_owner::kRouteWatch,
               .caller = store_caller::kRouteWatch,
-              .max_wait = kMaxWatchDuration,
+              .min_wait = kMinWatchDuration,
               .delay_after_change = kWatchDelay,
+              .retry_backoff = kRetryBackoff,
               .relist_interval = kRelistInterval}) {}
 
 void route_watcher::OnStoreAnswered(event_context& context,
--- a/Libraries/LibDecision/Routes/route_watcher.h
+++ b/Libraries/LibDecision/Routes/route_watcher.h
@@ -1,6 +1,7 @@
 #ifndef LIBDECISION_ROUTES_ROUTE_WATCHER_H_
 #define LIBDECISION_ROUTES_ROUTE_WATCHER_H_
 
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <utility>
@@ -23,6 +24,10 @@
     watch_.OnStoreEraChanged(context);
   }
   void OnTimer(event_context& context) { watch_.OnTimer(context); }
+  /// The number of nodes that watch the routes.
+  void set_node_count(std::size_t node_count) {
+    watch_.set_node_count(node_count);
+  }
 
   /// The node at `peer` uses `version`. If this node does not learn of it from
   /// the key-value store in time, it requests the view of that node.
--- a/Libraries/LibDecision/Store/prefix_watch.cc
+++ b/Libraries/LibDecision/Store/prefix_watch.cc
@@ -3,17 +3,16 @@
 #include <algorithm>
 #include <chrono>
 
-#include "LibDecision/Store/backoff.h"
+#include "LibDecision/Store/watch_duration.h"
 
 namespace auburnfold {
 
 namespace {
 
-using std::chrono::milliseconds;
-
-// The delay doubles with each failure. The maximum is small enough that a node
-// is up to date well within two seconds after the store is available again.
-constexpr backoff_policy kRetryBackoff{milliseconds(100), milliseconds(400), 2};
+// Changes follow each other if the watch that receives the next one has lasted
+// at most this long.
+constexpr duration kSuccessiveChangeTime = std::chrono::seconds(2);
+constexpr std::uint32_t kMaxDelayDoublings = 4;
 
 }  // namespace
 
@@ -24,6 +23,21 @@
   }
 }
 
+void prefix_watch::ShortenDelay(event_context& context) {
+  if (watch_call_ || list_call_ || is_failing()) {
+    return;
+  }
+  successive_changes_ = 0;
+  context.timers().Schedule({options_.owner},
+                            context.now() + options_.delay_after_change);
+}
+
+void prefix_watch::RetryNow(event_context& context) {
+  if (is_failing() && !list_call_ && !watch_call_) {
+    List(context);
+  }
+}
+
 void prefix_watch::OnStoreEraChanged(event_context& context) {
   watch_call_.reset();
   list_call_.reset();
@@ -73,9 +87,15 @@
     return;
   }
   watch_call_ = call_ids_.Next();
+  watched_since_ = context.now();
   context.Count(counter::kStoreCalls);
-  context.Emit(call_store{*watch_call_, store_watch{options_.prefix, *revision_,
-                                                    options_.max_wait}});
+  // Random, since all watches that receive a change begin again together.
+  const duration longest = LongestWatch(node_count_, options_.min_wait);
+  const auto wait = options_.min_wait + std::chrono::duration_cast<duration>(
+                                            (longest - options_.min_wait) *
+                                            context.RandomFraction());
+  context.Emit(
+      call_store{*watch_call_, store_watch{options_.prefix, *revision_, wait}});
 }
 
 void prefix_watch::OnListed(event_context& context,
@@ -113,12 +133,24 @@
   }
   if (has_changes && options_.delay_after_change > duration::zero()) {
     context.timers().Schedule({options_.owner},
-                              context.now() + options_.delay_after_change);
+                              context.now() + DelayAfterChange(context.now()));
     return;
   }
   Watch(context);
 }
 
+duration prefix_watch::DelayAfterChange(instant now) {
+  const bool is_successive = now - watched_since_ <= kSuccessiveChangeTime;
+  successive_changes_ =
+      is_successive ? std::min(successive_changes_ + 1, kMaxDelayDoublings) : 0;
+  const duration max_delay = std::max(
+      options_.delay_after_change,
+      std::min(options_.max_delay_after_change,
+               options_.max_delay_per_node * static_cast<int>(node_count_)));
+  return std::min(options_.delay_after_change * (1U << successive_changes_),
+                  max_delay);
+}
+
 // A listing is answered at once or not at all, so it detects earlier than a
 // watch that the store is available again. If only the store's history is gone,
 // the store itself works and the listing follows without a delay.
@@ -131,7 +163,7 @@
   }
   context.timers().Schedule(
       {options_.owner},
-      context.now() + BackoffDelay(context, kRetryBackoff, failures_));
+      context.now() + BackoffDelay(context, options_.retry_backoff, failures_));
 }
 
 }  // namespace auburnfold
--- a/Libraries/LibDecision/reducer.cc
+++ b/Libraries/LibDecision/reducer.cc
@@ -56,6 +56,7 @@
   /// Service of the local endpoint as configured at the node; may be empty.
   service_name local_service;
   bool is_stopped = false;
+  bool is_watching_routes = false;
   bool is_store_unavailable = false;
   store_era latest_store_era;
   std::optional<instant> view_requested_at;
@@ -77,7 +78,7 @@
         policies.Start(context);
         break;
       case settings_source::kRoutes:
-        routes_watcher.Start(context);
+        WatchRoutes(context);
         break;
     }
     request_quarantine.Start(self);
@@ -85,6 +86,18 @@
     local_service = self.service;
   }
 
+  // A node that routes requests before it knows the crashes that they cause
+  // would let each of them crash one more endpoint. The listing of the registry
+  // contains the crashes, so it comes first.
+  void WatchRoutes(event_context& context) {
+    const bool knows_crashes =
+        options.discovery != discovery_mode::kRegistry || registry.is_listed();
+    if (knows_crashes && !is_watching_routes) {
+      is_watching_routes = true;
+      routes_watcher.Start(context);
+    }
+  }
+
   void On(event_context& context, const stop_requested&) {
     context.Log({.kind = decision_kind::kStopping});
     members.OnStopRequested(context);
@@ -247,7 +260,11 @@
     UpdateStoreAvailability(context, answer);
     members.OnStoreAnswered(context, answer);
     registry.OnStoreAnswered(context, answer);
+    if (options.settings == settings_source::kRoutes) {
+      WatchRoutes(context);
+    }
     request_quarantine.OnStoreAnswered(context, answer);
+    routes_watcher.set_node_count(members.list().members().size());
     routes_watcher.OnStoreAnswered(context, answer);
     policies.OnStoreAnswered(context, answer);
   }
@@ -392,6 +409,9 @@
       return;
     }
     is_store_unavailable = is_unavailable;
+    if (!is_unavailable && options.discovery == discovery_mode::kRegistry) {
+      registry.OnStoreRegained(context);
+    }
     context.Log({.kind = is_unavailable ? decision_kind::kStoreLost
                                         : decision_kind::kStoreRegained});
   }
--- a/Tests/LibDecision/leased_store.cc
+++ b/Tests/LibDecision/leased_store.cc
@@ -1,11 +1,20 @@
 #include "leased_store.h"
 
 #include <algorithm>
+#include <chrono>
 #include <utility>
 #include <variant>
 
 namespace auburnfold {
 
+namespace {
+
+// The client of the store learns after this time at the latest that a
+// connection has gone silent: one second idle, and one for the probe's answer.
+constexpr duration kKeepaliveTimeout = std::chrono::seconds(2);
+
+}  // namespace
+
 void leased_store::Call(instant now,
                         const store_request& request,
                         reply_function reply) {
@@ -41,16 +50,21 @@
 }
 
 void leased_store::Pass(instant now) {
+  now_ = now;
   std::vector<waiting_watch> ended;
   std::erase_if(watches_, [&](const waiting_watch& watch) {
-    const bool is_over = watch.ends_at <= now;
-    if (is_over && !watch.is_silent) {
+    const bool is_over = watch.silent_since
+                             ? *watch.silent_since + kKeepaliveTimeout <= now
+                             : watch.ends_at <= now;
+    if (is_over) {
       ended.push_back(watch);
     }
     return is_over;
   });
   for (const waiting_watch& watch : ended) {
-    watch.reply(Finish({}));
+    watch.reply(watch.silent_since
+                    ? store_result{.status = store_status::kUnavailable}
+                    : Finish({}));
   }
 }
 
@@ -96,7 +110,7 @@
 
 void leased_store::SilenceConnections() {
   for (waiting_watch& watch : watches_) {
-    watch.is_silent = true;
+    watch.silent_since = watch.silent_since.value_or(now_);
   }
 }
 
@@ -161,7 +175,8 @@
   }
   std::vector<waiting_watch> woken;
   std::erase_if(watches_, [&](const waiting_watch& watch) {
-    const bool is_due = !watch.is_silent && !ChangesAfter(watch.wanted).empty();
+    const bool is_due =
+        !watch.silent_since && !ChangesAfter(watch.wanted).empty();
     if (is_due) {
       woken.push_back(watch);
     }
@@ -174,7 +189,7 @@
 
 void leased_store::CutWatches() {
   for (const waiting_watch& watch : std::exchange(watches_, {})) {
-    if (!watch.is_silent) {
+    if (!watch.silent_since) {
       watch.reply({.status = store_status::kUnavailable});
     }
   }
--- a/Tests/LibDecision/leased_store.h
+++ b/Tests/LibDecision/leased_store.h
@@ -58,7 +58,8 @@
     store_watch wanted;
     reply_function reply;
     instant ends_at;
-    bool is_silent = false;
+    /// Set if its connection has gone silent.
+    std::optional<instant> silent_since;
   };
   struct change {
     store_entry entry;
@@ -83,6 +84,7 @@
   std::uint64_t next_lease_ = 1;
   std::uint64_t oldest_lease_ = 1;
   std::optional<outage_kind> outage_;
+  instant now_{};
   bool is_deaf_ = false;
   std::vector<waiting_watch> watches_;
 };
--- a/Tests/LibDecision/route_log_test.cc
+++ b/Tests/LibDecision/route_log_test.cc
@@ -20,6 +20,8 @@
                .settings = settings_source::kRoutes,
                .route_key = "routes"}) {
     Happen(node_started{.node = node_id(1), .run = incarnation(5)});
+    // The routes are read once the registry is listed.
+    Happen(store_answered{last_call_, {.era = store_era(3)}});
   }
 
   void Happen(event_content content) {
@@ -41,10 +43,9 @@
   void Keep(const call_store& call) {
     const auto* list = std::get_if<store_list>(&call.request);
     const auto* watch = std::get_if<store_watch>(&call.request);
-    const bool is_about_routes =
-        (list != nullptr && list->prefix == "routes") ||
-        (watch != nullptr && watch->prefix == "routes");
-    if (is_about_routes) {
+    const bool is_listing_or_routes =
+        list != nullptr || (watch != nullptr && watch->prefix == "routes");
+    if (is_listing_or_routes) {
       last_call_ = call.call;
     }
   }
