Work: Find crashes that look like lost answers

The test connection is now opened 10 ms after the loss, when a process that ends has stopped listening. Where a crash is still taken for lost answers, the endpoint's next report names another run: the requests whose answers were lost within five seconds before, and those still at work, are then recorded as suspects, unless the endpoint had announced that it leaves. Crashes are told by Work/endpoint_crash_detector.

New test on virtual time: all crashes, every second or every fourth one look like lost answers, and the report of the new run comes one to four seconds later, 20 seeds each.

--- a/Libraries/LibDecision/Work/incoming_work.cc
+++ b/Libraries/LibDecision/Work/incoming_work.cc
@@ -192,6 +192,12 @@
     if (finished.result.error == error_kind::kEndpointCrashed) {
       OnCrashed(context, item);
     }
+    const bool is_answer_lost =
+        finished.result.error == error_kind::kAnswerLost ||
+        finished.result.error == error_kind::kAnswerTruncated;
+    if (is_answer_lost && item.metadata.digest != request_digest()) {
+      crash_detector_.OnAnswerLost(context.now(), item.metadata.digest);
+    }
     if (is_unavailable) {
       endpoint_.OnUnreachable(context);
     }
@@ -200,13 +206,10 @@
   ApplyDecisions(context, decisions);
 }
 
-// The requests that were at work end one after the other, all of them started
-// before the crash.
 void incoming_work::OnCrashed(event_context& context, const work_item& item) {
-  if (crashed_at_ && item.started <= *crashed_at_) {
+  if (!crash_detector_.OnCrashed(context.now(), item.started)) {
     return;
   }
-  crashed_at_ = context.now();
   context.Count(counter::kEndpointCrashes);
   context.Log({.kind = decision_kind::kEndpointCrashed,
                .service = item.metadata.service,
@@ -217,15 +220,36 @@
   if (endpoint_.is_leaving()) {
     return;
   }
-  std::vector<request_digest> suspects;
-  for (const auto& [id, other] : work_items_) {
-    if (other.is_sent && other.metadata.digest != request_digest()) {
-      suspects.push_back(other.metadata.digest);
-    }
+  quarantine_.OnCrash(context, DigestsAtWork());
+}
+
+void incoming_work::OnReplacedWithoutNotice(event_context& context) {
+  std::vector<request_digest> suspects =
+      crash_detector_.OnReplaced(context.now());
+  const std::vector<request_digest> at_work = DigestsAtWork();
+  suspects.insert(suspects.end(), at_work.begin(), at_work.end());
+  if (suspects.empty()) {
+    return;
   }
+  context.Count(counter::kEndpointCrashes);
+  context.Log({.kind = decision_kind::kEndpointCrashed,
+               .service = endpoint_.report()->service,
+               .endpoint = endpoint_.name(),
+               .run = endpoint_.current_run().run,
+               .running = admission_.running()});
   quarantine_.OnCrash(context, std::move(suspects));
 }
 
+std::vector<request_digest> incoming_work::DigestsAtWork() const {
+  std::vector<request_digest> digests;
+  for (const auto& [id, item] : work_items_) {
+    if (item.is_sent && item.metadata.digest != request_digest()) {
+      digests.push_back(item.metadata.digest);
+    }
+  }
+  return digests;
+}
+
 void incoming_work::OnSignals(event_context& context,
                               const work_item& item,
                               const outcome& result) {
@@ -290,6 +314,7 @@
 report_result incoming_work::OnEndpointReported(
     event_context& context,
     const endpoint_reported& report) {
+  const bool was_leaving = endpoint_.is_leaving();
   const report_result result = endpoint_.OnReported(context, report);
   if (result != report_result::kIgnored) {
     admission_.OnEndpointReported(context, *endpoint_.report());
@@ -314,6 +339,9 @@
   if (result != report_result::kReplaced) {
     return result;
   }
+  if (!was_leaving) {
+    OnReplacedWithoutNotice(context);
+  }
   if (rate_limit_.rate()) {
     rate_limit_.Reset();
     ApplyRateLimit(context, {.service = report.service,
--- a/Libraries/LibDecision/Work/incoming_work.h
+++ b/Libraries/LibDecision/Work/incoming_work.h
@@ -16,6 +16,7 @@
 #include "LibDecision/Routes/route_table.h"
 #include "LibDecision/Table/policy_table.h"
 #include "LibDecision/Work/active_senders.h"
+#include "LibDecision/Work/endpoint_crash_detector.h"
 #include "LibDecision/Work/local_endpoint.h"
 #include "LibDecision/Work/named_rate_limit.h"
 #include "LibDecision/ended_child.h"
@@ -130,6 +131,10 @@
   void Abandon(event_context& context, work_id id, error_kind kind);
   /// `item` was at work when the endpoint ended without notice.
   void OnCrashed(event_context& context, const work_item& item);
+  /// The endpoint runs anew without having announced that it leaves.
+  void OnReplacedWithoutNotice(event_context& context);
+  /// The requests that are at work at the endpoint.
+  std::vector<request_digest> DigestsAtWork() const;
   /// Handles what a response of the endpoint to `item` says about the endpoint.
   void OnSignals(event_context& context,
                  const work_item& item,
@@ -184,8 +189,7 @@
   /// Work that was handed to the endpoint, by the id of its request.
   std::unordered_map<request_id, work_id> executing_by_request_id_;
   std::vector<work_id> ended_;
-  /// When the endpoint last ended without notice.
-  std::optional<instant> crashed_at_;
+  endpoint_crash_detector crash_detector_;
   bool is_endpoint_changed_ = false;
 };
 
--- a/Libraries/LibRuntime/work_handler.cc
+++ b/Libraries/LibRuntime/work_handler.cc
@@ -23,6 +23,10 @@
 /// then the callers of lost answers wait.
 constexpr std::chrono::milliseconds kEndpointTestTimeout{50};
 
+/// A process that ends closes its connections and its listening socket one
+/// after the other, within this time.
+constexpr std::chrono::milliseconds kEndpointSettleTime{10};
+
 }  // namespace
 
 work_handler::work_handler(asio::io_context& io,
@@ -37,7 +41,8 @@
       next_connection_(std::move(next_connection)),
       sink_(std::move(sink)),
       metrics_(metrics),
-      deadline_timer_(io, [this] { TimeOutWork(); }) {}
+      deadline_timer_(io, [this] { TimeOutWork(); }),
+      settle_timer_(io) {}
 
 void work_handler::OnWork(const std::shared_ptr<server_session>& session,
                           http_request request) {
@@ -325,10 +330,17 @@
 // All connections of an endpoint that crashes close, and it accepts no new one.
 void work_handler::ReportAfterTest(work_id work, const outcome& ended) {
   untested_.push_back({work, ended});
-  if (untested_.size() == 1) {
-    pool_->TestPeer(kEndpointTestTimeout,
-                    [this](bool is_refused) { OnEndpointTested(is_refused); });
+  if (untested_.size() > 1) {
+    return;
   }
+  settle_timer_.expires_after(kEndpointSettleTime);
+  settle_timer_.async_wait([this](error_code error) {
+    if (!error) {
+      pool_->TestPeer(kEndpointTestTimeout, [this](bool is_refused) {
+        OnEndpointTested(is_refused);
+      });
+    }
+  });
 }
 
 void work_handler::OnEndpointTested(bool is_refused) {
--- a/Libraries/LibRuntime/work_handler.h
+++ b/Libraries/LibRuntime/work_handler.h
@@ -1,6 +1,7 @@
 #ifndef LIBRUNTIME_WORK_HANDLER_H_
 #define LIBRUNTIME_WORK_HANDLER_H_
 
+#include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <memory>
 #include <string>
@@ -100,6 +101,7 @@
   event_sink sink_;
   node_metrics& metrics_;
   lazy_timer deadline_timer_;
+  asio::steady_timer settle_timer_;
   std::uint64_t next_work_ = 1;
   std::unordered_map<work_id, open_work> open_work_;
   std::unordered_map<idempotency_key, http_response> cached_responses_;
--- a/Tests/LibDecision/crashing_requests_test.cc
+++ b/Tests/LibDecision/crashing_requests_test.cc
@@ -47,6 +47,23 @@
   }
 }
 
+TEST_F(a_request_that_crashes_endpoints,
+       IsStoppedThoughCrashesLookLikeLostAnswers) {
+  for (const std::uint64_t one_in : {1, 2, 4}) {
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+      a_loaded_fleet nodes(seed);
+      nodes->set_hidden_share(one_in);
+      nodes->AddCulprit(kCulprit, 150ms);
+      nodes->Pass(30s);
+      // At the latest each endpoint's own node has seen two of its crashes.
+      EXPECT_LE(nodes->RecordOf(kCulprit).crashes.size(), 2 * kNodes)
+          << "seed " << seed << ", one in " << one_in;
+      EXPECT_GE(nodes->RecordOf(kCulprit).quarantined, 100)
+          << "seed " << seed << ", one in " << one_in;
+    }
+  }
+}
+
 TEST_F(a_request_that_crashes_endpoints, IsRefusedForThisReason) {
   a_loaded_fleet nodes(1);
   nodes->AddCulprit(kCulprit, 150ms);
--- a/Tests/LibDecision/registry_fleet.cc
+++ b/Tests/LibDecision/registry_fleet.cc
@@ -146,10 +146,13 @@
   }
   which.is_endpoint_up = false;
   ++which.endpoint_run;
+  const bool is_hidden = hidden_one_in_ > 0 && Random() % hidden_one_in_ == 0;
+  const error_kind error =
+      is_hidden ? error_kind::kAnswerLost : error_kind::kEndpointCrashed;
   for (const auto& [work, digest] : std::exchange(which.executing, {})) {
-    Happen(which, work_finished{work,
-                                {.error = error_kind::kEndpointCrashed,
-                                 .execution = execution_state::kUnknown}});
+    Happen(which,
+           work_finished{
+               work, {.error = error, .execution = execution_state::kUnknown}});
   }
   After(1s + Random() % 3000 * 1ms, [this, &which] {
     which.is_endpoint_up = true;
--- a/Tests/LibDecision/registry_fleet.h
+++ b/Tests/LibDecision/registry_fleet.h
@@ -60,6 +60,9 @@
   /// From now on, this request crashes each endpoint that begins to run it, and
   /// some node gets it this often.
   void AddCulprit(request_digest digest, duration interval);
+  /// One in this many crashes looks like lost answers, since the endpoint
+  /// closes its connections before it stops listening; 0 for none.
+  void set_hidden_share(std::uint64_t one_in) { hidden_one_in_ = one_in; }
   /// Crashes the endpoint of a node for another reason.
   void CrashEndpoint(std::size_t index);
   /// One request of a client.
@@ -164,6 +167,7 @@
   bool has_traffic_ = true;
   duration interval_ = std::chrono::milliseconds(25);
   std::uint64_t hot_one_in_ = 0;
+  std::uint64_t hidden_one_in_ = 0;
   std::set<request_digest> culprits_;
   std::map<request_digest, request_record> records_;
   tally innocents_;
