Runtime: Apply the configured limits of callers, and bound request bodies

maxBodyBytes and idleTimeoutS of the configuration were read and not applied: every body above 1 MiB was refused with 413, whatever the operators allow, and all request bodies together had no bound, so that uploads could exhaust the memory of a node.

The limits hold from the routes that set them on (effect apply_caller_limits), at the peer port with room for the headers that nodes add. Bodies that callers send, and those that other nodes forward, may take 32 MiB each; memory for a body is reserved by its stated length before it is read, or as it grows, and held until the request is answered. Where there is none the request is refused at once as overloaded, not executed, with a time to come back. Bodies are held whole: the digest of the quarantine needs all of it, and a request that was not executed can be sent elsewhere.

--- a/Libraries/LibDecision/effect.h
+++ b/Libraries/LibDecision/effect.h
@@ -7,6 +7,7 @@
 #include <variant>
 #include <vector>
 
+#include "LibDecision/Routes/route.h"
 #include "LibDecision/Routes/route_reading.h"
 #include "LibDecision/admin_call.h"
 #include "LibDecision/answer_metadata.h"
@@ -160,6 +161,11 @@
   route_reading reading;
 };
 
+/// Limit the requests and connections of callers from now on.
+struct apply_caller_limits {
+  caller_limits limits;
+};
+
 /// Answer an administration request.
 struct answer_admin {
   admin_call_id call;
@@ -211,6 +217,7 @@
                             call_store,
                             probe_endpoint,
                             decode_routes,
+                            apply_caller_limits,
                             request_view,
                             send_view,
                             answer_admin,
--- a/Libraries/LibDecision/reducer.cc
+++ b/Libraries/LibDecision/reducer.cc
@@ -281,6 +281,7 @@
     context.Count(counter::kRoutesTaken);
     LogRoutes(context, decision_kind::kRoutesTaken, decoded);
     LogUnreadFields(context, *decoded.config);
+    context.Emit(apply_caller_limits{decoded.config->limits});
     for (const route& configured_route : decoded.config->routes) {
       ApplyRouteSettings(context, decoded.config->version, configured_route);
     }
--- a/Libraries/LibRuntime/response_memory.h
+++ b/Libraries/LibRuntime/body_memory.h
@@ -1,17 +1,17 @@
-#ifndef LIBRUNTIME_RESPONSE_MEMORY_H_
-#define LIBRUNTIME_RESPONSE_MEMORY_H_
+#ifndef LIBRUNTIME_BODY_MEMORY_H_
+#define LIBRUNTIME_BODY_MEMORY_H_
 
 #include <algorithm>
 #include <cstddef>
 
 namespace auburnfold {
 
-/// Bounds the memory of all response bodies that are being read at once. A
-/// server that sends bodies without end on many connections would otherwise
-/// exhaust the memory of the process, although each body is bounded.
-class response_memory {
+/// Bounds the memory of all bodies that are held at once. Peers that send large
+/// bodies on many connections would otherwise exhaust the memory of the
+/// process, although each body is bounded.
+class body_memory {
  public:
-  explicit response_memory(std::size_t max_bytes) : max_bytes_(max_bytes) {}
+  explicit body_memory(std::size_t max_bytes) : max_bytes_(max_bytes) {}
 
   /// Returns whether `bytes` more are available, and reserves them if so.
   bool TryReserve(std::size_t bytes) {
@@ -35,4 +35,4 @@
 
 }  // namespace auburnfold
 
-#endif  // LIBRUNTIME_RESPONSE_MEMORY_H_
+#endif  // LIBRUNTIME_BODY_MEMORY_H_
--- a/Libraries/LibRuntime/call_handler.h
+++ b/Libraries/LibRuntime/call_handler.h
@@ -98,7 +98,7 @@
   std::uint64_t next_call_ = 1;
   std::unordered_map<call_id, open_call> calls_;
   std::unordered_map<attempt_id, open_attempt> attempts_;
-  response_memory memory_{kMaxResponseMemoryBytes};
+  body_memory memory_{kMaxResponseMemoryBytes};
   std::map<node_address, std::unique_ptr<connection_pool>> pools_;
   bool is_stopping_ = false;
 };
--- a/Libraries/LibRuntime/client_connection.h
+++ b/Libraries/LibRuntime/client_connection.h
@@ -7,9 +7,9 @@
 #include <memory>
 #include <optional>
 
+#include "LibRuntime/body_memory.h"
 #include "LibRuntime/client_request.h"
 #include "LibRuntime/http_types.h"
-#include "LibRuntime/response_memory.h"
 
 namespace auburnfold {
 
@@ -23,7 +23,7 @@
   std::function<void(const std::shared_ptr<client_connection>&, bool by_peer)>
       on_closed;
   /// Shared by all connections of the owner.
-  response_memory* memory = nullptr;
+  body_memory* memory = nullptr;
 };
 
 /// An outgoing HTTP/1.1 connection that carries at most one request at a time.
--- a/Libraries/LibRuntime/connection_pool.cc
+++ b/Libraries/LibRuntime/connection_pool.cc
@@ -8,7 +8,7 @@
                                  tcp::endpoint to,
                                  id_source next_id,
                                  closed_handler on_closed_by_peer,
-                                 response_memory& memory)
+                                 body_memory& memory)
     : io_(io),
       to_(std::move(to)),
       next_id_(std::move(next_id)),
--- a/Libraries/LibRuntime/connection_pool.h
+++ b/Libraries/LibRuntime/connection_pool.h
@@ -24,7 +24,7 @@
                   tcp::endpoint to,
                   id_source next_id,
                   closed_handler on_closed_by_peer,
-                  response_memory& memory);
+                  body_memory& memory);
   ~connection_pool();
   connection_pool(const connection_pool&) = delete;
   connection_pool& operator=(const connection_pool&) = delete;
--- a/Libraries/LibRuntime/http_listener.h
+++ b/Libraries/LibRuntime/http_listener.h
@@ -18,9 +18,14 @@
 /// Accepts connections at one port and runs a `server_session` for each.
 class http_listener {
  public:
+  /// `memory_bytes` bounds the request bodies that its sessions hold at once.
   http_listener(asio::io_context& io,
                 session_handlers handlers,
-                node_metrics& metrics);
+                node_metrics& metrics,
+                std::size_t memory_bytes = kMaxRequestMemoryBytes);
+
+  /// Applies from the next request of each session on.
+  void set_limits(const session_limits& limits) { limits_ = limits; }
 
   /// Listens at `host`:`port`; port 0 picks any free port. Fails if `host` is
   /// not an IP address of this machine or the port is in use.
@@ -50,6 +55,8 @@
   void EraseClosedSessions();
   void OnAcceptFailed(error_code error);
 
+  session_limits limits_;
+  body_memory memory_;
   session_handlers handlers_;
   node_metrics& metrics_;
   tcp::acceptor acceptor_;
--- a/Libraries/LibRuntime/http_types.h
+++ b/Libraries/LibRuntime/http_types.h
@@ -27,13 +27,17 @@
 
 /// HTTP/1.1 in Beast's encoding of versions.
 inline constexpr unsigned kHttp11 = 11;
-/// Maximum body size of a request or response.
+/// Maximum body size of a response, and of a request while no configuration
+/// sets another.
 inline constexpr std::size_t kMaxBodyBytes = std::size_t{1024} * 1024;
 /// Maximum size of the start line and headers together.
 inline constexpr std::size_t kMaxHeaderBytes = std::size_t{16} * 1024;
 /// Maximum size of all response bodies that are read at once from other nodes,
 /// and from the endpoint; a part of the memory of the smallest VMs.
 inline constexpr std::size_t kMaxResponseMemoryBytes = 32 * kMaxBodyBytes;
+/// Maximum size of all request bodies that are held at once from callers, and
+/// from other nodes.
+inline constexpr std::size_t kMaxRequestMemoryBytes = 32 * kMaxBodyBytes;
 /// Buffer space offered to each read.
 inline constexpr std::size_t kReadChunkBytes = std::size_t{8} * 1024;
 
--- a/Libraries/LibRuntime/node_runtime.cc
+++ b/Libraries/LibRuntime/node_runtime.cc
@@ -41,6 +41,11 @@
 // Callers may hold this part of the file descriptors; the others are for
 // connections to and from nodes, the endpoint and the key-value store.
 constexpr std::size_t kCallerDescriptorDivisor = 2;
+// A request that finds no memory for its body may be sent again after this
+// time.
+constexpr std::chrono::milliseconds kMemoryRetryDelay{200};
+// Nodes add headers of their own to the requests that they forward.
+constexpr std::size_t kForwardedHeaderBytes = std::size_t{4} * 1024;
 constexpr std::string_view kIdempotencyKeysTarget = "/auburnfold/v1/keys";
 
 // Counts microseconds, so that a restart within the same millisecond gets a
@@ -99,6 +104,7 @@
     metrics.Count(effect.which, effect.amount);
   }
   void On(const decode_routes& effect);
+  void On(const apply_caller_limits& effect);
   void On(const probe_endpoint& effect) { works.ProbeEndpoint(effect.path); }
   void On(const request_view& effect) { views.Execute(effect); }
   void On(const send_view& effect) { views.Execute(effect); }
@@ -253,10 +259,15 @@
         on_request) {
   session_handlers handlers;
   handlers.on_request = std::move(on_request);
-  handlers.on_malformed = [this](const std::shared_ptr<server_session>& session,
-                                 error_kind kind) {
+  handlers.on_rejected = [this](const std::shared_ptr<server_session>& session,
+                                error_kind kind) {
     metrics.CountError(kind);
-    session->SendResponseAndClose(dialect.MakeError({.kind = kind}));
+    const bool may_retry =
+        TraitsOf(kind).advice == retry_advice::kAfterPressureDelay;
+    session->SendResponseAndClose(dialect.MakeError(
+        {.kind = kind,
+         .execution = execution_state::kNotExecuted,
+         .retry_after = may_retry ? kMemoryRetryDelay : duration::zero()}));
   };
   return handlers;
 }
@@ -380,6 +391,19 @@
   sink(routes_decoded{std::move(config), effect.value, effect.reading});
 }
 
+void node_runtime::impl::On(const apply_caller_limits& effect) {
+  session_limits limits;
+  limits.header_bytes =
+      std::max<std::size_t>(kMaxHeaderBytes, effect.limits.header_bytes);
+  limits.body_bytes =
+      std::min<std::uint64_t>(effect.limits.body_bytes, kMaxRequestMemoryBytes);
+  limits.idle_timeout = effect.limits.idle_timeout;
+  call_listener.set_limits(limits);
+  limits.header_bytes += kForwardedHeaderBytes;
+  limits.idle_timeout = session_limits().idle_timeout;
+  peer_listener.set_limits(limits);
+}
+
 void node_runtime::impl::On(const log_message& effect) {
   LOG4CPLUS_INFO(Log(), effect.text);
 }
--- a/Libraries/LibRuntime/server_session.cc
+++ b/Libraries/LibRuntime/server_session.cc
@@ -1,5 +1,6 @@
 #include "LibRuntime/server_session.h"
 
+#include <algorithm>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/rfc7230.hpp>
@@ -12,9 +13,6 @@
 
 namespace {
 
-// Longer than `kIdleTimeout` of client_connection, so that the client closes
-// an idle connection first and sends no request on one that is being closed.
-constexpr std::chrono::seconds kIdleTimeout{90};
 constexpr std::chrono::seconds kReadTimeout{10};
 constexpr std::chrono::seconds kLingerTimeout{2};
 constexpr std::string_view kContinueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -25,6 +23,10 @@
                                const session_handlers& handlers)
     : socket_(std::move(socket)), handlers_(handlers) {}
 
+server_session::~server_session() {
+  ReleaseBodyMemory();
+}
+
 void server_session::Start() {
   error_code ignored;
   socket_.set_option(tcp::no_delay(true), ignored);
@@ -89,6 +91,7 @@
   error_code ignored;
   socket_.close(ignored);
   on_disconnect_ = nullptr;
+  ReleaseBodyMemory();
 }
 
 void server_session::CloseIfStale(clock::time_point now) {
@@ -128,11 +131,14 @@
   if (error && error != http::error::need_more) {
     return RejectMalformed(error);
   }
+  if (!ReserveBodyMemory()) {
+    return Reject(error_kind::kOverloaded);
+  }
   if (parser_->is_done()) {
     return DispatchRequest();
   }
   if (!parser_->got_some()) {
-    deadline_ = clock::now() + kIdleTimeout;
+    deadline_ = clock::now() + handlers_.limits->idle_timeout;
   } else {
     deadline_ = clock::now() + kReadTimeout;
   }
@@ -151,14 +157,44 @@
   handlers_.on_request(shared_from_this(), std::move(request));
 }
 
+// A body whose size is known is rejected before it is read.
+bool server_session::ReserveBodyMemory() {
+  if (!parser_->is_header_done()) {
+    return true;
+  }
+  const auto stated = static_cast<std::size_t>(std::min<std::uint64_t>(
+      parser_->content_length().value_or(0), handlers_.limits->body_bytes));
+  const std::string& body = parser_->get().body();
+  const std::size_t needed =
+      std::max(stated, body.empty() ? 0 : body.capacity());
+  if (needed <= reserved_bytes_) {
+    return true;
+  }
+  if (!handlers_.memory->TryReserve(needed - reserved_bytes_)) {
+    return false;
+  }
+  reserved_bytes_ = needed;
+  return true;
+}
+
+void server_session::ReleaseBodyMemory() {
+  handlers_.memory->Release(std::exchange(reserved_bytes_, 0));
+}
+
 void server_session::RejectMalformed(error_code error) {
-  is_busy_ = true;
   const bool is_too_large = error == http::error::body_limit ||
                             error == http::error::header_limit ||
                             error == http::error::buffer_overflow;
-  handlers_.on_malformed(shared_from_this(),
-                         is_too_large ? error_kind::kRequestTooLarge
-                                      : error_kind::kMalformedRequest);
+  Reject(is_too_large ? error_kind::kRequestTooLarge
+                      : error_kind::kMalformedRequest);
+}
+
+// What was read of the body is dropped, and what follows is discarded.
+void server_session::Reject(error_kind kind) {
+  is_busy_ = true;
+  parser_.emplace();
+  ReleaseBodyMemory();
+  handlers_.on_rejected(shared_from_this(), kind);
 }
 
 void server_session::SendContinueIfExpected() {
@@ -203,13 +239,15 @@
 }
 
 void server_session::PrepareNext() {
+  ReleaseBodyMemory();
   parser_.emplace();
   parser_->eager(true);
-  parser_->header_limit(kMaxHeaderBytes);
-  parser_->body_limit(kMaxBodyBytes);
+  parser_->header_limit(
+      static_cast<std::uint32_t>(handlers_.limits->header_bytes));
+  parser_->body_limit(handlers_.limits->body_bytes);
   is_continue_sent_ = false;
   idle_since_ = clock::now();
-  deadline_ = idle_since_ + kIdleTimeout;
+  deadline_ = idle_since_ + handlers_.limits->idle_timeout;
 }
 
 void server_session::OnDisconnected() {
--- a/Libraries/LibRuntime/server_session.h
+++ b/Libraries/LibRuntime/server_session.h
@@ -2,28 +2,44 @@
 #define LIBRUNTIME_SERVER_SESSION_H_
 
 #include <chrono>
+#include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string>
 
 #include "LibDecision/error_kind.h"
+#include "LibRuntime/body_memory.h"
 #include "LibRuntime/http_types.h"
 
 namespace auburnfold {
 
 class server_session;
 
-/// Callbacks to the server that owns the sessions.
+/// What a session accepts.
+struct session_limits {
+  std::size_t header_bytes = kMaxHeaderBytes;
+  std::uint64_t body_bytes = kMaxBodyBytes;
+  /// A connection without a request is closed after this time.
+  std::chrono::steady_clock::duration idle_timeout = std::chrono::seconds(90);
+};
+
+/// Callbacks to the server that owns the sessions, and what they share.
 struct session_handlers {
   /// A complete request was read. Answer it with
   /// `server_session::SendResponse`.
   std::function<void(const std::shared_ptr<server_session>&, http_request)>
       on_request;
-  /// A malformed or too large request was read. Answer it with
+  /// A request was rejected before it was read: it is malformed or too large,
+  /// or there is no memory for its body. Answer it with
   /// `server_session::SendResponseAndClose`.
   std::function<void(const std::shared_ptr<server_session>&, error_kind)>
-      on_malformed;
+      on_rejected;
+  /// Must outlive the sessions. The limits may change and then hold from the
+  /// next request on.
+  const session_limits* limits = nullptr;
+  body_memory* memory = nullptr;
 };
 
 /// An accepted HTTP/1.1 connection. Serves requests one after the other, and
@@ -33,6 +49,9 @@
   using clock = std::chrono::steady_clock;
 
   server_session(tcp::socket socket, const session_handlers& handlers);
+  ~server_session();
+  server_session(const server_session&) = delete;
+  server_session& operator=(const server_session&) = delete;
 
   void Start();
 
@@ -75,6 +94,11 @@
   void Parse();
   void DispatchRequest();
   void RejectMalformed(error_code error);
+  void Reject(error_kind kind);
+  /// Reserves memory for the body of the current request, all of it once its
+  /// size is known. Returns whether there is enough.
+  bool ReserveBodyMemory();
+  void ReleaseBodyMemory();
   void SendContinueIfExpected();
   void Write();
   void OnWritten(error_code error);
@@ -91,6 +115,8 @@
   clock::time_point deadline_;
   clock::time_point idle_since_;
   http::verb method_ = http::verb::unknown;
+  /// Held until the request is answered, since the request is.
+  std::size_t reserved_bytes_ = 0;
   bool is_busy_ = false;
   bool is_reading_ = false;
   bool is_continue_sent_ = false;
--- a/Libraries/LibRuntime/view_handler.h
+++ b/Libraries/LibRuntime/view_handler.h
@@ -34,7 +34,7 @@
   std::uint64_t next_call_ = 1;
   std::unordered_map<view_call_id, std::shared_ptr<server_session>> pending_;
   /// Each request has a pool of its own, which the next request replaces.
-  response_memory memory_{kMaxBodyBytes * 2};
+  body_memory memory_{kMaxBodyBytes * 2};
   std::unique_ptr<connection_pool> pool_;
 };
 
--- a/Libraries/LibRuntime/work_handler.h
+++ b/Libraries/LibRuntime/work_handler.h
@@ -106,7 +106,7 @@
   std::unordered_map<work_id, open_work> open_work_;
   std::unordered_map<idempotency_key, http_response> cached_responses_;
   tcp::endpoint endpoint_;
-  response_memory memory_{kMaxResponseMemoryBytes};
+  body_memory memory_{kMaxResponseMemoryBytes};
   std::unique_ptr<connection_pool> pool_;
   std::weak_ptr<client_connection> probe_;
   clock::time_point probe_deadline_{};
--- a/Tests/LibDecision/route_log_test.cc
+++ b/Tests/LibDecision/route_log_test.cc
@@ -34,6 +34,9 @@
       if (const auto* decode = std::get_if<decode_routes>(&each)) {
         decoding_ = *decode;
       }
+      if (const auto* limited = std::get_if<apply_caller_limits>(&each)) {
+        limits_ = limited->limits;
+      }
       if (const auto* logged = std::get_if<log_decision>(&each)) {
         lines_.push_back(logged->record);
       }
@@ -83,6 +86,7 @@
   std::uint64_t entropy_ = 0;
   store_call_id last_call_;
   decode_routes decoding_;
+  std::optional<caller_limits> limits_;
   std::vector<decision_record> lines_;
 };
 
@@ -127,5 +131,19 @@
   EXPECT_EQ(Last(decision_kind::kStoreEraChanged)->era, store_era(4));
 }
 
+TEST_F(the_log_of_routes, NamesThePartsThatAreNotUnderstood) {
+  Show(40);
+  route_config config{.version = route_version(7)};
+  config.limits.body_bytes = 5;
+  config.unread = {{config_field::kRouteKind, "r-1", "\"streamed\""}};
+  Happen(routes_decoded{config, decoding_.value, decoding_.reading});
+  const auto unread = Last(decision_kind::kConfigFieldUnread);
+  ASSERT_TRUE(unread);
+  EXPECT_EQ(unread->config, config.unread.front());
+  EXPECT_EQ(unread->routes, route_version(7));
+  ASSERT_TRUE(limits_);
+  EXPECT_EQ(limits_->body_bytes, 5);
+}
+
 }  // namespace
 }  // namespace auburnfold
--- a/Tests/LibRuntime/endless_responses_test.cc
+++ b/Tests/LibRuntime/endless_responses_test.cc
@@ -107,7 +107,7 @@
   }
 
   asio::io_context io_;
-  response_memory memory_{kMaxBytes};
+  body_memory memory_{kMaxBytes};
   std::uint64_t last_id_ = 0;
   std::vector<std::optional<error_kind>> ended_;
 };
--- a/Tests/LibRuntime/http_listener_test.cc
+++ b/Tests/LibRuntime/http_listener_test.cc
@@ -21,8 +21,7 @@
   session_handlers handlers_{
       .on_request = [](const std::shared_ptr<server_session>&,
                        const http_request&) {},
-      .on_malformed = [](const std::shared_ptr<server_session>&,
-                         error_kind) {}};
+      .on_rejected = [](const std::shared_ptr<server_session>&, error_kind) {}};
   http_listener listener_{io_, handlers_, metrics_};
 };
 
