--- a/Meta/deployment.sh
+++ b/Meta/deployment.sh
@@ -215,5 +215,9 @@
 }
 
 HasEnded() {
-  ! kill -0 "$1" 2>/dev/null || grep -q '^State:	Z' "/proc/$1/status"
+  kill -0 "$1" 2>/dev/null || return 0
+  # The first thread of a process is a zombie before the last one has ended,
+  # and only then are the ports free.
+  grep -q '^State:	Z' "/proc/$1/status" 2>/dev/null &&
+    [ "$(ls "/proc/$1/task" 2>/dev/null | wc -l)" -le 1 ]
 }
