Runtime: Let sessions share the memory bound of their listener

A session whose event loop ends after its listener released memory through a reference to the destroyed listener. Found by reading the change; the tests passed by chance. Sessions now share the bound.

--- a/Libraries/LibRuntime/http_listener.cc
+++ b/Libraries/LibRuntime/http_listener.cc
@@ -30,13 +30,12 @@
                              session_handlers handlers,
                              node_metrics& metrics,
                              std::size_t memory_bytes)
-    : memory_(memory_bytes),
-      handlers_(std::move(handlers)),
+    : handlers_(std::move(handlers)),
       metrics_(metrics),
       acceptor_(io),
       retry_timer_(io) {
   handlers_.limits = &limits_;
-  handlers_.memory = &memory_;
+  handlers_.memory = std::make_shared<body_memory>(memory_bytes);
 }
 
 error_code http_listener::Listen(const std::string& host, std::uint16_t port) {
--- a/Libraries/LibRuntime/http_listener.h
+++ b/Libraries/LibRuntime/http_listener.h
@@ -56,7 +56,6 @@
   void OnAcceptFailed(error_code error);
 
   session_limits limits_;
-  body_memory memory_;
   session_handlers handlers_;
   node_metrics& metrics_;
   tcp::acceptor acceptor_;
--- a/Libraries/LibRuntime/server_session.cc
+++ b/Libraries/LibRuntime/server_session.cc
@@ -21,7 +21,9 @@
 
 server_session::server_session(tcp::socket socket,
                                const session_handlers& handlers)
-    : socket_(std::move(socket)), handlers_(handlers) {}
+    : socket_(std::move(socket)),
+      handlers_(handlers),
+      memory_(handlers.memory) {}
 
 server_session::~server_session() {
   ReleaseBodyMemory();
@@ -170,7 +172,7 @@
   if (needed <= reserved_bytes_) {
     return true;
   }
-  if (!handlers_.memory->TryReserve(needed - reserved_bytes_)) {
+  if (!memory_->TryReserve(needed - reserved_bytes_)) {
     return false;
   }
   reserved_bytes_ = needed;
@@ -178,7 +180,7 @@
 }
 
 void server_session::ReleaseBodyMemory() {
-  handlers_.memory->Release(std::exchange(reserved_bytes_, 0));
+  memory_->Release(std::exchange(reserved_bytes_, 0));
 }
 
 void server_session::RejectMalformed(error_code error) {
--- a/Libraries/LibRuntime/server_session.h
+++ b/Libraries/LibRuntime/server_session.h
@@ -36,10 +36,11 @@
   /// `server_session::SendResponseAndClose`.
   std::function<void(const std::shared_ptr<server_session>&, error_kind)>
       on_rejected;
-  /// Must outlive the sessions. The limits may change and then hold from the
-  /// next request on.
+  /// Must outlive the open sessions. The limits may change and then hold from
+  /// the next request on.
   const session_limits* limits = nullptr;
-  body_memory* memory = nullptr;
+  /// Shared with sessions that end after the server, with the event loop.
+  std::shared_ptr<body_memory> memory;
 };
 
 /// An accepted HTTP/1.1 connection. Serves requests one after the other, and
@@ -107,6 +108,7 @@
 
   tcp::socket socket_;
   const session_handlers& handlers_;
+  std::shared_ptr<body_memory> memory_;
   beast::flat_buffer buffer_;
   std::optional<http::request_parser<http::string_body>> parser_;
   http_response response_;
