LibRuntime: Give each kind of job a folder of its own

Connections, requests, control, settings and observability are folders now, as LibDecision has them. Files are only moved; includes and include guards follow.

--- a/Libraries/LibRuntime/body_memory.h
+++ b/Libraries/LibRuntime/Connections/body_memory.h
@@ -1,5 +1,5 @@
-#ifndef LIBRUNTIME_BODY_MEMORY_H_
-#define LIBRUNTIME_BODY_MEMORY_H_
+#ifndef LIBRUNTIME_CONNECTIONS_BODY_MEMORY_H_
+#define LIBRUNTIME_CONNECTIONS_BODY_MEMORY_H_
 
 #include <algorithm>
 #include <cstddef>
@@ -35,4 +35,4 @@
 
 }  // namespace auburnfold
 
-#endif  // LIBRUNTIME_BODY_MEMORY_H_
+#endif  // LIBRUNTIME_CONNECTIONS_BODY_MEMORY_H_
--- a/Libraries/LibRuntime/client_connection.cc
+++ b/Libraries/LibRuntime/Connections/client_connection.cc
@@ -1,4 +1,4 @@
-#include "LibRuntime/client_connection.h"
+#include "LibRuntime/Connections/client_connection.h"
 
 #include <algorithm>
 #include <boost/beast/http/error.hpp>
@@ -6,7 +6,7 @@
 #include <charconv>
 #include <utility>
 
-#include "LibRuntime/tcp_timeouts.h"
+#include "LibRuntime/Connections/tcp_timeouts.h"
 
 namespace auburnfold {
 
--- a/Libraries/LibRuntime/client_connection.h
+++ b/Libraries/LibRuntime/Connections/client_connection.h
@@ -1,5 +1,5 @@
-#ifndef LIBRUNTIME_CLIENT_CONNECTION_H_
-#define LIBRUNTIME_CLIENT_CONNECTION_H_
+#ifndef LIBRUNTIME_CONNECTIONS_CLIENT_CONNECTION_H_
+#define LIBRUNTIME_CONNECTIONS_CLIENT_CONNECTION_H_
 
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
@@ -7,9 +7,9 @@
 #include <memory>
 #include <optional>
 
-#include "LibRuntime/body_memory.h"
-#include "LibRuntime/client_request.h"
-#include "LibRuntime/http_types.h"
+#include "LibRuntime/Connections/body_memory.h"
+#include "LibRuntime/Connections/client_request.h"
+#include "LibRuntime/Connections/http_types.h"
 
 namespace auburnfold {
 
@@ -109,4 +109,4 @@
 
 }  // namespace auburnfold
 
-#endif  // LIBRUNTIME_CLIENT_CONNECTION_H_
+#endif  // LIBRUNTIME_CONNECTIONS_CLIENT_CONNECTION_H_
--- a/Libraries/LibRuntime/client_request.h
+++ b/Libraries/LibRuntime/Connections/client_request.h
@@ -1,5 +1,5 @@
-#ifndef LIBRUNTIME_CLIENT_REQUEST_H_
-#define LIBRUNTIME_CLIENT_REQUEST_H_
+#ifndef LIBRUNTIME_CONNECTIONS_CLIENT_REQUEST_H_
+#define LIBRUNTIME_CONNECTIONS_CLIENT_REQUEST_H_
 
 #include <functional>
 #include <memory>
@@ -9,7 +9,7 @@
 
 #include "LibDecision/error_kind.h"
 #include "LibDecision/ids.h"
-#include "LibRuntime/http_types.h"
+#include "LibRuntime/Connections/http_types.h"
 
 namespace auburnfold {
 
@@ -47,4 +47,4 @@
 
 }  // namespace auburnfold
 
-#endif  // LIBRUNTIME_CLIENT_REQUEST_H_
+#endif  // LIBRUNTIME_CONNECTIONS_CLIENT_REQUEST_H_
--- a/Libraries/LibRuntime/connection_pool.cc
+++ b/Libraries/LibRuntime/Connections/connection_pool.cc
@@ -1,4 +1,4 @@
-#include "LibRuntime/connection_pool.h"
+#include "LibRuntime/Connections/connection_pool.h"
 
 #include <utility>
 
--- a/Libraries/LibRuntime/connection_pool.h
+++ b/Libraries/LibRuntime/Connections/connection_pool.h
@@ -1,13 +1,13 @@
-#ifndef LIBRUNTIME_CONNECTION_POOL_H_
-#define LIBRUNTIME_CONNECTION_POOL_H_
+#ifndef LIBRUNTIME_CONNECTIONS_CONNECTION_POOL_H_
+#define LIBRUNTIME_CONNECTIONS_CONNECTION_POOL_H_
 
 #include <functional>
 #include <memory>
 #include <unordered_map>
 #include <vector>
 
-#include "LibRuntime/client_connection.h"
-#include "LibRuntime/http_types.h"
+#include "LibRuntime/Connections/client_connection.h"
+#include "LibRuntime/Connections/http_types.h"
 
 namespace auburnfold {
 
@@ -59,4 +59,4 @@
 
 }  // namespace auburnfold
 
-#endif  // LIBRUNTIME_CONNECTION_POOL_H_
+#endif  // LIBRUNTIME_CONNECTIONS_CONNECTION_POOL_H_
--- a/Libraries/LibRuntime/http_listener.h
+++ b/Libraries/LibRuntime/Connections/http_listener.h
@@ -1,5 +1,5 @@
-#ifndef LIBRUNTIME_HTTP_LISTENER_H_
-#define LIBRUNTIME_HTTP_LISTENER_H_
+#ifndef LIBRUNTIME_CONNECTIONS_HTTP_LISTENER_H_
+#define LIBRUNTIME_CONNECTIONS_HTTP_LISTENER_H_
 
 #include <boost/asio/steady_timer.hpp>
 #include <cstddef>
@@ -9,9 +9,9 @@
 #include <string>
 #include <vector>
 
-#include "LibRuntime/http_types.h"
-#include "LibRuntime/node_metrics.h"
-#include "LibRuntime/server_session.h"
+#include "LibRuntime/Connections/http_types.h"
+#include "LibRuntime/Connections/server_session.h"
+#include "LibRuntime/Observability/node_metrics.h"
 
 namespace auburnfold {
 
@@ -70,4 +70,4 @@
 
 }  // namespace auburnfold
 
-#endif  // LIBRUNTIME_HTTP_LISTENER_H_
+#endif  // LIBRUNTIME_CONNECTIONS_HTTP_LISTENER_H_
--- a/Libraries/LibRuntime/http_responses.cc
+++ b/Libraries/LibRuntime/Connections/http_responses.cc
@@ -1,4 +1,4 @@
-#include "LibRuntime/http_responses.h"
+#include "LibRuntime/Connections/http_responses.h"
 
 #include <chrono>
 #include <utility>
--- a/Libraries/LibRuntime/http_responses.h
+++ b/Libraries/LibRuntime/Connections/http_responses.h
@@ -1,5 +1,5 @@
-#ifndef LIBRUNTIME_HTTP_RESPONSES_H_
-#define LIBRUNTIME_HTTP_RESPONSES_H_
+#ifndef LIBRUNTIME_CONNECTIONS_HTTP_RESPONSES_H_
+#define LIBRUNTIME_CONNECTIONS_HTTP_RESPONSES_H_
 
 #include <string>
 #include <string_view>
@@ -7,7 +7,7 @@
 #include "LibDecision/error_kind.h"
 #include "LibDecision/ids.h"
 #include "LibDecision/instant.h"
-#include "LibRuntime/http_types.h"
+#include "LibRuntime/Connections/http_types.h"
 
 namespace auburnfold {
 
@@ -35,4 +35,4 @@
 
 }  // namespace auburnfold
 
-#endif  // LIBRUNTIME_HTTP_RESPONSES_H_
+#endif  // LIBRUNTIME_CONNECTIONS_HTTP_RESPONSES_H_
--- a/Libraries/LibRuntime/http_types.h
+++ b/Libraries/LibRuntime/Connections/http_types.h
@@ -1,5 +1,5 @@
-#ifndef LIBRUNTIME_HTTP_TYPES_H_
-#define LIBRUNTIME_HTTP_TYPES_H_
+#ifndef LIBRUNTIME_CONNECTIONS_HTTP_TYPES_H_
+#define LIBRUNTIME_CONNECTIONS_HTTP_TYPES_H_
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -43,4 +43,4 @@
 
 }  // namespace auburnfold
 
-#endif  // LIBRUNTIME_HTTP_TYPES_H_
+#endif  // LIBRUNTIME_CONNECTIONS_HTTP_TYPES_H_
--- a/Libraries/LibRuntime/server_session.cc
+++ b/Libraries/LibRuntime/Connections/server_session.cc
@@ -1,4 +1,4 @@
-#include "LibRuntime/server_session.h"
+#include "LibRuntime/Connections/server_session.h"
 
 #include <algorithm>
 #include <boost/asio/write.hpp>
@@ -7,7 +7,7 @@
 #include <boost/beast/http/write.hpp>
 #include <utility>
 
-#include "LibRuntime/http_responses.h"
+#include "LibRuntime/Connections/http_responses.h"
 
 namespace auburnfold {
 
--- a/Libraries/LibRuntime/server_session.h
+++ b/Libraries/LibRuntime/Connections/server_session.h
@@ -1,5 +1,5 @@
-#ifndef LIBRUNTIME_SERVER_SESSION_H_
-#define LIBRUNTIME_SERVER_SESSION_H_
+#ifndef LIBRUNTIME_CONNECTIONS_SERVER_SESSION_H_
+#define LIBRUNTIME_CONNECTIONS_SERVER_SESSION_H_
 
 #include <chrono>
 #include <cstddef>
@@ -10,8 +10,8 @@
 #include <string>
 
 #include "LibDecision/error_kind.h"
-#include "LibRuntime/body_memory.h"
-#include "LibRuntime/http_types.h"
+#include "LibRuntime/Connections/body_memory.h"
+#include "LibRuntime/Connections/http_types.h"
 
 namespace auburnfold {
 
@@ -131,4 +131,4 @@
 
 }  // namespace auburnfold
 
-#endif  // LIBRUNTIME_SERVER_SESSION_H_
+#endif  // LIBRUNTIME_CONNECTIONS_SERVER_SESSION_H_
--- a/Libraries/LibRuntime/tcp_timeouts.cc
+++ b/Libraries/LibRuntime/Connections/tcp_timeouts.cc
@@ -1,4 +1,4 @@
-#include "LibRuntime/tcp_timeouts.h"
+#include "LibRuntime/Connections/tcp_timeouts.h"
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
--- a/Libraries/LibRuntime/tcp_timeouts.h
+++ b/Libraries/LibRuntime/Connections/tcp_timeouts.h
@@ -1,7 +1,7 @@
-#ifndef LIBRUNTIME_TCP_TIMEOUTS_H_
-#define LIBRUNTIME_TCP_TIMEOUTS_H_
+#ifndef LIBRUNTIME_CONNECTIONS_TCP_TIMEOUTS_H_
+#define LIBRUNTIME_CONNECTIONS_TCP_TIMEOUTS_H_
 
-#include "LibRuntime/http_types.h"
+#include "LibRuntime/Connections/http_types.h"
 
 namespace auburnfold {
 
@@ -11,4 +11,4 @@
 
 }  // namespace auburnfold
 
-#endif  // LIBRUNTIME_TCP_TIMEOUTS_H_
+#endif  // LIBRUNTIME_CONNECTIONS_TCP_TIMEOUTS_H_
--- a/Libraries/LibRuntime/admin_handler.h
+++ b/Libraries/LibRuntime/Control/admin_handler.h
@@ -1,10 +1,10 @@
-#ifndef LIBRUNTIME_ADMIN_HANDLER_H_
-#define LIBRUNTIME_ADMIN_HANDLER_H_
+#ifndef LIBRUNTIME_CONTROL_ADMIN_HANDLER_H_
+#define LIBRUNTIME_CONTROL_ADMIN_HANDLER_H_
 
 #include <functional>
 
 #include "LibDecision/admin_call.h"
-#include "LibRuntime/http_types.h"
+#include "LibRuntime/Connections/http_types.h"
 
 namespace auburnfold {
 
@@ -22,4 +22,4 @@
 
 }  // namespace auburnfold
 
-#endif  // LIBRUNTIME_ADMIN_HANDLER_H_
+#endif  // LIBRUNTIME_CONTROL_ADMIN_HANDLER_H_
--- a/Libraries/LibRuntime/admin_port_handler.cc
+++ b/Libraries/LibRuntime/Control/admin_port_handler.cc
@@ -1,8 +1,8 @@
-#include "LibRuntime/admin_port_handler.h"
+#include "LibRuntime/Control/admin_port_handler.h"
 
 #include <utility>
 
-#include "LibRuntime/http_responses.h"
+#include "LibRuntime/Connections/http_responses.h"
 
 namespace auburnfold {
 
--- a/Libraries/LibRuntime/admin_port_handler.h
+++ b/Libraries/LibRuntime/Control/admin_port_handler.h
@@ -1,5 +1,5 @@
-#ifndef LIBRUNTIME_ADMIN_PORT_HANDLER_H_
-#define LIBRUNTIME_ADMIN_PORT_HANDLER_H_
+#ifndef LIBRUNTIME_CONTROL_ADMIN_PORT_HANDLER_H_
+#define LIBRUNTIME_CONTROL_ADMIN_PORT_HANDLER_H_
 
 #include <functional>
 #include <memory>
@@ -7,9 +7,9 @@
 #include <unordered_map>
 
 #include "LibDecision/effect.h"
-#include "LibRuntime/admin_handler.h"
+#include "LibRuntime/Connections/server_session.h"
+#include "LibRuntime/Control/admin_handler.h"
 #include "LibRuntime/event_sink.h"
-#include "LibRuntime/server_session.h"
 
 namespace auburnfold {
 
@@ -47,4 +47,4 @@
 
 }  // namespace auburnfold
 
-#endif  // LIBRUNTIME_ADMIN_PORT_HANDLER_H_
+#endif  // LIBRUNTIME_CONTROL_ADMIN_PORT_HANDLER_H_
--- a/Libraries/LibRuntime/control_channel.cc
+++ b/Libraries/LibRuntime/Control/control_channel.cc
@@ -1,4 +1,4 @@
-#include "LibRuntime/control_channel.h"
+#include "LibRuntime/Control/control_channel.h"
 
 #include <algorithm>
 #include <boost/leaf/handle_errors.hpp>
--- a/Libraries/LibRuntime/control_channel.h
+++ b/Libraries/LibRuntime/Control/control_channel.h
@@ -1,5 +1,5 @@
-#ifndef LIBRUNTIME_CONTROL_CHANNEL_H_
-#define LIBRUNTIME_CONTROL_CHANNEL_H_
+#ifndef LIBRUNTIME_CONTROL_CONTROL_CHANNEL_H_
+#define LIBRUNTIME_CONTROL_CONTROL_CHANNEL_H_
 
 #include <boost/leaf/result.hpp>
 #include <cstdint>
@@ -10,9 +10,9 @@
 #include <vector>
 
 #include "LibDecision/effect.h"
-#include "LibRuntime/nng_receiver.h"
-#include "LibRuntime/nng_sender.h"
-#include "LibRuntime/node_metrics.h"
+#include "LibRuntime/Control/nng_receiver.h"
+#include "LibRuntime/Control/nng_sender.h"
+#include "LibRuntime/Observability/node_metrics.h"
 
 namespace auburnfold {
 
@@ -61,4 +61,4 @@
 
 }  // namespace auburnfold
 
-#endif  // LIBRUNTIME_CONTROL_CHANNEL_H_
+#endif  // LIBRUNTIME_CONTROL_CONTROL_CHANNEL_H_
--- a/Libraries/LibRuntime/nng_receiver.cc
+++ b/Libraries/LibRuntime/Control/nng_receiver.cc
@@ -1,4 +1,4 @@
-#include "LibRuntime/nng_receiver.h"
+#include "LibRuntime/Control/nng_receiver.h"
 
 #include <nng/protocol/pipeline0/pull.h>
 
--- a/Libraries/LibRuntime/nng_receiver.h
+++ b/Libraries/LibRuntime/Control/nng_receiver.h
@@ -1,5 +1,5 @@
-#ifndef LIBRUNTIME_NNG_RECEIVER_H_
-#define LIBRUNTIME_NNG_RECEIVER_H_
+#ifndef LIBRUNTIME_CONTROL_NNG_RECEIVER_H_
+#define LIBRUNTIME_CONTROL_NNG_RECEIVER_H_
 
 #include <nng/nng.h>
 
@@ -49,4 +49,4 @@
 
 }  // namespace auburnfold
 
-#endif  // LIBRUNTIME_NNG_RECEIVER_H_
+#endif  // LIBRUNTIME_CONTROL_NNG_RECEIVER_H_
--- a/Libraries/LibRuntime/nng_sender.cc
+++ b/Libraries/LibRuntime/Control/nng_sender.cc
@@ -1,4 +1,4 @@
-#include "LibRuntime/nng_sender.h"
+#include "LibRuntime/Control/nng_sender.h"
 
 #include <nng/protocol/pipeline0/push.h>
 
--- a/Libraries/LibRuntime/nng_sender.h
+++ b/Libraries/LibRuntime/Control/nng_sender.h
@@ -1,5 +1,5 @@
-#ifndef LIBRUNTIME_NNG_SENDER_H_
-#define LIBRUNTIME_NNG_SENDER_H_
+#ifndef LIBRUNTIME_CONTROL_NNG_SENDER_H_
+#define LIBRUNTIME_CONTROL_NNG_SENDER_H_
 
 #include <nng/nng.h>
 
@@ -27,4 +27,4 @@
 
 }  // namespace auburnfold
 
-#endif  // LIBRUNTIME_NNG_SENDER_H_
+#endif  // LIBRUNTIME_CONTROL_NNG_SENDER_H_
--- a/Libraries/LibRuntime/view_codec.cc
+++ b/Libraries/LibRuntime/Control/view_codec.cc
@@ -1,4 +1,4 @@
-#include "LibRuntime/view_codec.h"
+#include "LibRuntime/Control/view_codec.h"
 
 #include "LibDecision/Quarantine/crash_codec.h"
 #include "LibDecision/Registry/member_codec.h"
--- a/Libraries/LibRuntime/view_codec.h
+++ b/Libraries/LibRuntime/Control/view_codec.h
@@ -1,5 +1,5 @@
-#ifndef LIBRUNTIME_VIEW_CODEC_H_
-#define LIBRUNTIME_VIEW_CODEC_H_
+#ifndef LIBRUNTIME_CONTROL_VIEW_CODEC_H_
+#define LIBRUNTIME_CONTROL_VIEW_CODEC_H_
 
 #include <optional>
 #include <string>
@@ -18,4 +18,4 @@
 
 }  // namespace auburnfold
 
-#endif  // LIBRUNTIME_VIEW_CODEC_H_
+#endif  // LIBRUNTIME_CONTROL_VIEW_CODEC_H_
--- a/Libraries/LibRuntime/view_handler.cc
+++ b/Libraries/LibRuntime/Control/view_handler.cc
@@ -1,11 +1,11 @@
-#include "LibRuntime/view_handler.h"
+#include "LibRuntime/Control/view_handler.h"
 
 #include <boost/asio/ip/address.hpp>
 #include <string_view>
 #include <utility>
 
-#include "LibRuntime/http_responses.h"
-#include "LibRuntime/view_codec.h"
+#include "LibRuntime/Connections/http_responses.h"
+#include "LibRuntime/Control/view_codec.h"
 #include "LibWire/header_names.h"
 
 namespace auburnfold {
--- a/Libraries/LibRuntime/view_handler.h
+++ b/Libraries/LibRuntime/Control/view_handler.h
@@ -1,14 +1,14 @@
-#ifndef LIBRUNTIME_VIEW_HANDLER_H_
-#define LIBRUNTIME_VIEW_HANDLER_H_
+#ifndef LIBRUNTIME_CONTROL_VIEW_HANDLER_H_
+#define LIBRUNTIME_CONTROL_VIEW_HANDLER_H_
 
 #include <memory>
 #include <unordered_map>
 
 #include "LibDecision/effect.h"
-#include "LibRuntime/connection_pool.h"
+#include "LibRuntime/Connections/connection_pool.h"
+#include "LibRuntime/Connections/http_types.h"
+#include "LibRuntime/Connections/server_session.h"
 #include "LibRuntime/event_sink.h"
-#include "LibRuntime/http_types.h"
-#include "LibRuntime/server_session.h"
 
 namespace auburnfold {
 
@@ -40,4 +40,4 @@
 
 }  // namespace auburnfold
 
-#endif  // LIBRUNTIME_VIEW_HANDLER_H_
+#endif  // LIBRUNTIME_CONTROL_VIEW_HANDLER_H_
--- a/Libraries/LibRuntime/bounded_appender.cc
+++ b/Libraries/LibRuntime/Observability/bounded_appender.cc
@@ -1,4 +1,4 @@
-#include "LibRuntime/bounded_appender.h"
+#include "LibRuntime/Observability/bounded_appender.h"
 
 #include <poll.h>
 #include <unistd.h>
--- a/Libraries/LibRuntime/bounded_appender.h
+++ b/Libraries/LibRuntime/Observability/bounded_appender.h
@@ -1,5 +1,5 @@
-#ifndef LIBRUNTIME_BOUNDED_APPENDER_H_
-#define LIBRUNTIME_BOUNDED_APPENDER_H_
+#ifndef LIBRUNTIME_OBSERVABILITY_BOUNDED_APPENDER_H_
+#define LIBRUNTIME_OBSERVABILITY_BOUNDED_APPENDER_H_
 
 #include <log4cplus/appender.h>
 
@@ -39,4 +39,4 @@
 
 }  // namespace auburnfold
 
-#endif  // LIBRUNTIME_BOUNDED_APPENDER_H_
+#endif  // LIBRUNTIME_OBSERVABILITY_BOUNDED_APPENDER_H_
--- a/Libraries/LibRuntime/decision_log.cc
+++ b/Libraries/LibRuntime/Observability/decision_log.cc
@@ -1,4 +1,4 @@
-#include "LibRuntime/decision_log.h"
+#include "LibRuntime/Observability/decision_log.h"
 
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
@@ -8,7 +8,7 @@
 #include <string_view>
 
 #include "LibDecision/hash.h"
-#include "LibRuntime/hexadecimal.h"
+#include "LibRuntime/Requests/hexadecimal.h"
 
 namespace auburnfold {
 
--- a/Libraries/LibRuntime/decision_log.h
+++ b/Libraries/LibRuntime/Observability/decision_log.h
@@ -1,5 +1,5 @@
-#ifndef LIBRUNTIME_DECISION_LOG_H_
-#define LIBRUNTIME_DECISION_LOG_H_
+#ifndef LIBRUNTIME_OBSERVABILITY_DECISION_LOG_H_
+#define LIBRUNTIME_OBSERVABILITY_DECISION_LOG_H_
 
 #include <array>
 #include <chrono>
@@ -36,4 +36,4 @@
 
 }  // namespace auburnfold
 
-#endif  // LIBRUNTIME_DECISION_LOG_H_
+#endif  // LIBRUNTIME_OBSERVABILITY_DECISION_LOG_H_
--- a/Libraries/LibRuntime/event_loop_monitor.h
+++ b/Libraries/LibRuntime/Observability/event_loop_monitor.h
@@ -1,5 +1,5 @@
-#ifndef LIBRUNTIME_EVENT_LOOP_MONITOR_H_
-#define LIBRUNTIME_EVENT_LOOP_MONITOR_H_
+#ifndef LIBRUNTIME_OBSERVABILITY_EVENT_LOOP_MONITOR_H_
+#define LIBRUNTIME_OBSERVABILITY_EVENT_LOOP_MONITOR_H_
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -30,4 +30,4 @@
 
 }  // namespace auburnfold
 
-#endif  // LIBRUNTIME_EVENT_LOOP_MONITOR_H_
+#endif  // LIBRUNTIME_OBSERVABILITY_EVENT_LOOP_MONITOR_H_
--- a/Libraries/LibRuntime/json_layout.cc
+++ b/Libraries/LibRuntime/Observability/json_layout.cc
@@ -1,4 +1,4 @@
-#include "LibRuntime/json_layout.h"
+#include "LibRuntime/Observability/json_layout.h"
 
 #include <log4cplus/loglevel.h>
 #include <log4cplus/spi/loggingevent.h>
--- a/Libraries/LibRuntime/json_layout.h
+++ b/Libraries/LibRuntime/Observability/json_layout.h
@@ -1,5 +1,5 @@
-#ifndef LIBRUNTIME_JSON_LAYOUT_H_
-#define LIBRUNTIME_JSON_LAYOUT_H_
+#ifndef LIBRUNTIME_OBSERVABILITY_JSON_LAYOUT_H_
+#define LIBRUNTIME_OBSERVABILITY_JSON_LAYOUT_H_
 
 #include <log4cplus/layout.h>
 
@@ -17,4 +17,4 @@
 
 }  // namespace auburnfold
 
-#endif  // LIBRUNTIME_JSON_LAYOUT_H_
+#endif  // LIBRUNTIME_OBSERVABILITY_JSON_LAYOUT_H_
--- a/Libraries/LibRuntime/labelled_histograms.cc
+++ b/Libraries/LibRuntime/Observability/labelled_histograms.cc
@@ -1,4 +1,4 @@
-#include "LibRuntime/labelled_histograms.h"
+#include "LibRuntime/Observability/labelled_histograms.h"
 
 #include <prometheus/histogram.h>
 
--- a/Libraries/LibRuntime/node_metrics.cc
+++ b/Libraries/LibRuntime/Observability/node_metrics.cc
@@ -1,4 +1,4 @@
-#include "LibRuntime/node_metrics.h"
+#include "LibRuntime/Observability/node_metrics.h"
 
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
@@ -8,7 +8,7 @@
 
 #include <array>
 
-#include "LibRuntime/labelled_histograms.h"
+#include "LibRuntime/Observability/labelled_histograms.h"
 
 namespace auburnfold {
 
--- a/Libraries/LibRuntime/node_metrics.h
+++ b/Libraries/LibRuntime/Observability/node_metrics.h
@@ -1,5 +1,5 @@
-#ifndef LIBRUNTIME_NODE_METRICS_H_
-#define LIBRUNTIME_NODE_METRICS_H_
+#ifndef LIBRUNTIME_OBSERVABILITY_NODE_METRICS_H_
+#define LIBRUNTIME_OBSERVABILITY_NODE_METRICS_H_
 
 #include <chrono>
 #include <cstddef>
@@ -65,4 +65,4 @@
 
 }  // namespace auburnfold
 
-#endif  // LIBRUNTIME_NODE_METRICS_H_
+#endif  // LIBRUNTIME_OBSERVABILITY_NODE_METRICS_H_
--- a/Libraries/LibRuntime/call_handler.cc
+++ b/Libraries/LibRuntime/Requests/call_handler.cc
@@ -1,4 +1,4 @@
-#include "LibRuntime/call_handler.h"
+#include "LibRuntime/Requests/call_handler.h"
 
 #include <algorithm>
 #include <boost/asio/ip/address.hpp>
@@ -6,12 +6,12 @@
 #include <utility>
 #include <vector>
 
-#include "LibRuntime/headers.h"
-#include "LibRuntime/hexadecimal.h"
-#include "LibRuntime/http_responses.h"
-#include "LibRuntime/parent_token.h"
-#include "LibRuntime/request_digest.h"
-#include "LibRuntime/work_handler.h"
+#include "LibRuntime/Connections/http_responses.h"
+#include "LibRuntime/Requests/headers.h"
+#include "LibRuntime/Requests/hexadecimal.h"
+#include "LibRuntime/Requests/parent_token.h"
+#include "LibRuntime/Requests/request_digest.h"
+#include "LibRuntime/Requests/work_handler.h"
 #include "LibWire/header_names.h"
 
 namespace auburnfold {
--- a/Libraries/LibRuntime/call_handler.h
+++ b/Libraries/LibRuntime/Requests/call_handler.h
@@ -1,5 +1,5 @@
-#ifndef LIBRUNTIME_CALL_HANDLER_H_
-#define LIBRUNTIME_CALL_HANDLER_H_
+#ifndef LIBRUNTIME_REQUESTS_CALL_HANDLER_H_
+#define LIBRUNTIME_REQUESTS_CALL_HANDLER_H_
 
 #include <chrono>
 #include <map>
@@ -7,14 +7,14 @@
 #include <unordered_map>
 
 #include "LibDecision/effect.h"
-#include "LibRuntime/connection_pool.h"
+#include "LibRuntime/Connections/connection_pool.h"
+#include "LibRuntime/Connections/http_types.h"
+#include "LibRuntime/Connections/server_session.h"
+#include "LibRuntime/Observability/node_metrics.h"
+#include "LibRuntime/Requests/wire_dialect.h"
 #include "LibRuntime/event_sink.h"
-#include "LibRuntime/http_types.h"
 #include "LibRuntime/lazy_timer.h"
 #include "LibRuntime/node_identity.h"
-#include "LibRuntime/node_metrics.h"
-#include "LibRuntime/server_session.h"
-#include "LibRuntime/wire_dialect.h"
 
 namespace auburnfold {
 
@@ -105,4 +105,4 @@
 
 }  // namespace auburnfold
 
-#endif  // LIBRUNTIME_CALL_HANDLER_H_
+#endif  // LIBRUNTIME_REQUESTS_CALL_HANDLER_H_
--- a/Libraries/LibRuntime/endpoint_report.cc
+++ b/Libraries/LibRuntime/Requests/endpoint_report.cc
@@ -1,4 +1,4 @@
-#include "LibRuntime/endpoint_report.h"
+#include "LibRuntime/Requests/endpoint_report.h"
 
 #include <boost/json/parse.hpp>
 #include <boost/leaf/error.hpp>
--- a/Libraries/LibRuntime/endpoint_report.h
+++ b/Libraries/LibRuntime/Requests/endpoint_report.h
@@ -1,12 +1,12 @@
-#ifndef LIBRUNTIME_ENDPOINT_REPORT_H_
-#define LIBRUNTIME_ENDPOINT_REPORT_H_
+#ifndef LIBRUNTIME_REQUESTS_ENDPOINT_REPORT_H_
+#define LIBRUNTIME_REQUESTS_ENDPOINT_REPORT_H_
 
 #include <boost/leaf/result.hpp>
 #include <cstdint>
 #include <string_view>
 
 #include "LibDecision/event.h"
-#include "LibRuntime/headers.h"
+#include "LibRuntime/Requests/headers.h"
 
 namespace auburnfold {
 
@@ -21,4 +21,4 @@
 
 }  // namespace auburnfold
 
-#endif  // LIBRUNTIME_ENDPOINT_REPORT_H_
+#endif  // LIBRUNTIME_REQUESTS_ENDPOINT_REPORT_H_
--- a/Libraries/LibRuntime/headers.cc
+++ b/Libraries/LibRuntime/Requests/headers.cc
@@ -1,4 +1,4 @@
-#include "LibRuntime/headers.h"
+#include "LibRuntime/Requests/headers.h"
 
 #include <algorithm>
 #include <array>
@@ -11,7 +11,7 @@
 #include <limits>
 #include <vector>
 
-#include "LibRuntime/hexadecimal.h"
+#include "LibRuntime/Requests/hexadecimal.h"
 #include "LibWire/header_names.h"
 
 namespace auburnfold {
--- a/Libraries/LibRuntime/headers.h
+++ b/Libraries/LibRuntime/Requests/headers.h
@@ -1,5 +1,5 @@
-#ifndef LIBRUNTIME_HEADERS_H_
-#define LIBRUNTIME_HEADERS_H_
+#ifndef LIBRUNTIME_REQUESTS_HEADERS_H_
+#define LIBRUNTIME_REQUESTS_HEADERS_H_
 
 #include <boost/leaf/result.hpp>
 #include <optional>
@@ -11,7 +11,7 @@
 #include "LibDecision/error_kind.h"
 #include "LibDecision/outcome.h"
 #include "LibDecision/request_metadata.h"
-#include "LibRuntime/http_types.h"
+#include "LibRuntime/Connections/http_types.h"
 
 namespace auburnfold {
 
@@ -75,4 +75,4 @@
 
 }  // namespace auburnfold
 
-#endif  // LIBRUNTIME_HEADERS_H_
+#endif  // LIBRUNTIME_REQUESTS_HEADERS_H_
--- a/Libraries/LibRuntime/hexadecimal.cc
+++ b/Libraries/LibRuntime/Requests/hexadecimal.cc
@@ -1,4 +1,4 @@
-#include "LibRuntime/hexadecimal.h"
+#include "LibRuntime/Requests/hexadecimal.h"
 
 #include <charconv>
 
--- a/Libraries/LibRuntime/hexadecimal.h
+++ b/Libraries/LibRuntime/Requests/hexadecimal.h
@@ -1,5 +1,5 @@
-#ifndef LIBRUNTIME_HEXADECIMAL_H_
-#define LIBRUNTIME_HEXADECIMAL_H_
+#ifndef LIBRUNTIME_REQUESTS_HEXADECIMAL_H_
+#define LIBRUNTIME_REQUESTS_HEXADECIMAL_H_
 
 #include <cstdint>
 #include <optional>
@@ -20,4 +20,4 @@
 
 }  // namespace auburnfold
 
-#endif  // LIBRUNTIME_HEXADECIMAL_H_
+#endif  // LIBRUNTIME_REQUESTS_HEXADECIMAL_H_
--- a/Libraries/LibRuntime/own_dialect.cc
+++ b/Libraries/LibRuntime/Requests/own_dialect.cc
@@ -1,11 +1,11 @@
-#include "LibRuntime/own_dialect.h"
+#include "LibRuntime/Requests/own_dialect.h"
 
 #include <boost/leaf/result.hpp>
 #include <string>
 #include <utility>
 
-#include "LibRuntime/headers.h"
-#include "LibRuntime/http_responses.h"
+#include "LibRuntime/Connections/http_responses.h"
+#include "LibRuntime/Requests/headers.h"
 #include "LibWire/header_names.h"
 
 namespace auburnfold {
--- a/Libraries/LibRuntime/own_dialect.h
+++ b/Libraries/LibRuntime/Requests/own_dialect.h
@@ -1,10 +1,10 @@
-#ifndef LIBRUNTIME_OWN_DIALECT_H_
-#define LIBRUNTIME_OWN_DIALECT_H_
+#ifndef LIBRUNTIME_REQUESTS_OWN_DIALECT_H_
+#define LIBRUNTIME_REQUESTS_OWN_DIALECT_H_
 
 #include <optional>
 #include <string_view>
 
-#include "LibRuntime/wire_dialect.h"
+#include "LibRuntime/Requests/wire_dialect.h"
 
 namespace auburnfold {
 
@@ -37,4 +37,4 @@
 
 }  // namespace auburnfold
 
-#endif  // LIBRUNTIME_OWN_DIALECT_H_
+#endif  // LIBRUNTIME_REQUESTS_OWN_DIALECT_H_
--- a/Libraries/LibRuntime/parent_token.cc
+++ b/Libraries/LibRuntime/Requests/parent_token.cc
@@ -1,6 +1,6 @@
-#include "LibRuntime/parent_token.h"
+#include "LibRuntime/Requests/parent_token.h"
 
-#include "LibRuntime/hexadecimal.h"
+#include "LibRuntime/Requests/hexadecimal.h"
 
 namespace auburnfold {
 
--- a/Libraries/LibRuntime/parent_token.h
+++ b/Libraries/LibRuntime/Requests/parent_token.h
@@ -1,5 +1,5 @@
-#ifndef LIBRUNTIME_PARENT_TOKEN_H_
-#define LIBRUNTIME_PARENT_TOKEN_H_
+#ifndef LIBRUNTIME_REQUESTS_PARENT_TOKEN_H_
+#define LIBRUNTIME_REQUESTS_PARENT_TOKEN_H_
 
 #include <optional>
 #include <string>
@@ -23,4 +23,4 @@
 
 }  // namespace auburnfold
 
-#endif  // LIBRUNTIME_PARENT_TOKEN_H_
+#endif  // LIBRUNTIME_REQUESTS_PARENT_TOKEN_H_
--- a/Libraries/LibRuntime/request_digest.h
+++ b/Libraries/LibRuntime/Requests/request_digest.h
@@ -1,10 +1,10 @@
-#ifndef LIBRUNTIME_REQUEST_DIGEST_H_
-#define LIBRUNTIME_REQUEST_DIGEST_H_
+#ifndef LIBRUNTIME_REQUESTS_REQUEST_DIGEST_H_
+#define LIBRUNTIME_REQUESTS_REQUEST_DIGEST_H_
 
 #include <string_view>
 
 #include "LibDecision/ids.h"
-#include "LibRuntime/http_types.h"
+#include "LibRuntime/Connections/http_types.h"
 
 namespace auburnfold {
 
@@ -14,4 +14,4 @@
 
 }  // namespace auburnfold
 
-#endif  // LIBRUNTIME_REQUEST_DIGEST_H_
+#endif  // LIBRUNTIME_REQUESTS_REQUEST_DIGEST_H_
--- a/Libraries/LibRuntime/wire_dialect.h
+++ b/Libraries/LibRuntime/Requests/wire_dialect.h
@@ -1,5 +1,5 @@
-#ifndef LIBRUNTIME_WIRE_DIALECT_H_
-#define LIBRUNTIME_WIRE_DIALECT_H_
+#ifndef LIBRUNTIME_REQUESTS_WIRE_DIALECT_H_
+#define LIBRUNTIME_REQUESTS_WIRE_DIALECT_H_
 
 #include <boost/leaf/result.hpp>
 #include <concepts>
@@ -13,9 +13,9 @@
 #include "LibDecision/event.h"
 #include "LibDecision/outcome.h"
 #include "LibDecision/request_metadata.h"
-#include "LibRuntime/endpoint_report.h"
-#include "LibRuntime/headers.h"
-#include "LibRuntime/http_types.h"
+#include "LibRuntime/Connections/http_types.h"
+#include "LibRuntime/Requests/endpoint_report.h"
+#include "LibRuntime/Requests/headers.h"
 
 namespace auburnfold {
 
@@ -219,4 +219,4 @@
 
 }  // namespace auburnfold
 
-#endif  // LIBRUNTIME_WIRE_DIALECT_H_
+#endif  // LIBRUNTIME_REQUESTS_WIRE_DIALECT_H_
--- a/Libraries/LibRuntime/work_handler.cc
+++ b/Libraries/LibRuntime/Requests/work_handler.cc
@@ -1,14 +1,14 @@
-#include "LibRuntime/work_handler.h"
+#include "LibRuntime/Requests/work_handler.h"
 
 #include <algorithm>
 #include <boost/leaf/handle_errors.hpp>
 #include <string>
 #include <utility>
 
-#include "LibRuntime/headers.h"
-#include "LibRuntime/http_responses.h"
-#include "LibRuntime/parent_token.h"
-#include "LibRuntime/request_digest.h"
+#include "LibRuntime/Connections/http_responses.h"
+#include "LibRuntime/Requests/headers.h"
+#include "LibRuntime/Requests/parent_token.h"
+#include "LibRuntime/Requests/request_digest.h"
 #include "LibWire/header_names.h"
 
 namespace auburnfold {
--- a/Libraries/LibRuntime/work_handler.h
+++ b/Libraries/LibRuntime/Requests/work_handler.h
@@ -1,5 +1,5 @@
-#ifndef LIBRUNTIME_WORK_HANDLER_H_
-#define LIBRUNTIME_WORK_HANDLER_H_
+#ifndef LIBRUNTIME_REQUESTS_WORK_HANDLER_H_
+#define LIBRUNTIME_REQUESTS_WORK_HANDLER_H_
 
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
@@ -9,14 +9,14 @@
 #include <vector>
 
 #include "LibDecision/effect.h"
-#include "LibRuntime/connection_pool.h"
+#include "LibRuntime/Connections/connection_pool.h"
+#include "LibRuntime/Connections/http_types.h"
+#include "LibRuntime/Connections/server_session.h"
+#include "LibRuntime/Observability/node_metrics.h"
+#include "LibRuntime/Requests/wire_dialect.h"
 #include "LibRuntime/event_sink.h"
-#include "LibRuntime/http_types.h"
 #include "LibRuntime/lazy_timer.h"
 #include "LibRuntime/node_identity.h"
-#include "LibRuntime/node_metrics.h"
-#include "LibRuntime/server_session.h"
-#include "LibRuntime/wire_dialect.h"
 
 namespace auburnfold {
 
@@ -119,4 +119,4 @@
 
 }  // namespace auburnfold
 
-#endif  // LIBRUNTIME_WORK_HANDLER_H_
+#endif  // LIBRUNTIME_REQUESTS_WORK_HANDLER_H_
--- a/Libraries/LibRuntime/node_settings.cc
+++ b/Libraries/LibRuntime/Settings/node_settings.cc
@@ -1,4 +1,4 @@
-#include "LibRuntime/node_settings.h"
+#include "LibRuntime/Settings/node_settings.h"
 
 #include <boost/json/parse.hpp>
 #include <boost/leaf/error.hpp>
@@ -7,7 +7,7 @@
 #include <utility>
 
 #include "LibDecision/hash.h"
-#include "LibRuntime/settings_reader.h"
+#include "LibRuntime/Settings/settings_reader.h"
 
 namespace auburnfold {
 
--- a/Libraries/LibRuntime/node_settings.h
+++ b/Libraries/LibRuntime/Settings/node_settings.h
@@ -1,5 +1,5 @@
-#ifndef LIBRUNTIME_NODE_SETTINGS_H_
-#define LIBRUNTIME_NODE_SETTINGS_H_
+#ifndef LIBRUNTIME_SETTINGS_NODE_SETTINGS_H_
+#define LIBRUNTIME_SETTINGS_NODE_SETTINGS_H_
 
 #include <boost/leaf/result.hpp>
 #include <chrono>
@@ -74,4 +74,4 @@
 
 }  // namespace auburnfold
 
-#endif  // LIBRUNTIME_NODE_SETTINGS_H_
+#endif  // LIBRUNTIME_SETTINGS_NODE_SETTINGS_H_
--- a/Libraries/LibRuntime/settings_change_detector.cc
+++ b/Libraries/LibRuntime/Settings/settings_change_detector.cc
@@ -1,4 +1,4 @@
-#include "LibRuntime/settings_change_detector.h"
+#include "LibRuntime/Settings/settings_change_detector.h"
 
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
--- a/Libraries/LibRuntime/settings_change_detector.h
+++ b/Libraries/LibRuntime/Settings/settings_change_detector.h
@@ -1,12 +1,12 @@
-#ifndef LIBRUNTIME_SETTINGS_CHANGE_DETECTOR_H_
-#define LIBRUNTIME_SETTINGS_CHANGE_DETECTOR_H_
+#ifndef LIBRUNTIME_SETTINGS_SETTINGS_CHANGE_DETECTOR_H_
+#define LIBRUNTIME_SETTINGS_SETTINGS_CHANGE_DETECTOR_H_
 
 #include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
-#include "LibRuntime/node_settings.h"
+#include "LibRuntime/Settings/node_settings.h"
 
 namespace auburnfold {
 
@@ -45,4 +45,4 @@
 
 }  // namespace auburnfold
 
-#endif  // LIBRUNTIME_SETTINGS_CHANGE_DETECTOR_H_
+#endif  // LIBRUNTIME_SETTINGS_SETTINGS_CHANGE_DETECTOR_H_
--- a/Libraries/LibRuntime/settings_reader.cc
+++ b/Libraries/LibRuntime/Settings/settings_reader.cc
@@ -1,4 +1,4 @@
-#include "LibRuntime/settings_reader.h"
+#include "LibRuntime/Settings/settings_reader.h"
 
 #include <algorithm>
 #include <boost/asio/ip/address.hpp>
@@ -9,7 +9,7 @@
 #include <limits>
 #include <utility>
 
-#include "LibRuntime/hexadecimal.h"
+#include "LibRuntime/Requests/hexadecimal.h"
 
 namespace auburnfold {
 
--- a/Libraries/LibRuntime/settings_reader.h
+++ b/Libraries/LibRuntime/Settings/settings_reader.h
@@ -1,5 +1,5 @@
-#ifndef LIBRUNTIME_SETTINGS_READER_H_
-#define LIBRUNTIME_SETTINGS_READER_H_
+#ifndef LIBRUNTIME_SETTINGS_SETTINGS_READER_H_
+#define LIBRUNTIME_SETTINGS_SETTINGS_READER_H_
 
 #include <boost/json/object.hpp>
 #include <boost/leaf/result.hpp>
@@ -10,7 +10,7 @@
 #include <vector>
 
 #include "LibDecision/ids.h"
-#include "LibRuntime/node_settings.h"
+#include "LibRuntime/Settings/node_settings.h"
 
 namespace auburnfold {
 
@@ -81,4 +81,4 @@
 
 }  // namespace auburnfold
 
-#endif  // LIBRUNTIME_SETTINGS_READER_H_
+#endif  // LIBRUNTIME_SETTINGS_SETTINGS_READER_H_
--- a/Libraries/LibRuntime/node_runtime.cc
+++ b/Libraries/LibRuntime/node_runtime.cc
@@ -13,21 +13,21 @@
 #include <limits>
 #include <utility>
 
-#include "LibRuntime/admin_port_handler.h"
-#include "LibRuntime/call_handler.h"
-#include "LibRuntime/control_channel.h"
-#include "LibRuntime/decision_log.h"
+#include "LibRuntime/Connections/http_listener.h"
+#include "LibRuntime/Connections/http_responses.h"
+#include "LibRuntime/Control/admin_port_handler.h"
+#include "LibRuntime/Control/control_channel.h"
+#include "LibRuntime/Control/view_handler.h"
+#include "LibRuntime/Observability/decision_log.h"
+#include "LibRuntime/Observability/event_loop_monitor.h"
+#include "LibRuntime/Observability/node_metrics.h"
+#include "LibRuntime/Requests/call_handler.h"
+#include "LibRuntime/Requests/endpoint_report.h"
+#include "LibRuntime/Requests/own_dialect.h"
+#include "LibRuntime/Requests/work_handler.h"
 #include "LibRuntime/decision_loop.h"
-#include "LibRuntime/endpoint_report.h"
-#include "LibRuntime/event_loop_monitor.h"
-#include "LibRuntime/http_listener.h"
-#include "LibRuntime/http_responses.h"
 #include "LibRuntime/lazy_timer.h"
 #include "LibRuntime/node_identity.h"
-#include "LibRuntime/node_metrics.h"
-#include "LibRuntime/own_dialect.h"
-#include "LibRuntime/view_handler.h"
-#include "LibRuntime/work_handler.h"
 
 namespace auburnfold {
 
--- a/Libraries/LibRuntime/node_runtime.h
+++ b/Libraries/LibRuntime/node_runtime.h
@@ -10,11 +10,11 @@
 #include <string>
 
 #include "LibDecision/node_options.h"
-#include "LibRuntime/admin_handler.h"
-#include "LibRuntime/node_settings.h"
+#include "LibRuntime/Control/admin_handler.h"
+#include "LibRuntime/Requests/wire_dialect.h"
+#include "LibRuntime/Settings/node_settings.h"
 #include "LibRuntime/route_decoder.h"
 #include "LibRuntime/store_caller.h"
-#include "LibRuntime/wire_dialect.h"
 
 namespace auburnfold {
 
--- a/Services/auburnfold-node/main.cc
+++ b/Services/auburnfold-node/main.cc
@@ -20,11 +20,11 @@
 #include <utility>
 
 #include "LibAdmin/admin_api.h"
-#include "LibRuntime/bounded_appender.h"
-#include "LibRuntime/json_layout.h"
+#include "LibRuntime/Observability/bounded_appender.h"
+#include "LibRuntime/Observability/json_layout.h"
+#include "LibRuntime/Settings/node_settings.h"
+#include "LibRuntime/Settings/settings_change_detector.h"
 #include "LibRuntime/node_runtime.h"
-#include "LibRuntime/node_settings.h"
-#include "LibRuntime/settings_change_detector.h"
 #include "platform/platform_dialect.h"
 #include "platform/route_reader.h"
 #include "platform/store_client.h"
--- a/Tests/Fuzz/fuzz_targets.cc
+++ b/Tests/Fuzz/fuzz_targets.cc
@@ -5,10 +5,10 @@
 #include <string_view>
 
 #include "LibDecision/Idempotency/issued_key.h"
-#include "LibRuntime/endpoint_report.h"
-#include "LibRuntime/headers.h"
-#include "LibRuntime/node_settings.h"
-#include "LibRuntime/parent_token.h"
+#include "LibRuntime/Requests/endpoint_report.h"
+#include "LibRuntime/Requests/headers.h"
+#include "LibRuntime/Requests/parent_token.h"
+#include "LibRuntime/Settings/node_settings.h"
 #include "LibWire/cbor_codec.h"
 #include "LibWire/header_names.h"
 
--- a/Tests/LibRuntime/bounded_appender_test.cc
+++ b/Tests/LibRuntime/bounded_appender_test.cc
@@ -1,4 +1,4 @@
-#include "LibRuntime/bounded_appender.h"
+#include "LibRuntime/Observability/bounded_appender.h"
 
 #include <gtest/gtest.h>
 #include <log4cplus/loglevel.h>
@@ -10,7 +10,7 @@
 #include <memory>
 #include <string>
 
-#include "LibRuntime/json_layout.h"
+#include "LibRuntime/Observability/json_layout.h"
 
 namespace auburnfold {
 namespace {
--- a/Tests/LibRuntime/control_test.cc
+++ b/Tests/LibRuntime/control_test.cc
@@ -3,8 +3,8 @@
 #include <string>
 #include <vector>
 
-#include "LibRuntime/nng_sender.h"
-#include "LibRuntime/node_metrics.h"
+#include "LibRuntime/Control/nng_sender.h"
+#include "LibRuntime/Observability/node_metrics.h"
 
 namespace auburnfold {
 namespace {
--- a/Tests/LibRuntime/endless_responses_test.cc
+++ b/Tests/LibRuntime/endless_responses_test.cc
@@ -5,7 +5,7 @@
 #include <string>
 #include <vector>
 
-#include "LibRuntime/connection_pool.h"
+#include "LibRuntime/Connections/connection_pool.h"
 #include "raw_client.h"
 #include "running_node.h"
 #include "scripted_server.h"
--- a/Tests/LibRuntime/event_loop_monitor_test.cc
+++ b/Tests/LibRuntime/event_loop_monitor_test.cc
@@ -1,4 +1,4 @@
-#include "LibRuntime/event_loop_monitor.h"
+#include "LibRuntime/Observability/event_loop_monitor.h"
 
 #include <gtest/gtest.h>
 
--- a/Tests/LibRuntime/headers_test.cc
+++ b/Tests/LibRuntime/headers_test.cc
@@ -1,9 +1,9 @@
-#include "LibRuntime/headers.h"
+#include "LibRuntime/Requests/headers.h"
 
 #include <gtest/gtest.h>
 
-#include "LibRuntime/hexadecimal.h"
-#include "LibRuntime/parent_token.h"
+#include "LibRuntime/Requests/hexadecimal.h"
+#include "LibRuntime/Requests/parent_token.h"
 
 namespace auburnfold {
 namespace {
--- a/Tests/LibRuntime/http_listener_test.cc
+++ b/Tests/LibRuntime/http_listener_test.cc
@@ -1,4 +1,4 @@
-#include "LibRuntime/http_listener.h"
+#include "LibRuntime/Connections/http_listener.h"
 
 #include <gtest/gtest.h>
 
--- a/Tests/LibRuntime/raw_client.cc
+++ b/Tests/LibRuntime/raw_client.cc
@@ -9,7 +9,7 @@
 #include <boost/beast/http/read.hpp>
 #include <thread>
 
-#include "LibRuntime/http_types.h"
+#include "LibRuntime/Connections/http_types.h"
 
 namespace auburnfold::testing_support {
 
--- a/Tests/LibRuntime/request_digest_test.cc
+++ b/Tests/LibRuntime/request_digest_test.cc
@@ -1,4 +1,4 @@
-#include "LibRuntime/request_digest.h"
+#include "LibRuntime/Requests/request_digest.h"
 
 #include <gtest/gtest.h>
 
--- a/Tests/LibRuntime/running_node.cc
+++ b/Tests/LibRuntime/running_node.cc
@@ -9,7 +9,7 @@
 #include <sstream>
 #include <thread>
 
-#include "LibRuntime/nng_sender.h"
+#include "LibRuntime/Control/nng_sender.h"
 #include "LibRuntime/node_runtime.h"
 #include "LibWire/cbor_codec.h"
 #include "raw_client.h"
--- a/Tests/LibRuntime/running_node.h
+++ b/Tests/LibRuntime/running_node.h
@@ -6,7 +6,7 @@
 #include <string>
 
 #include "LibDecision/peer_message.h"
-#include "LibRuntime/node_settings.h"
+#include "LibRuntime/Settings/node_settings.h"
 
 namespace auburnfold::testing_support {
 
--- a/Tests/LibRuntime/scripted_server.cc
+++ b/Tests/LibRuntime/scripted_server.cc
@@ -10,7 +10,7 @@
 #include <utility>
 #include <vector>
 
-#include "LibRuntime/http_types.h"
+#include "LibRuntime/Connections/http_types.h"
 
 namespace auburnfold::testing_support {
 
--- a/Tests/LibRuntime/settings_test.cc
+++ b/Tests/LibRuntime/settings_test.cc
@@ -4,7 +4,7 @@
 #include <optional>
 #include <string>
 
-#include "LibRuntime/node_settings.h"
+#include "LibRuntime/Settings/node_settings.h"
 
 namespace auburnfold {
 namespace {
--- a/Tests/LibRuntime/uploads_test.cc
+++ b/Tests/LibRuntime/uploads_test.cc
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "LibRuntime/http_types.h"
+#include "LibRuntime/Connections/http_types.h"
 #include "raw_client.h"
 #include "running_node.h"
 #include "scripted_server.h"
--- a/Tests/LibRuntime/view_codec_test.cc
+++ b/Tests/LibRuntime/view_codec_test.cc
@@ -1,4 +1,4 @@
-#include "LibRuntime/view_codec.h"
+#include "LibRuntime/Control/view_codec.h"
 
 #include <gtest/gtest.h>
 
--- a/Utilities/auburnfold-bench/digest_bench.cc
+++ b/Utilities/auburnfold-bench/digest_bench.cc
@@ -4,7 +4,7 @@
 #include <cstdint>
 #include <string>
 
-#include "LibRuntime/request_digest.h"
+#include "LibRuntime/Requests/request_digest.h"
 
 namespace auburnfold {
 namespace {
