LibDecision, platform: Read tenants and downloads, and add interfaces for hard load

Deployments with tenants, quotas and downloads could not be read: tenants were unknown entries, and downloads ran at most once. Both are read now. The events, effects and fields that the parts of docs/design/hard-load.md exchange are declared, so that these can be built side by side; nothing uses them yet.

--- a/Libraries/LibDecision/Routes/route.h
+++ b/Libraries/LibDecision/Routes/route.h
@@ -2,6 +2,7 @@
 #define LIBDECISION_ROUTES_ROUTE_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -31,6 +32,8 @@
   std::vector<weighted_service> services;
   /// Executing a request twice does no harm.
   bool is_idempotent = false;
+  /// Responses are large.
+  bool is_download = false;
   /// Maximum number of endpoints that one request may be sent to.
   std::uint16_t max_attempts = 1;
   /// Time limit for the final answer.
@@ -39,6 +42,29 @@
   duration objective{};
   /// 0 (refused first) to 7 (refused last).
   std::uint8_t priority = 3;
+  /// Requests need no API key even if the configuration has tenants.
+  bool is_anonymous = false;
+};
+
+/// A number of requests that a tenant may make over all nodes together.
+struct tenant_quota {
+  /// Requests per second; 0 means unlimited.
+  request_rate rate;
+  /// Requests that may be made at once on top of the rate.
+  double burst = 0;
+
+  bool is_limited() const { return rate.value() > 0; }
+  friend bool operator==(const tenant_quota&, const tenant_quota&) = default;
+};
+
+/// A tenant, its API keys and its quota.
+struct tenant_config {
+  tenant_name name;
+  std::vector<api_key> keys;
+  /// 0 (refused first) to 7 (refused last); unset if the priority of the route
+  /// applies.
+  std::optional<std::uint8_t> priority;
+  tenant_quota quota;
 };
 
 /// A service and its health probe.
@@ -63,6 +89,8 @@
   route_version version;
   std::vector<route> routes;
   std::vector<service_config> services;
+  /// If empty, requests need no API key.
+  std::vector<tenant_config> tenants;
   caller_limits limits;
   /// What could not be read; the rest is in force all the same.
   std::vector<unread_field> unread;
--- a/Libraries/LibDecision/Routes/unread_field.cc
+++ b/Libraries/LibDecision/Routes/unread_field.cc
@@ -24,6 +24,12 @@
       return "route_attempts";
     case config_field::kServiceHealthPath:
       return "service_health_path";
+    case config_field::kTenantKeys:
+      return "tenant_keys";
+    case config_field::kTenantPriority:
+      return "tenant_priority";
+    case config_field::kTenantQuota:
+      return "tenant_quota";
     case config_field::kLimit:
       return "limit";
   }
--- a/Libraries/LibDecision/Routes/unread_field.h
+++ b/Libraries/LibDecision/Routes/unread_field.h
@@ -22,6 +22,9 @@
   kRoutePriority,  ///< The lowest.
   kRouteAttempts,  ///< One.
   kServiceHealthPath,  ///< Endpoints of the service are not probed.
+  kTenantKeys,         ///< The other keys of the tenant.
+  kTenantPriority,     ///< That of the route.
+  kTenantQuota,        ///< No limit.
   kLimit,              ///< The default.
 };
 
--- a/Libraries/LibDecision/answer_metadata.h
+++ b/Libraries/LibDecision/answer_metadata.h
@@ -37,6 +37,13 @@
   /// Version of the routes at the answering node, if it is newer than that of
   /// the receiver.
   std::optional<route_version> newer_routes;
+  /// How long before the answer the routes that the sender and this node both
+  /// use were certainly the newest; unset if it is not known, or if the sender
+  /// uses others.
+  std::optional<duration> routes_confirmed_age;
+  /// Number of requests that the answering endpoint handles at once without
+  /// becoming slower; 0 if it is not known.
+  std::uint32_t capacity = 0;
   /// Checksum of the crashes that the answering node knows of, if it differs
   /// from that of the receiver; otherwise 0.
   std::uint64_t crash_checksum = 0;
--- a/Libraries/LibDecision/effect.h
+++ b/Libraries/LibDecision/effect.h
@@ -18,6 +18,7 @@
 #include "LibDecision/instant.h"
 #include "LibDecision/peer_message.h"
 #include "LibDecision/peer_view.h"
+#include "LibDecision/quota_usage.h"
 #include "LibDecision/request_metadata.h"
 #include "LibDecision/store_call.h"
 
@@ -60,6 +61,13 @@
   std::uint16_t allowance_left = 0;
 };
 
+/// Report `call_arrived` for `call` once more, with `is_pipelined` unset and
+/// the time that is left, when all earlier requests on its connection are
+/// answered.
+struct defer_call {
+  call_id call;
+};
+
 /// Send `work` to the local endpoint. Report `work_sent` before the first byte
 /// is written, and `work_finished` exactly once.
 struct execute_work {
@@ -148,6 +156,20 @@
   peer_view view;
 };
 
+/// Report the use of quotas to the node at `to`, which owns them. Report
+/// `quota_granted` exactly once.
+struct report_quota_usage {
+  quota_call_id call;
+  node_address to;
+  std::vector<quota_usage> usage;
+};
+
+/// Answer another node's report of its use of quotas.
+struct send_quota_grants {
+  quota_call_id call;
+  std::vector<quota_grant> grants;
+};
+
 /// Probe the health of the local endpoint at `path`. Report `endpoint_reported`
 /// with an unset `run` if it is ready, and nothing otherwise.
 struct probe_endpoint {
@@ -203,6 +225,7 @@
                             cancel_attempt,
                             relay_answer,
                             refuse_call,
+                            defer_call,
                             execute_work,
                             cancel_work,
                             relay_work_answer,
@@ -220,6 +243,8 @@
                             apply_caller_limits,
                             request_view,
                             send_view,
+                            report_quota_usage,
+                            send_quota_grants,
                             answer_admin,
                             wake_at,
                             increment_counter,
--- a/Libraries/LibDecision/error_kind.h
+++ b/Libraries/LibDecision/error_kind.h
@@ -22,6 +22,10 @@
   kRateLimited,
   kQueueDeadline,
   kTenantOverShare,
+  kUnknownApiKey,
+  kApiKeysOutdated,  ///< The node cannot tell whether the API key is still
+                     ///< valid.
+  kQuotaExceeded,
   kNoEndpoint,
   kEndpointLeaving,
   kEndpointBusy,
--- a/Libraries/LibDecision/event.h
+++ b/Libraries/LibDecision/event.h
@@ -15,6 +15,7 @@
 #include "LibDecision/outcome.h"
 #include "LibDecision/peer_message.h"
 #include "LibDecision/peer_view.h"
+#include "LibDecision/quota_usage.h"
 #include "LibDecision/request_metadata.h"
 #include "LibDecision/store_call.h"
 
@@ -66,6 +67,10 @@
   /// The call may come from the local endpoint, which did not say for which
   /// work.
   bool may_have_parent = false;
+  /// The API key that the caller presented.
+  std::optional<api_key> key;
+  /// Earlier requests on the caller's connection are not answered yet.
+  bool is_pipelined = false;
   request_metadata metadata;
 };
 
@@ -194,6 +199,21 @@
   peer_view view;
 };
 
+/// Another node reported its use of quotas that this node owns. Answer it with
+/// `send_quota_grants`.
+struct quota_reported {
+  quota_call_id call;
+  node_id from;
+  std::vector<quota_usage> usage;
+};
+
+/// The answer to `report_quota_usage`; `grants` is unset if the owner did not
+/// answer in time.
+struct quota_granted {
+  quota_call_id call;
+  std::optional<std::vector<quota_grant>> grants;
+};
+
 /// A request to the administration API of this node arrived.
 struct admin_requested {
   admin_call_id call;
@@ -220,6 +240,8 @@
                                    routes_decoded,
                                    view_requested,
                                    view_received,
+                                   quota_reported,
+                                   quota_granted,
                                    admin_requested>;
 
 /// An input of the reducer, with the time and the entropy that the reducer may
@@ -228,6 +250,9 @@
   instant now;
   std::uint64_t entropy = 0;
   event_content content;
+  /// Total time that the machine was suspended since it booted. `now` does not
+  /// count this time.
+  duration suspended{};
 };
 
 }  // namespace auburnfold
--- a/Libraries/LibDecision/ids.h
+++ b/Libraries/LibDecision/ids.h
@@ -23,6 +23,8 @@
 using admin_call_id = strong_value<struct admin_call_tag, std::uint64_t>;
 /// Another node's request for this node's view; unique within the process.
 using view_call_id = strong_value<struct view_call_tag, std::uint64_t>;
+/// A report of the use of quotas, at either end; unique within the process.
+using quota_call_id = strong_value<struct quota_call_tag, std::uint64_t>;
 /// A watch of the key-value store; unique within the process.
 using watch_id = strong_value<struct watch_tag, std::uint64_t>;
 
@@ -39,6 +41,9 @@
 /// A class of requests to a service, with settings of its own.
 using class_name = strong_value<struct class_tag, std::string>;
 using tenant_name = strong_value<struct tenant_tag, std::string>;
+/// A secret that a caller presents and that belongs to one tenant. It must not
+/// leave the node: neither to other nodes and endpoints nor into logs.
+using api_key = strong_value<struct api_key_tag, std::string>;
 /// An endpoint's name for itself.
 using endpoint_name = strong_value<struct endpoint_tag, std::string>;
 /// A failure domain.
--- a/Libraries/LibDecision/node_options.h
+++ b/Libraries/LibDecision/node_options.h
@@ -47,6 +47,15 @@
   kRoutes,  ///< Routes that operators store in the key-value store.
 };
 
+/// When a node learns how much each endpoint takes well, and plans its
+/// admissions accordingly, instead of relying on announced slots.
+enum class capacity_planning : std::uint8_t {
+  kNever,
+  kWithDownloads,  ///< While the routes include downloads: the size of requests
+                   ///< then differs too much for a number of slots.
+  kAlways,
+};
+
 /// The policies that a node uses. The defaults are the standard configuration;
 /// values marked as baseline exist for comparison in measurements.
 struct node_options {
@@ -69,6 +78,10 @@
   /// Whether that includes the child calls of running work, whose refusal
   /// wastes what the work has done so far.
   bool refuses_child_calls_early = true;
+  capacity_planning planning = capacity_planning::kNever;
+  /// Requests with an API key are refused if the routes in force may have been
+  /// replaced more than this long ago; zero if keys never become outdated.
+  duration api_key_validity{};
 };
 
 }  // namespace auburnfold
--- a/Libraries/LibDecision/reducer.cc
+++ b/Libraries/LibDecision/reducer.cc
@@ -349,6 +349,13 @@
     context.Emit(send_view{request.call, std::move(view)});
   }
 
+  // FIXME: No quotas are owned yet.
+  void On(event_context& context, const quota_reported& reported) {
+    context.Emit(send_quota_grants{reported.call, {}});
+  }
+
+  void On(event_context&, const quota_granted&) {}
+
   void On(event_context& context, const view_received& received) {
     if (options.settings == settings_source::kRoutes) {
       routes_watcher.OnPeerView(context, received.view.routes);
--- a/Libraries/LibRuntime/node_runtime.cc
+++ b/Libraries/LibRuntime/node_runtime.cc
@@ -108,6 +108,12 @@
   void On(const probe_endpoint& effect) { works.ProbeEndpoint(effect.path); }
   void On(const request_view& effect) { views.Execute(effect); }
   void On(const send_view& effect) { views.Execute(effect); }
+  // FIXME: Calls are not pipelined yet, and no quota is reported.
+  void On(const defer_call&) {}
+  void On(const report_quota_usage& effect) {
+    sink(quota_granted{effect.call, std::nullopt});
+  }
+  void On(const send_quota_grants&) {}
   void On(const log_message& effect);
   void On(const log_decision& effect) { decisions.Write(effect.record); }
   void On(const stop_process& effect);
--- a/Tests/platform/route_reader_test.cc
+++ b/Tests/platform/route_reader_test.cc
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace auburnfold::platform {
 namespace {
@@ -43,6 +44,42 @@
   EXPECT_EQ(read->limits.idle_timeout, 15s);
 }
 
+TEST_F(a_configuration, HasTenantsWithKeysPriorityAndQuota) {
+  const auto read = ReadRoutes(Config(
+      R"({"resourceType":"tenants","metadata":{"name":"t"},"spec":)"
+      R"({"apiKeys":["k1","k2"],"priority":1,"ratePerS":335,"burst":30}},)"
+      R"({"resourceType":"tenants","metadata":{"name":"u"},"spec":)"
+      R"({"apiKeys":["k3",4],"ratePerS":"many"}})"));
+  ASSERT_TRUE(read);
+  ASSERT_EQ(read->tenants.size(), 2U);
+  const tenant_config& limited = read->tenants[0];
+  EXPECT_EQ(limited.name, tenant_name("t"));
+  EXPECT_EQ(limited.keys, (std::vector{api_key("k1"), api_key("k2")}));
+  EXPECT_EQ(limited.priority, 6);
+  EXPECT_EQ(limited.quota, (tenant_quota{request_rate(335), 30}));
+  const tenant_config& partly_read = read->tenants[1];
+  EXPECT_EQ(partly_read.keys, std::vector{api_key("k3")});
+  EXPECT_FALSE(partly_read.priority);
+  EXPECT_FALSE(partly_read.quota.is_limited());
+  ASSERT_EQ(read->unread.size(), 2U);
+  EXPECT_EQ(read->unread[0].field, config_field::kTenantKeys);
+  EXPECT_EQ(read->unread[0].value, "");
+  EXPECT_EQ(read->unread[1].field, config_field::kTenantQuota);
+}
+
+TEST_F(a_configuration, HasDownloadsThatMayBeRepeated) {
+  const auto read = ReadRoutes(
+      Config(R"({"resourceType":"routes","metadata":{"name":"r-1"},"spec":)"
+             R"({"host":"h","prefix":"/a/","kind":"download","timeoutS":5,)"
+             R"("service":"x","anonymous":true}})"));
+  ASSERT_TRUE(read);
+  ASSERT_EQ(read->routes.size(), 1U);
+  EXPECT_TRUE(read->routes[0].is_idempotent);
+  EXPECT_TRUE(read->routes[0].is_download);
+  EXPECT_TRUE(read->routes[0].is_anonymous);
+  EXPECT_TRUE(read->unread.empty());
+}
+
 TEST_F(a_configuration, HasRoutesInTheProductsTerms) {
   const auto read = ReadRoutes(Config(kSplit));
   ASSERT_TRUE(read);
