LibDecision, platform: Serve tenants by API key, and refuse keys that may be gone

Routes with tenants were read, but requests needed no key. The node where a request begins now finds the tenant of its key, refuses unknown keys, and passes the tenant and its priority on; the key stays there. With api_key_validity_s, keys are refused once the node could not make sure for that long that its routes are the newest.

--- a/Libraries/LibDecision/Calls/outgoing_call.h
+++ b/Libraries/LibDecision/Calls/outgoing_call.h
@@ -27,6 +27,8 @@
   /// The attempt in flight.
   std::optional<attempt_id> attempt;
   instant attempt_started;
+  /// The same on the clock of `event_context::elapsed_now`.
+  instant elapsed_at_attempt;
   /// Bytes of `attempt` may have been sent.
   bool is_attempt_sent = false;
   /// `attempt` carries a notice about the endpoint.
--- a/Libraries/LibDecision/Calls/outgoing_calls.cc
+++ b/Libraries/LibDecision/Calls/outgoing_calls.cc
@@ -38,7 +38,7 @@
   call.arrived = context.now();
   std::optional<error_kind> route_error;
   if (arrived.target) {
-    route_error = ApplyRoute(*arrived.target, call.metadata);
+    route_error = ApplyRoute(context, arrived, parent, call.metadata);
   }
   const request_metadata& metadata = call.metadata;
   const row_settings& row =
@@ -104,17 +104,25 @@
 }
 
 std::optional<error_kind> outgoing_calls::ApplyRoute(
-    const route_target& target,
+    event_context& context,
+    const call_arrived& arrived,
+    const parent_work* parent,
     request_metadata& metadata) {
   if (!routes_.version()) {
     return error_kind::kNoRoutes;
   }
-  const route* found = routes_.Match(target.host, target.path);
+  const route* found =
+      routes_.Match(arrived.target->host, arrived.target->path);
   if (found == nullptr) {
     return error_kind::kUnknownRoute;
   }
   metadata.request_class = found->name;
   metadata.objective = found->objective;
+  if (const auto refusal = authenticator_.Authenticate(
+          context, arrived, *found,
+          parent == nullptr ? nullptr : &parent->metadata, metadata)) {
+    return refusal;
+  }
   if (found->services.empty()) {
     return error_kind::kNoEndpoint;
   }
@@ -388,6 +396,7 @@
   const attempt_id attempt(next_attempt_id_++);
   call.attempt = attempt;
   call.attempt_started = context.now();
+  call.elapsed_at_attempt = context.elapsed_now();
   call.is_attempt_sent = false;
   call.history.tried_nodes.push_back(chosen->node);
   calls_by_attempt_[attempt] = id;
@@ -530,6 +539,13 @@
   return calls_.at(found->second).history.tried_nodes.back();
 }
 
+std::optional<instant> outgoing_calls::SentAt(attempt_id attempt) const {
+  const auto found = calls_by_attempt_.find(attempt);
+  return found == calls_by_attempt_.end()
+             ? std::nullopt
+             : std::optional(calls_.at(found->second).elapsed_at_attempt);
+}
+
 std::vector<ended_child> outgoing_calls::TakeEndedChildCalls() {
   return std::exchange(ended_child_calls_, {});
 }
--- a/Libraries/LibDecision/Calls/outgoing_calls.h
+++ b/Libraries/LibDecision/Calls/outgoing_calls.h
@@ -17,6 +17,7 @@
 #include "LibDecision/Routes/route_table.h"
 #include "LibDecision/Routing/router.h"
 #include "LibDecision/Table/policy_table.h"
+#include "LibDecision/Tenants/caller_authenticator.h"
 #include "LibDecision/ended_child.h"
 #include "LibDecision/event.h"
 #include "LibDecision/event_context.h"
@@ -42,6 +43,7 @@
                  retry_allowances& allowances,
                  quarantine& request_quarantine,
                  pressure_tracker& pressure,
+                 caller_authenticator& authenticator,
                  const node_options& options)
       : policies_(policies),
         routes_(routes),
@@ -49,6 +51,7 @@
         allowances_(allowances),
         quarantine_(request_quarantine),
         pressure_(pressure),
+        authenticator_(authenticator),
         options_(options),
         retry_policy_(pressure, options),
         router_(members) {}
@@ -84,6 +87,9 @@
   std::size_t open_count() const { return calls_.size(); }
   /// The node that `attempt` was sent to; unset if it is not open.
   std::optional<node_id> NodeOf(attempt_id attempt) const;
+  /// When `attempt` was started, on the clock of `event_context::elapsed_now`;
+  /// unset if it is not open.
+  std::optional<instant> SentAt(attempt_id attempt) const;
   /// When `node` last answered an attempt; the clock's origin if never.
   instant LastAnsweredAt(node_id node) const {
     return router_.LastAnsweredAt(node);
@@ -93,9 +99,12 @@
   using call_state = outgoing_call;
   using call_map = std::unordered_map<call_id, call_state>;
 
-  /// Sets service, class and objective from the route that `target` matches.
-  /// Returns the error if there is no such route.
-  std::optional<error_kind> ApplyRoute(const route_target& target,
+  /// Sets service, class, objective and tenant from the route that the target
+  /// of `arrived` matches. Returns the error if there is no such route, or if
+  /// the caller may not use it.
+  std::optional<error_kind> ApplyRoute(event_context& context,
+                                       const call_arrived& arrived,
+                                       const parent_work* parent,
                                        request_metadata& metadata);
   void Send(event_context& context, call_id id, call_state& call);
   /// Returns the member for the next attempt. Refuses the call and returns
@@ -151,6 +160,7 @@
   retry_allowances& allowances_;
   quarantine& quarantine_;
   pressure_tracker& pressure_;
+  caller_authenticator& authenticator_;
   const node_options& options_;
   retry_policy retry_policy_;
   router router_;
--- a/Libraries/LibDecision/Routes/route_reading.h
+++ b/Libraries/LibDecision/Routes/route_reading.h
@@ -2,6 +2,7 @@
 #define LIBDECISION_ROUTES_ROUTE_READING_H_
 
 #include <cstdint>
+#include <optional>
 #include <string_view>
 
 #include "LibDecision/ids.h"
@@ -26,6 +27,9 @@
   store_revision revision;
   store_era era;
   instant read_at;
+  /// When the value was requested, on the clock of
+  /// `event_context::elapsed_now`, if it was certainly the newest at that time.
+  std::optional<instant> requested_at;
 };
 
 }  // namespace auburnfold
--- a/Libraries/LibDecision/Routes/route_watcher.cc
+++ b/Libraries/LibDecision/Routes/route_watcher.cc
@@ -51,7 +51,8 @@
                                  {.source = source,
                                   .revision = entry.revision,
                                   .era = answer.result.era,
-                                  .read_at = context.now()}});
+                                  .read_at = context.now(),
+                                  .requested_at = change->requested_at}});
     }
   }
 }
--- a/Libraries/LibDecision/Store/prefix_watch.cc
+++ b/Libraries/LibDecision/Store/prefix_watch.cc
@@ -56,6 +56,9 @@
   const bool is_done = answer.result.status == store_status::kDone;
   if (is_done && (is_list || !answer.result.entries.empty())) {
     update = prefix_update{answer.result.entries, is_list};
+    if (is_list) {
+      update->requested_at = list_requested_at_;
+    }
   }
   if (is_list) {
     OnListed(context, answer.result);
@@ -78,6 +81,7 @@
   }
   needs_listing_ = false;
   list_call_ = call_ids_.Next();
+  list_requested_at_ = context.elapsed_now();
   context.Count(counter::kStoreCalls);
   context.Emit(call_store{*list_call_, store_list{options_.prefix}});
 }
--- a/Libraries/LibDecision/Store/prefix_watch.h
+++ b/Libraries/LibDecision/Store/prefix_watch.h
@@ -20,6 +20,9 @@
   /// `entries` is everything under the prefix: a key that is not in it does not
   /// exist.
   bool is_listing = false;
+  /// When a listing was requested, on the clock of
+  /// `event_context::elapsed_now`; unset for a watch, which waits for changes.
+  std::optional<instant> requested_at;
 };
 
 /// How a prefix is watched.
@@ -92,6 +95,7 @@
   /// The next watch reports changes after this revision; unset until the first
   /// listing.
   std::optional<store_revision> revision_;
+  instant list_requested_at_{};
   instant listed_at_{};
   instant store_answered_at_{};
   std::size_t node_count_ = 1;
--- /dev/null
+++ b/Libraries/LibDecision/Tenants/key_validity.h
@@ -0,0 +1,73 @@
+#ifndef LIBDECISION_TENANTS_KEY_VALIDITY_H_
+#define LIBDECISION_TENANTS_KEY_VALIDITY_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "LibDecision/event.h"
+#include "LibDecision/event_context.h"
+#include "LibDecision/store_call_id_generator.h"
+
+namespace auburnfold {
+
+/// Tells whether the API keys in the routes in force still hold: an API key is
+/// valid if it can only have been removed within the last `validity`. All
+/// instants are on the clock of `event_context::elapsed_now`.
+class key_validity {
+ public:
+  /// API keys are always valid if `validity` is zero.
+  key_validity(duration validity, std::string route_key);
+
+  /// Whether the API keys in force are valid. Reads the routes if they are not.
+  bool IsValid(event_context& context);
+  /// How long before `when` it was certain that no routes existed that are
+  /// newer than those in force; negative if it was certain later. Unset if it
+  /// is not known.
+  std::optional<duration> ConfirmedBefore(instant when) const;
+
+  void OnRoutesTaken(event_context& context, bool has_tenants);
+  /// At `when`, no routes existed that are newer than those in force.
+  void OnConfirmed(event_context& context, instant when);
+  /// Another node that uses the same routes answers an attempt that was sent at
+  /// `sent_at`; `age` is its `answer_metadata::routes_confirmed_age`.
+  void OnPeerConfirmed(event_context& context, instant sent_at, duration age);
+  /// `value_in_force` is the value that the routes in force were decoded from.
+  void OnStoreAnswered(event_context& context,
+                       const store_answered& answer,
+                       const std::string& value_in_force);
+  /// `is_watch_failing`: the watch of the routes repeats a listing that fails.
+  void OnTimer(event_context& context, bool is_watch_failing);
+  /// The number of nodes that keep each other informed.
+  void set_node_count(std::size_t node_count) { node_count_ = node_count; }
+
+ private:
+  void Read(event_context& context);
+  void ScheduleRead(event_context& context);
+  void ScheduleRetry(event_context& context);
+  /// Chooses how old the last confirmation may become before this node reads
+  /// the routes.
+  duration ChooseReadAge(event_context& context) const;
+  void SetLost(event_context& context, bool is_lost);
+
+  duration validity_;
+  std::string route_key_;
+  store_call_id_generator call_ids_{store_caller::kKeyValidity};
+  bool is_active_ = false;
+  bool is_lost_ = false;
+  std::optional<instant> confirmed_at_;
+  instant routes_taken_at_{};
+  duration read_age_{};
+  /// The confirmation for which `read_age_` was chosen.
+  std::optional<instant> read_age_chosen_for_;
+  std::optional<store_call_id> read_call_;
+  instant read_sent_at_{};
+  std::uint32_t failures_ = 0;
+  std::size_t node_count_ = 1;
+};
+
+}  // namespace auburnfold
+
+#endif  // LIBDECISION_TENANTS_KEY_VALIDITY_H_
--- a/Libraries/LibDecision/Timers/timer_service.h
+++ b/Libraries/LibDecision/Timers/timer_service.h
@@ -29,6 +29,7 @@
   kRegistryLapse,
   kRouteWatch,
   kNewerRoutes,
+  kKeyValidity,
   kCrashRecords,
   kCrashViews,
   kCrashExpiry,
--- a/Libraries/LibDecision/Work/incoming_work.cc
+++ b/Libraries/LibDecision/Work/incoming_work.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "LibDecision/Tenants/tenant_digest.h"
+
 namespace auburnfold {
 
 void incoming_work::Start(event_context& context, const node_started& self) {
@@ -15,7 +17,12 @@
                               const work_arrived& arrived) {
   work_item& item = work_items_[arrived.work];
   item.metadata = arrived.metadata;
+  if (names_tenants_) {
+    item.metadata.digest =
+        DigestForTenant(arrived.metadata.digest, arrived.metadata.tenant);
+  }
   item.arrived = context.now();
+  item.elapsed_at_arrival = context.elapsed_now();
   item.deadline = context.now() + arrived.metadata.time_left;
   allowances_.Open(arrived.work, arrived.metadata.allowance);
   senders_.OnArrived(context.now(), arrived.from);
@@ -68,7 +75,8 @@
   if (arrived.metadata.time_left <= duration::zero()) {
     return error_kind::kDeadlineExpired;
   }
-  return RefusalForCrashes(arrived.work, arrived.metadata.digest);
+  return RefusalForCrashes(arrived.work,
+                           work_items_.at(arrived.work).metadata.digest);
 }
 
 // One suspect at a time: the next crash then shows which of them it is.
@@ -597,6 +605,10 @@
   if (has_newer_routes) {
     metadata.newer_routes = routes_.version();
   }
+  if (item.metadata.routes && item.metadata.routes == routes_.version()) {
+    metadata.routes_confirmed_age =
+        keys_validity_.ConfirmedBefore(item.elapsed_at_arrival);
+  }
   if (item.metadata.crash_checksum != quarantine_.checksum()) {
     metadata.crash_checksum = quarantine_.checksum();
   }
--- a/Libraries/LibDecision/Work/incoming_work.h
+++ b/Libraries/LibDecision/Work/incoming_work.h
@@ -15,6 +15,7 @@
 #include "LibDecision/Retries/service_retry_budgets.h"
 #include "LibDecision/Routes/route_table.h"
 #include "LibDecision/Table/policy_table.h"
+#include "LibDecision/Tenants/key_validity.h"
 #include "LibDecision/Work/active_senders.h"
 #include "LibDecision/Work/endpoint_crash_detector.h"
 #include "LibDecision/Work/local_endpoint.h"
@@ -36,15 +37,18 @@
                 retry_allowances& allowances,
                 quarantine& request_quarantine,
                 const pressure_tracker& pressure,
+                const key_validity& keys,
                 const node_options& options)
       : policies_(policies),
         routes_(routes),
         allowances_(allowances),
         quarantine_(request_quarantine),
         pressure_(pressure),
+        keys_validity_(keys),
         stop_grace_(options.stop_grace),
         checks_expected_run_(options.discovery == discovery_mode::kGossip),
         counts_arrivals_(options.retries == retry_mode::kArrivals),
+        names_tenants_(options.settings == settings_source::kRoutes),
         endpoint_(options.leaving_grace),
         admission_(options.limit) {}
 
@@ -98,6 +102,8 @@
   struct work_item {
     request_metadata metadata;
     instant arrived;
+    /// The same on the clock of `event_context::elapsed_now`.
+    instant elapsed_at_arrival;
     instant deadline;
     /// When it was handed to the endpoint.
     instant started;
@@ -174,9 +180,12 @@
   retry_allowances& allowances_;
   quarantine& quarantine_;
   const pressure_tracker& pressure_;
+  const key_validity& keys_validity_;
   duration stop_grace_;
   bool checks_expected_run_;
   bool counts_arrivals_;
+  /// Senders determine the tenants of requests from the routes.
+  bool names_tenants_;
   incarnation run_;
   std::optional<instant> stopping_since_;
   local_endpoint endpoint_;
--- a/Libraries/LibDecision/answer_metadata.h
+++ b/Libraries/LibDecision/answer_metadata.h
@@ -37,9 +37,10 @@
   /// Version of the routes at the answering node, if it is newer than that of
   /// the receiver.
   std::optional<route_version> newer_routes;
-  /// How long before the answer the routes that the sender and this node both
-  /// use were certainly the newest; unset if it is not known, or if the sender
-  /// uses others.
+  /// How long before the request arrived it was certain that no routes existed
+  /// that are newer than those that the sender and this node both use; negative
+  /// if it was certain later. Unset if it is not known, or if the sender uses
+  /// others.
   std::optional<duration> routes_confirmed_age;
   /// Number of requests that the answering endpoint handles at once without
   /// becoming slower; 0 if it is not known.
--- a/Libraries/LibDecision/counter.cc
+++ b/Libraries/LibDecision/counter.cc
@@ -22,6 +22,12 @@
       return "refused_by_rate_limit";
     case counter::kRefusedByQuarantine:
       return "refused_by_quarantine";
+    case counter::kRefusedByApiKey:
+      return "refused_by_api_key";
+    case counter::kRefusedByKeyValidity:
+      return "refused_by_key_validity";
+    case counter::kKeyConfirmations:
+      return "key_confirmations";
     case counter::kDroppedFromQueue:
       return "dropped_from_queue";
     case counter::kWorkStarted:
--- a/Libraries/LibDecision/counter.h
+++ b/Libraries/LibDecision/counter.h
@@ -17,6 +17,10 @@
   kRefusedByLimit,      ///< Work refused since a limit or the queue was full.
   kRefusedByRateLimit,  ///< Work refused since the endpoint's rate was used up.
   kRefusedByQuarantine,   ///< Refused since the request crashes endpoints.
+  kRefusedByApiKey,       ///< Calls refused since their API key is unknown.
+  kRefusedByKeyValidity,  ///< Calls refused since their API key may have been
+                          ///< removed.
+  kKeyConfirmations,      ///< Reads of the routes that confirm API keys.
   kDroppedFromQueue,      ///< Work that could not start in time.
   kWorkStarted,           ///< Work handed over to the local endpoint.
   kEndpointCrashes,       ///< Ends of the local endpoint without notice.
--- a/Libraries/LibDecision/decision_record.cc
+++ b/Libraries/LibDecision/decision_record.cc
@@ -64,6 +64,10 @@
       return "store_era_changed";
     case decision_kind::kStoreRegained:
       return "store_regained";
+    case decision_kind::kKeysOutdated:
+      return "keys_outdated";
+    case decision_kind::kKeysConfirmed:
+      return "keys_confirmed";
     case decision_kind::kLoopDelayed:
       return "loop_delayed";
     case decision_kind::kStarted:
@@ -109,6 +113,8 @@
     case decision_kind::kStoreLost:
     case decision_kind::kStoreEraChanged:
     case decision_kind::kStoreRegained:
+    case decision_kind::kKeysOutdated:
+    case decision_kind::kKeysConfirmed:
     case decision_kind::kLoopDelayed:
     case decision_kind::kStarted:
     case decision_kind::kStopping:
--- a/Libraries/LibDecision/decision_record.h
+++ b/Libraries/LibDecision/decision_record.h
@@ -50,6 +50,8 @@
   kStoreLost,          ///< The key-value store is unavailable.
   kStoreEraChanged,    ///< The key-value store has lost acknowledged writes.
   kStoreRegained,      ///< The key-value store is available again.
+  kKeysOutdated,       ///< API keys may have been removed too long ago.
+  kKeysConfirmed,      ///< API keys are certainly in effect again.
   kLoopDelayed,        ///< The node handles events late.
   kStarted,            ///< The node has started.
   kStopping,           ///< The node is asked to stop.
--- a/Libraries/LibDecision/event_context.h
+++ b/Libraries/LibDecision/event_context.h
@@ -14,10 +14,15 @@
 /// handle one event, and the effects that they produce.
 class event_context {
  public:
-  event_context(instant now, std::uint64_t entropy, timer_service& timers)
-      : now_(now), entropy_(entropy), timers_(timers) {}
+  event_context(instant now,
+                std::uint64_t entropy,
+                timer_service& timers,
+                duration suspended = {})
+      : now_(now), entropy_(entropy), timers_(timers), suspended_(suspended) {}
 
   instant now() const { return now_; }
+  /// `now` on a clock that also counts the time that the machine was suspended.
+  instant elapsed_now() const { return now_ + suspended_; }
   timer_service& timers() { return timers_; }
 
   /// The next pseudorandom number, derived from the event's entropy.
@@ -39,6 +44,7 @@
   instant now_;
   std::uint64_t entropy_;
   timer_service& timers_;
+  duration suspended_;
   effects effects_;
 };
 
--- a/Libraries/LibDecision/reducer.cc
+++ b/Libraries/LibDecision/reducer.cc
@@ -15,6 +15,9 @@
 #include "LibDecision/Routes/route_table.h"
 #include "LibDecision/Routes/route_watcher.h"
 #include "LibDecision/Table/policy_table.h"
+#include "LibDecision/Tenants/caller_authenticator.h"
+#include "LibDecision/Tenants/key_directory.h"
+#include "LibDecision/Tenants/key_validity.h"
 #include "LibDecision/Timers/timer_service.h"
 #include "LibDecision/Work/incoming_work.h"
 #include "LibDecision/event_context.h"
@@ -49,10 +52,13 @@
   node_registry registry{members, request_quarantine};
   retry_allowances allowances;
   pressure_tracker pressure;
-  outgoing_calls calls{policies,           routes,   members, allowances,
-                       request_quarantine, pressure, options};
-  incoming_work work{policies,           routes,   allowances,
-                     request_quarantine, pressure, options};
+  key_directory keys;
+  key_validity keys_validity{options.api_key_validity, options.route_key};
+  caller_authenticator authenticator{keys, keys_validity};
+  outgoing_calls calls{policies,           routes,   members,       allowances,
+                       request_quarantine, pressure, authenticator, options};
+  incoming_work work{policies, routes,        allowances, request_quarantine,
+                     pressure, keys_validity, options};
   /// Service of the local endpoint as configured at the node; may be empty.
   service_name local_service;
   bool is_stopped = false;
@@ -177,6 +183,12 @@
       request_quarantine.OnPeerChecksum(
           context, finished.result.peer->crash_checksum, peer->address);
     }
+    const auto sent_at = calls.SentAt(finished.attempt);
+    if (sent_at && finished.result.peer &&
+        finished.result.peer->routes_confirmed_age) {
+      keys_validity.OnPeerConfirmed(
+          context, *sent_at, *finished.result.peer->routes_confirmed_age);
+    }
     calls.OnAttemptFinished(context, finished);
   }
 
@@ -266,6 +278,9 @@
     request_quarantine.OnStoreAnswered(context, answer);
     routes_watcher.set_node_count(members.list().members().size());
     routes_watcher.OnStoreAnswered(context, answer);
+    keys_validity.set_node_count(members.list().members().size());
+    keys_validity.OnStoreAnswered(context, answer,
+                                  routes_watcher.value_in_force());
     policies.OnStoreAnswered(context, answer);
   }
 
@@ -275,9 +290,13 @@
       return LogRoutes(context, decision_kind::kRoutesRejected, decoded);
     }
     if (!routes.Apply(context.now(), *decoded.config)) {
+      ConfirmRoutes(context, decoded);
       return LogRoutes(context, decision_kind::kRoutesIgnored, decoded);
     }
     routes_watcher.OnTaken(decoded.value);
+    keys_validity.OnRoutesTaken(context, !decoded.config->tenants.empty());
+    ConfirmRoutes(context, decoded);
+    keys.Replace(decoded.config->tenants);
     context.Count(counter::kRoutesTaken);
     LogRoutes(context, decision_kind::kRoutesTaken, decoded);
     LogUnreadFields(context, *decoded.config);
@@ -288,6 +307,13 @@
     ProbeEndpoint(context);
   }
 
+  void ConfirmRoutes(event_context& context, const routes_decoded& decoded) {
+    const bool is_in_force = decoded.config->version == routes.version();
+    if (is_in_force && decoded.reading.requested_at) {
+      keys_validity.OnConfirmed(context, *decoded.reading.requested_at);
+    }
+  }
+
   static void LogRoutes(event_context& context,
                         decision_kind kind,
                         const routes_decoded& decoded) {
@@ -477,6 +503,9 @@
         return request_quarantine.OnTimer(context, due.owner);
       case timer_owner::kNewerRoutes:
         return routes_watcher.OnNewerRoutesTimer(context, routes.version());
+      case timer_owner::kKeyValidity:
+        return keys_validity.OnTimer(context,
+                                     routes_watcher.is_store_unavailable());
     }
   }
 
@@ -553,7 +582,7 @@
 
 effects Reduce(node_state& state, const event& input) {
   node_state::impl& impl = *state.impl_;
-  event_context context(input.now, input.entropy, impl.timers);
+  event_context context(input.now, input.entropy, impl.timers, input.suspended);
   while (const auto due = impl.timers.PopDue(input.now)) {
     impl.OnTimer(context, *due);
   }
--- a/Libraries/LibDecision/store_call_id_generator.h
+++ b/Libraries/LibDecision/store_call_id_generator.h
@@ -16,6 +16,7 @@
   kRegistryWatch,
   kRouteWatch,
   kCrashRecords,
+  kKeyValidity,
 };
 
 /// Generates ids of store calls that are unique to one part of the reducer.
@@ -25,7 +26,7 @@
 
   store_call_id Next() {
     constexpr auto kCallerCount =
-        static_cast<std::uint64_t>(store_caller::kCrashRecords) + 1;
+        static_cast<std::uint64_t>(store_caller::kKeyValidity) + 1;
     ++generated_;
     return store_call_id(generated_ * kCallerCount +
                          static_cast<std::uint64_t>(caller_));
--- a/Libraries/LibRuntime/Requests/call_handler.cc
+++ b/Libraries/LibRuntime/Requests/call_handler.cc
@@ -12,7 +12,6 @@
 #include "LibRuntime/Requests/parent_token.h"
 #include "LibRuntime/Requests/request_digest.h"
 #include "LibRuntime/Requests/work_handler.h"
-#include "LibWire/header_names.h"
 
 namespace auburnfold {
 
@@ -67,11 +66,11 @@
   request_metadata metadata = std::move(read.metadata);
   call_arrived arrived{.call = call_id(next_call_++),
                        .target = std::move(read.target),
-                       .may_have_parent = read.may_have_parent};
-  const std::string_view parent_text = request[kParentHeader];
-  arrived.has_parent = !parent_text.empty();
+                       .has_parent = !read.parent.empty(),
+                       .may_have_parent = read.may_have_parent,
+                       .key = std::move(read.key)};
   if (arrived.has_parent) {
-    const std::optional<parent_token> parent = parent_token::Parse(parent_text);
+    const std::optional<parent_token> parent = parent_token::Parse(read.parent);
     const bool is_ours =
         parent && parent->node == self_.node && parent->run == self_.run;
     if (const request_metadata* parent_metadata =
--- a/Libraries/LibRuntime/Requests/headers.cc
+++ b/Libraries/LibRuntime/Requests/headers.cc
@@ -88,6 +88,19 @@
   return version ? std::optional(route_version(*version)) : std::nullopt;
 }
 
+std::optional<duration> ReadRoutesAge(const http::fields& headers) {
+  constexpr std::int64_t kMaxAgeMs = std::int64_t{1} << 40;
+  const std::string_view text = HeaderValue(headers, kRoutesAgeHeader);
+  std::int64_t value = 0;
+  const char* text_end = text.data() + text.size();
+  const auto [parsed_end, error] =
+      std::from_chars(text.data(), text_end, value);
+  const bool is_age = error == std::errc() && parsed_end == text_end &&
+                      value <= kMaxAgeMs && value >= -kMaxAgeMs;
+  return is_age ? std::optional<duration>(std::chrono::milliseconds(value))
+                : std::nullopt;
+}
+
 void WriteCrashChecksum(http::fields& headers, std::uint64_t checksum) {
   if (checksum != 0) {
     headers.set(kCrashesHeader, ToHexadecimal(checksum));
@@ -123,21 +136,26 @@
                              request_metadata& metadata) {
   const std::string_view service = HeaderValue(headers, kServiceHeader);
   const std::string_view request_class = HeaderValue(headers, kClassHeader);
-  std::string_view tenant = HeaderValue(headers, kTenantHeader);
-  if (tenant.empty()) {
-    tenant = kDefaultTenant;
-  }
   if (!IsName(service)) {
     return Malformed("Auburnfold-Service must be a name of 1 to 64 characters");
   }
   if (!IsName(request_class)) {
     return Malformed("Auburnfold-Class must be a name of 1 to 64 characters");
   }
+  metadata.service = service_name(std::string(service));
+  metadata.request_class = class_name(std::string(request_class));
+  return {};
+}
+
+leaf::result<void> ReadTenant(const http::fields& headers,
+                              request_metadata& metadata) {
+  std::string_view tenant = HeaderValue(headers, kTenantHeader);
+  if (tenant.empty()) {
+    tenant = kDefaultTenant;
+  }
   if (!IsName(tenant)) {
     return Malformed("Auburnfold-Tenant must be a name of 1 to 64 characters");
   }
-  metadata.service = service_name(std::string(service));
-  metadata.request_class = class_name(std::string(request_class));
   metadata.tenant = tenant_name(std::string(tenant));
   return {};
 }
@@ -175,6 +193,15 @@
   return {};
 }
 
+leaf::result<request_metadata> ReadRequestHeaders(const http::fields& headers) {
+  request_metadata metadata;
+  BOOST_LEAF_CHECK(ReadNames(headers, metadata));
+  BOOST_LEAF_ASSIGN(metadata.time_left, ReadTimeout(headers));
+  BOOST_LEAF_CHECK(ReadIds(headers, metadata));
+  BOOST_LEAF_CHECK(ReadAttempt(headers, metadata));
+  return metadata;
+}
+
 std::optional<request_rate> ParseRate(std::string_view text) {
   double value = 0;
   const char* text_end = text.data() + text.size();
@@ -315,6 +342,7 @@
   metadata.grants_retry = !HeaderValue(headers, kRetryGrantedHeader).empty();
   metadata.is_cold = HeaderValue(headers, kColdHeader) == "1";
   metadata.newer_routes = ReadRoutes(headers);
+  metadata.routes_confirmed_age = ReadRoutesAge(headers);
   metadata.crash_checksum = ReadCrashChecksum(headers);
   metadata.notice = ReadNotice(headers);
   return metadata;
@@ -334,18 +362,18 @@
 }  // namespace
 
 leaf::result<request_metadata> ReadCallerHeaders(const http::fields& headers) {
-  request_metadata metadata;
-  BOOST_LEAF_CHECK(ReadNames(headers, metadata));
-  BOOST_LEAF_ASSIGN(metadata.time_left, ReadTimeout(headers));
-  BOOST_LEAF_CHECK(ReadIds(headers, metadata));
-  BOOST_LEAF_CHECK(ReadAttempt(headers, metadata));
-  return metadata;
+  BOOST_LEAF_AUTO(metadata, ReadRequestHeaders(headers));
+  BOOST_LEAF_CHECK(ReadTenant(headers, metadata));
+  return std::move(metadata);
 }
 
 leaf::result<forwarded_metadata> ReadForwardedHeaders(
     const http::fields& headers) {
   forwarded_metadata read;
-  BOOST_LEAF_ASSIGN(read.metadata, ReadCallerHeaders(headers));
+  BOOST_LEAF_ASSIGN(read.metadata, ReadRequestHeaders(headers));
+  // Any name, or none: the forwarding node has determined the tenant.
+  read.metadata.tenant =
+      tenant_name(std::string(HeaderValue(headers, kTenantHeader)));
   BOOST_LEAF_CHECK(ReadCallTreeHeaders(headers, read.metadata));
   const std::optional<std::uint64_t> from =
       ParseHexadecimal(HeaderValue(headers, kFromHeader));
@@ -453,6 +481,12 @@
     headers.set(kColdHeader, "1");
   }
   WriteRoutes(headers, metadata.newer_routes);
+  if (metadata.routes_confirmed_age) {
+    headers.set(kRoutesAgeHeader,
+                std::to_string(std::chrono::ceil<std::chrono::milliseconds>(
+                                   *metadata.routes_confirmed_age)
+                                   .count()));
+  }
   WriteCrashChecksum(headers, metadata.crash_checksum);
   WriteNotice(headers, metadata.notice);
 }
--- a/Libraries/LibRuntime/Requests/own_dialect.cc
+++ b/Libraries/LibRuntime/Requests/own_dialect.cc
@@ -23,6 +23,7 @@
   BOOST_LEAF_AUTO(metadata, ReadCallerHeaders(request));
   caller_request read;
   read.metadata = std::move(metadata);
+  read.parent = request[kParentHeader];
   return read;
 }
 
--- a/Libraries/LibRuntime/Requests/wire_dialect.h
+++ b/Libraries/LibRuntime/Requests/wire_dialect.h
@@ -27,6 +27,10 @@
   /// The request may be a child call of the local endpoint that does not name
   /// its parent.
   bool may_have_parent = false;
+  /// The `parent_token` that the caller named, as text; empty if none.
+  std::string parent;
+  /// The API key that the caller presented.
+  std::optional<api_key> key;
 };
 
 /// An error to answer a caller with.
@@ -64,7 +68,8 @@
   {
     dialect.ReadCallerRequest(request)
     } -> std::same_as<leaf::result<caller_request>>;
-  /// Adds headers that tell the endpoint where the request originated.
+  /// Replaces headers that tell the endpoint where the request originated, and
+  /// removes those that only this node may see.
   { dialect.AddOriginHeaders(headers) } -> std::same_as<void>;
   /// What tells requests with the same method, target and body apart: where
   /// they go and who sends them. The request has its origin headers.
--- a/Libraries/LibRuntime/Settings/node_settings.cc
+++ b/Libraries/LibRuntime/Settings/node_settings.cc
@@ -17,6 +17,7 @@
 
 constexpr std::uint64_t kMaxStopLimitMs = 600'000;
 constexpr std::uint64_t kMaxStopLingerMs = 60'000;
+constexpr double kMaxApiKeyValiditySeconds = 86'400;
 constexpr std::uint64_t kMaxLabelLimit = 1'000;
 
 const std::vector<std::string_view>& LogLevels() {
@@ -83,6 +84,9 @@
                                       settings.stop_limit));
   BOOST_LEAF_CHECK(reader.ReadMilliseconds("stop_linger_ms", kMaxStopLingerMs,
                                            settings.stop_linger));
+  BOOST_LEAF_CHECK(reader.ReadSeconds("api_key_validity_s",
+                                      kMaxApiKeyValiditySeconds,
+                                      settings.api_key_validity));
   std::uint64_t labels = settings.label_limit;
   BOOST_LEAF_CHECK(reader.ReadInteger("label_limit", presence::kOptional, 1,
                                       kMaxLabelLimit, labels));
--- a/Libraries/LibRuntime/Settings/node_settings.h
+++ b/Libraries/LibRuntime/Settings/node_settings.h
@@ -47,6 +47,9 @@
   /// A stopping node that has no open requests ends once no new request has
   /// arrived for this long.
   std::chrono::milliseconds stop_linger{1'000};
+  /// Requests with an API key are refused if the key may have been removed more
+  /// than this long ago; zero for no limit.
+  std::chrono::milliseconds api_key_validity{};
   /// Maximum number of values of a metric's label. Further values are counted
   /// as `other`.
   std::size_t label_limit = 64;
--- a/Libraries/LibRuntime/Settings/settings_change_detector.cc
+++ b/Libraries/LibRuntime/Settings/settings_change_detector.cc
@@ -51,6 +51,8 @@
   note(before.endpoint_port != now.endpoint_port, "endpoint_address", later);
   note(before.seeds != now.seeds, "seeds", later);
   note(before.stop_limit != now.stop_limit, "stop_limit", later);
+  note(before.api_key_validity != now.api_key_validity, "api_key_validity_s",
+       later);
   note(before.label_limit != now.label_limit, "label_limit", later);
   note(before.admin != now.admin, "admin", later);
 }
--- a/Libraries/LibRuntime/decision_loop.cc
+++ b/Libraries/LibRuntime/decision_loop.cc
@@ -1,10 +1,24 @@
 #include "LibRuntime/decision_loop.h"
 
 #include <chrono>
+#include <ctime>
 #include <utility>
 
 namespace auburnfold {
 
+namespace {
+
+// Counts the time that the machine was suspended, unlike the steady clock.
+duration TimeSinceBoot() {
+  timespec time{};
+  clock_gettime(CLOCK_BOOTTIME, &time);
+  return std::chrono::duration_cast<duration>(
+      std::chrono::seconds(time.tv_sec) +
+      std::chrono::nanoseconds(time.tv_nsec));
+}
+
+}  // namespace
+
 decision_loop::decision_loop(const node_options& options,
                              effect_executor execute,
                              event_completion_handler on_completed)
@@ -37,7 +51,11 @@
 }
 
 void decision_loop::ProcessEvent(event_content content) {
-  const event current{Now(), random_(), std::move(content)};
+  // Read first, so that the sum of both never exceeds the time since boot.
+  const duration since_boot = TimeSinceBoot();
+  const instant now = Now();
+  const event current{now, random_(), std::move(content),
+                      since_boot - now.time_since_epoch()};
   effects produced = Reduce(state_, current);
   for (effect& next_effect : produced) {
     execute_(next_effect);
--- a/Libraries/LibWire/header_names.h
+++ b/Libraries/LibWire/header_names.h
@@ -75,6 +75,9 @@
     "Auburnfold-Send-Interval-Ms";
 /// Version of the routes that the sending node uses.
 inline constexpr std::string_view kRoutesHeader = "Auburnfold-Routes";
+/// Milliseconds, rounded up, between the last time at which it was certain that
+/// no newer routes exist and the arrival of the request; may be negative.
+inline constexpr std::string_view kRoutesAgeHeader = "Auburnfold-Routes-Age-Ms";
 /// Checksum of the crashes of endpoints that the sending node knows of, in
 /// hexadecimal.
 inline constexpr std::string_view kCrashesHeader = "Auburnfold-Crashes";
--- a/Tests/LibDecision/leased_store.cc
+++ b/Tests/LibDecision/leased_store.cc
@@ -27,6 +27,9 @@
   if (const auto* list = std::get_if<store_list>(&request)) {
     return reply(Finish(Listing(list->prefix)));
   }
+  if (const auto* get = std::get_if<store_get>(&request)) {
+    return reply(Finish(Listing(get->key)));
+  }
   if (const auto* watch = std::get_if<store_watch>(&request)) {
     const bool is_gone = watch->after.value() < oldest_revision_ ||
                          watch->after.value() > revision_;
--- a/Tests/LibDecision/registry_fleet.cc
+++ b/Tests/LibDecision/registry_fleet.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <sstream>
 #include <utility>
 #include <variant>
 
@@ -33,9 +34,17 @@
   std::uint64_t number = 0;
   const char* last = value.data() + value.size();
   const auto [end, error] = std::from_chars(value.data(), last, number);
-  if (error != std::errc() || end != last) {
+  if (error != std::errc() || (end != last && *end != ' ')) {
     return std::nullopt;
   }
+  tenant_config tenant{.name = tenant_name("t")};
+  std::istringstream keys(std::string(end, last));
+  for (std::string key; keys >> key;) {
+    tenant.keys.emplace_back(key);
+  }
+  if (!tenant.keys.empty()) {
+    config.tenants.push_back(std::move(tenant));
+  }
   config.version = route_version(number);
   config.routes.push_back({.name = class_name("browse"),
                            .host = kHost,
@@ -49,8 +58,10 @@
 
 }  // namespace
 
-registry_fleet::registry_fleet(std::size_t node_count, std::uint64_t seed)
-    : store_(kRouteKey), entropy_(seed) {
+registry_fleet::registry_fleet(std::size_t node_count,
+                               std::uint64_t seed,
+                               duration api_key_validity)
+    : store_(kRouteKey), entropy_(seed), api_key_validity_(api_key_validity) {
   for (std::size_t i = 0; i < node_count; ++i) {
     nodes_.push_back(std::make_unique<node>());
     nodes_.back()->index = i;
@@ -69,8 +80,13 @@
       runs.begin(), runs.end(), [&](instant run) { return run > from; }));
 }
 
-void registry_fleet::Change(std::uint64_t version) {
-  store_.WriteRoutes(std::to_string(version));
+void registry_fleet::Change(std::uint64_t version,
+                            const std::vector<std::string>& keys) {
+  std::string value = std::to_string(version);
+  for (const std::string& key : keys) {
+    value += ' ' + key;
+  }
+  store_.WriteRoutes(value);
   changes_.push_back({version, now_});
 }
 
@@ -88,7 +104,8 @@
                    .discovery = discovery_mode::kRegistry,
                    .settings = settings_source::kRoutes,
                    .route_key = kRouteKey,
-                   .refuses_child_calls_early = false});
+                   .refuses_child_calls_early = false,
+                   .api_key_validity = api_key_validity_});
   Happen(started, node_started{.node = node_id(index + 1),
                                .run = incarnation(started.run),
                                .address = {.host = std::to_string(index)},
@@ -175,7 +192,11 @@
   Send(*nodes_[index], {digest});
 }
 
-void registry_fleet::Send(node& entry, const client_request& request) {
+void registry_fleet::Send(node& entry, client_request request) {
+  request.arrived_at = now_;
+  if (!client_keys_.empty()) {
+    request.key = client_keys_[Random() % client_keys_.size()];
+  }
   if (!IsCulprit(request.digest) && !request.is_retry) {
     ++innocents_.sent;
   }
@@ -186,6 +207,9 @@
   arrived.metadata.root = arrived.metadata.own_id;
   arrived.metadata.digest = request.digest;
   arrived.metadata.time_left = 2s;
+  if (!request.key.empty()) {
+    arrived.key = api_key(request.key);
+  }
   Happen(entry, arrived);
 }
 
@@ -203,6 +227,7 @@
   }
   const client_request request = refused.mapped();
   const bool is_culprit = IsCulprit(request.digest);
+  outdated_count_ += made.kind == error_kind::kApiKeysOutdated ? 1 : 0;
   if (TraitsOf(made.kind).name == "quarantined") {
     ++records_[request.digest].quarantined;
     innocents_.quarantined += is_culprit ? 0 : 1;
@@ -247,6 +272,7 @@
 }
 
 void registry_fleet::Do(node& from, const call_store& made) {
+  ++store_call_count_;
   from.store_calls.insert(made.call);
   const auto answer = [this, &from, call = made.call,
                        run = from.run](const store_result& result) {
@@ -292,17 +318,25 @@
 
 void registry_fleet::Do(node& from, const send_attempt& made) {
   const work_id work(next_id_++);
-  works_[work] = {from.index, from.run, made.attempt, made.metadata.digest};
-  Happen(from, attempt_sent{made.attempt, connection_id(1)});
   node& target = *nodes_[std::stoul(made.to.host)];
-  After(kHop,
-        [this, &target, work, metadata = made.metadata, sender = from.index] {
-          Happen(target,
-                 work_arrived{.work = work,
-                              .from = node_id(sender + 1),
-                              .from_address = {.host = std::to_string(sender)},
-                              .metadata = metadata});
-        });
+  works_[work] = {from.index, target.index, from.run, made.attempt,
+                  made.metadata.digest};
+  if (const auto call = from.calls.find(made.call); call != from.calls.end()) {
+    accepted_at_[call->second.key] =
+        std::max(accepted_at_[call->second.key], call->second.arrived_at);
+  }
+  Happen(from, attempt_sent{made.attempt, connection_id(1)});
+  After(kHop, [this, &from, &target, work, metadata = made.metadata,
+               sender = from.index] {
+    if (&from != &target && (from.is_alone || target.is_alone)) {
+      return;
+    }
+    Happen(target,
+           work_arrived{.work = work,
+                        .from = node_id(sender + 1),
+                        .from_address = {.host = std::to_string(sender)},
+                        .metadata = metadata});
+  });
 }
 
 void registry_fleet::Do(node& from, const execute_work& made) {
@@ -367,6 +401,9 @@
 void registry_fleet::Do(node& from, const request_view& made) {
   const node& peer = *nodes_[std::stoul(made.to.host)];
   After(kHop, [this, &from, &peer, run = from.run] {
+    if (from.is_alone || peer.is_alone) {
+      return;
+    }
     After(kHop, [this, &from, run, view = ViewOf(peer)] {
       if (from.run == run) {
         Happen(from, view_received{view});
@@ -394,6 +431,10 @@
   const open_work open = found->second;
   works_.erase(found);
   node& origin = *nodes_[open.from];
+  const node& answering = *nodes_[open.at];
+  if (&origin != &answering && (origin.is_alone || answering.is_alone)) {
+    return;
+  }
   After(kHop, [this, &origin, open, result] {
     if (origin.run == open.from_run) {
       Happen(origin, attempt_finished{open.attempt, result});
--- a/Tests/LibDecision/registry_fleet.h
+++ b/Tests/LibDecision/registry_fleet.h
@@ -37,11 +37,15 @@
  public:
   static constexpr std::uint64_t kHotDigest = 7;
 
-  registry_fleet(std::size_t node_count, std::uint64_t seed);
+  registry_fleet(std::size_t node_count,
+                 std::uint64_t seed,
+                 duration api_key_validity = {});
 
   leased_store& store() { return store_; }
   /// The operator changes the routes; the store acknowledges the change.
-  void Change(std::uint64_t version);
+  void Change(std::uint64_t version) { Change(version, {}); }
+  /// The same, to a version with a tenant that has these API keys.
+  void Change(std::uint64_t version, const std::vector<std::string>& keys);
   /// Starts a new run of the node.
   void Restart(std::size_t index);
   /// The store, or connections to it, are disturbed now. Nodes count as calm
@@ -50,6 +54,25 @@
   void Pass(duration time);
   /// The node reaches no store from now on.
   void CutFromStore(std::size_t index) { nodes_[index]->is_cut = true; }
+  /// The node reaches neither the store nor other nodes from now on.
+  void CutOff(std::size_t index) {
+    CutFromStore(index);
+    nodes_[index]->is_alone = true;
+  }
+  void Reconnect(std::size_t index) {
+    nodes_[index]->is_cut = nodes_[index]->is_alone = false;
+  }
+  /// Each request of clients presents one of these API keys.
+  void set_client_keys(std::vector<std::string> keys) {
+    client_keys_ = std::move(keys);
+  }
+  /// When a node got a request with this API key and sent it on, last.
+  instant LastAcceptedAt(const std::string& key) { return accepted_at_[key]; }
+  /// Requests that were refused since API keys may have been removed.
+  std::uint64_t outdated_count() const { return outdated_count_; }
+  /// Calls of all nodes to the store.
+  std::uint64_t store_call_count() const { return store_call_count_; }
+  instant now() const { return now_; }
   /// Requests of clients; none if false.
   void set_has_traffic(bool has_traffic) { has_traffic_ = has_traffic; }
   /// Each node gets a request this often.
@@ -87,6 +110,8 @@
   struct client_request {
     request_digest digest;
     bool is_retry = false;
+    instant arrived_at{};
+    std::string key;
   };
   struct tally {
     std::uint64_t sent = 0;
@@ -101,6 +126,7 @@
     std::uint64_t version = 0;
     std::uint64_t wake_ticket = 0;
     bool is_cut = false;
+    bool is_alone = false;
     bool is_endpoint_up = true;
     std::uint64_t endpoint_run = 1;
     /// What runs at the endpoint.
@@ -119,6 +145,7 @@
   };
   struct open_work {
     std::size_t from = 0;
+    std::size_t at = 0;
     std::uint64_t from_run = 0;
     attempt_id attempt;
     request_digest digest;
@@ -132,7 +159,7 @@
   void Happen(node& to, event_content content);
   void SendRequests();
   void SendCulprit(request_digest digest, duration interval);
-  void Send(node& entry, const client_request& request);
+  void Send(node& entry, client_request request);
   void FinishRun(node& at, work_id work);
   void Report(node& which);
   std::uint64_t Random() { return MixBits(++entropy_); }
@@ -166,6 +193,11 @@
   instant disturbed_at_{};
   bool has_traffic_ = true;
   duration interval_ = std::chrono::milliseconds(25);
+  duration api_key_validity_;
+  std::vector<std::string> client_keys_;
+  std::map<std::string, instant> accepted_at_;
+  std::uint64_t outdated_count_ = 0;
+  std::uint64_t store_call_count_ = 0;
   std::uint64_t hot_one_in_ = 0;
   std::uint64_t hidden_one_in_ = 0;
   std::set<request_digest> culprits_;
--- a/Tests/platform/platform_dialect_test.cc
+++ b/Tests/platform/platform_dialect_test.cc
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <initializer_list>
+#include <string>
 #include <string_view>
 
 namespace auburnfold::platform {
@@ -66,6 +67,75 @@
   EXPECT_NE(dialect_.IdentityOf(request, {}), identity);
 }
 
+class an_api_key : public the_dialect {
+ protected:
+  std::string Read(std::initializer_list<std::string_view> authorizations) {
+    http_request request(http::verb::get, "/a/b", kHttp11);
+    request.set("X-Request-Id", "id-1");
+    for (const std::string_view authorization : authorizations) {
+      request.insert(http::field::authorization, authorization);
+    }
+    const auto read = dialect_.ReadCallerRequest(request);
+    return read && read->key ? read->key->value() : "";
+  }
+};
+
+TEST_F(an_api_key, FollowsItsSchemeHoweverThatIsSpelled) {
+  EXPECT_EQ(Read({"Bearer k1"}), "k1");
+  EXPECT_EQ(Read({"bearer k1"}), "k1");
+  EXPECT_EQ(Read({"BEARER   k1"}), "k1");
+}
+
+TEST_F(an_api_key, IsNotReadFromAnythingElse) {
+  EXPECT_EQ(Read({}), "");
+  EXPECT_EQ(Read({""}), "");
+  EXPECT_EQ(Read({"Bearer"}), "");
+  EXPECT_EQ(Read({"Bearer "}), "");
+  EXPECT_EQ(Read({"Bearerk1"}), "");
+  EXPECT_EQ(Read({"Basic k1"}), "");
+  EXPECT_EQ(Read({"Bearer k1 k2"}), "");
+  EXPECT_EQ(Read({"k1"}), "");
+}
+
+TEST_F(an_api_key, IsNoneOfTwo) {
+  EXPECT_EQ(Read({"Bearer k1", "Bearer k1"}), "");
+  EXPECT_EQ(Read({"Bearer k1", "Basic k2"}), "");
+}
+
+TEST_F(an_api_key, MayBeAsLongAsAHeader) {
+  const std::string key(8000, 'k');
+  EXPECT_EQ(Read({"Bearer " + key}), key);
+}
+
+TEST_F(an_api_key, StaysAtTheNodeThatReadIt) {
+  http::fields headers;
+  headers.insert("Authorization", "Bearer k1");
+  headers.insert("authorization", "Bearer k2");
+  headers.insert("X-Tenant", "forged");
+  headers.insert("x-tenant", "forged too");
+  dialect_.AddOriginHeaders(headers);
+  EXPECT_EQ(headers.count("Authorization"), 0U);
+  EXPECT_EQ(headers.count("X-Tenant"), 0U);
+}
+
+TEST_F(an_api_key, NamesItsTenantToTheEndpoint) {
+  request_metadata metadata;
+  http::fields headers;
+  headers.set("X-Tenant", "forged");
+  dialect_.AddEndpointHeaders(headers, {metadata, 2s, endpoint_name(), ""});
+  EXPECT_EQ(headers.count("X-Tenant"), 0U);
+  metadata.tenant = tenant_name("t1");
+  dialect_.AddEndpointHeaders(headers, {metadata, 2s, endpoint_name(), ""});
+  EXPECT_EQ(headers["X-Tenant"], "t1");
+}
+
+TEST_F(a_callers_request, CannotNameAParent) {
+  http_request request(http::verb::get, "/a/b", kHttp11);
+  request.set("X-Request-Id", "id-1");
+  request.set("Auburnfold-Parent", "1.1.1");
+  EXPECT_EQ(dialect_.ReadCallerRequest(request)->parent, "");
+}
+
 class an_endpoints_answer : public the_dialect {
  protected:
   outcome Read(unsigned status, const char* header = nullptr) {
