auburnfold: Check a configuration before it is put in force

Operators learned only from the nodes' logs what a configuration lacked. check-config reads a file as the nodes do and reports what cannot be read, what refers to nothing, entries that never match, limits that contradict each other, keys of two tenants, a version that is not newer, and the differences from the configuration in force, as text or JSON. The port is asked for only by commands that reach a node.

--- a/Libraries/LibDecision/Routes/route_table.cc
+++ b/Libraries/LibDecision/Routes/route_table.cc
@@ -3,21 +3,9 @@
 #include <algorithm>
 #include <utility>
 
-namespace auburnfold {
-
-namespace {
+#include "LibDecision/Routes/host_name.h"
 
-// Host names are compared without regard to case, and without the port.
-std::string NormalizeHost(std::string_view host) {
-  std::string key(host.substr(0, host.find(':')));
-  std::transform(key.begin(), key.end(), key.begin(), [](char character) {
-    const bool is_upper = character >= 'A' && character <= 'Z';
-    return is_upper ? static_cast<char>(character - 'A' + 'a') : character;
-  });
-  return key;
-}
-
-}  // namespace
+namespace auburnfold {
 
 bool route_table::Apply(instant now, const route_config& config) {
   if (version_ && config.version <= *version_) {
--- a/Utilities/auburnfold/main.cc
+++ b/Utilities/auburnfold/main.cc
@@ -10,13 +10,16 @@
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
+#include <iterator>
 #include <optional>
 #include <random>
 #include <string>
 #include <utility>
 #include <vector>
 
+#include "auburnfold/config_report.h"
 #include "auburnfold/log_story.h"
+#include "platform/route_reader.h"
 
 namespace auburnfold {
 
@@ -41,6 +44,8 @@
   std::string token;
   std::string change;
   std::string expected;
+  std::string in_force;
+  bool is_json = false;
   std::vector<std::string> words;
 };
 
@@ -57,26 +62,36 @@
       "table history|delete SERVICE CLASS; table set SERVICE CLASS JSON; "
       "table rollback SERVICE CLASS VERSION; nodes; drain on|off; status; "
       "explain REQUEST-ID [FILE...] and summary [FILE...], which read the "
-      "nodes' logs from files or standard input. The "
+      "nodes' logs from files or standard input; check-config FILE, which "
+      "checks routes before they are put in force, and shows what differs from "
+      "those in the file of --in-force. The "
       "token is read from AUBURNFOLD_TOKEN. Exit codes: 0 done, 1 refused, 64 "
-      "wrong usage, 69 no answer.",
+      "wrong usage, 65 a configuration that cannot be read, 66 no such file, "
+      "69 no answer.",
       ' ', AUBURNFOLD_VERSION);
   TCLAP::ValueArg<std::string> host("", "host", "Node's address", false,
                                     "127.0.0.1", "IP", line);
-  TCLAP::ValueArg<std::string> port("p", "port", "Node's admin port", true, "",
-                                    "PORT", line);
+  TCLAP::ValueArg<std::string> port("p", "port",
+                                    "Node's admin port; needed to reach it",
+                                    false, "", "PORT", line);
   TCLAP::ValueArg<std::string> change("", "change", "Names the change", false,
                                       "", "ID", line);
   TCLAP::ValueArg<std::string> expected("", "expected",
                                         "Version that you saw; 0 for a new row",
                                         false, "", "VERSION", line);
+  TCLAP::ValueArg<std::string> in_force("", "in-force",
+                                        "Configuration that is in force", false,
+                                        "", "FILE", line);
+  TCLAP::SwitchArg is_json("", "json", "Reports as JSON", line);
   TCLAP::UnlabeledMultiArg<std::string> words("command", "Command", true,
                                               "COMMAND", line);
   line.setExceptionHandling(false);
   line.parse(argc, argv);
   const char* token = std::getenv("AUBURNFOLD_TOKEN");
-  return {host.getValue(),   port.getValue(),     token == nullptr ? "" : token,
-          change.getValue(), expected.getValue(), words.getValue()};
+  return {
+      host.getValue(),    port.getValue(),     token == nullptr ? "" : token,
+      change.getValue(),  expected.getValue(), in_force.getValue(),
+      is_json.getValue(), words.getValue()};
 }
 
 std::optional<api_call> TableCall(const std::vector<std::string>& words) {
@@ -233,6 +248,46 @@
   return EX_OK;
 }
 
+// The exit code tells a file that is missing from one that cannot be read.
+std::optional<route_config> ReadConfig(const std::string& file, int& status) {
+  std::ifstream input(file);
+  if (!input) {
+    std::cerr << file << ": cannot be opened\n";
+    status = EX_NOINPUT;
+    return std::nullopt;
+  }
+  const std::string text{std::istreambuf_iterator<char>(input), {}};
+  auto config = platform::ReadRoutes(text);
+  if (!config) {
+    std::cerr << file << ": not a configuration with a version and entries\n";
+    status = EX_DATAERR;
+  }
+  return config;
+}
+
+int CheckConfigFile(const options& chosen) {
+  int status = EX_OK;
+  const auto config = ReadConfig(chosen.words[1], status);
+  if (!config) {
+    return status;
+  }
+  std::optional<route_config> in_force;
+  if (!chosen.in_force.empty()) {
+    in_force = ReadConfig(chosen.in_force, status);
+    if (!in_force) {
+      return status;
+    }
+  }
+  const config_report report =
+      MakeConfigReport(*config, in_force ? &*in_force : nullptr);
+  if (chosen.is_json) {
+    WriteJson(report, std::cout);
+  } else {
+    WriteText(report, std::cout);
+  }
+  return report.has_errors() ? EXIT_FAILURE : EX_OK;
+}
+
 int Run(const options& chosen) {
   if (chosen.words.size() > 1 && chosen.words[0] == "explain") {
     return Explain(chosen.words);
@@ -240,11 +295,18 @@
   if (!chosen.words.empty() && chosen.words[0] == "summary") {
     return Summarize(chosen.words);
   }
+  if (chosen.words.size() == 2 && chosen.words[0] == "check-config") {
+    return CheckConfigFile(chosen);
+  }
   const auto call = CallFor(chosen.words);
   if (!call) {
     std::cerr << "no such command; see --help\n";
     return EX_USAGE;
   }
+  if (chosen.port.empty()) {
+    std::cerr << "--port is needed to reach a node\n";
+    return EX_USAGE;
+  }
   const auto response = Exchange(chosen, *call);
   if (!response) {
     std::cerr << "no answer from " << chosen.host << ":" << chosen.port << "\n";
