LibDecision, LibRuntime: Hold tenants to their quotas over all nodes

A tenant's quota was read and not applied. The node that rendezvous hashing names owns it and keeps a token bucket; nodes that receive the tenant's requests report their use, and are granted requests while it is scarce. A node that does not reach the owner uses its equal part. Not yet tested.

--- a/Libraries/LibDecision/Calls/outgoing_call.h
+++ b/Libraries/LibDecision/Calls/outgoing_call.h
@@ -43,6 +43,8 @@
   std::uint16_t unreached_attempts = 0;
   instant arrived;
   bool is_idempotent = false;
+  /// Admitted under the quota of its tenant.
+  bool uses_quota = false;
   /// Why the last failed attempt was retried, or was not.
   std::optional<retry_decision> last_retry_decision;
 };
--- a/Libraries/LibDecision/Calls/outgoing_calls.cc
+++ b/Libraries/LibDecision/Calls/outgoing_calls.cc
@@ -94,13 +94,54 @@
   }
   context.timers().Schedule({timer_owner::kCalls, arrived.call.value()},
                             call.deadline);
+  // The quota of a call tree is taken at its root.
+  if (arrived.parent || arrived.has_parent) {
+    return Begin(context, arrived.call, call);
+  }
+  switch (quotas_.Admit(context, arrived.call, metadata.tenant,
+                        metadata.objective)) {
+    case quota_decision::kWait:
+      return;
+    case quota_decision::kRefused:
+      return RefuseByQuota(context, arrived.call, call);
+    case quota_decision::kAdmitted:
+      call.uses_quota = true;
+      return Begin(context, arrived.call, call);
+  }
+}
+
+void outgoing_calls::OnQuotaDecided(event_context& context,
+                                    const quota_verdict& verdict) {
+  const auto found = calls_.find(verdict.call);
+  if (found == calls_.end()) {
+    return;
+  }
+  if (!verdict.is_admitted) {
+    return RefuseByQuota(context, verdict.call, found->second);
+  }
+  found->second.uses_quota = true;
+  Begin(context, verdict.call, found->second);
+}
+
+void outgoing_calls::RefuseByQuota(event_context& context,
+                                   call_id id,
+                                   const call_state& call) {
+  const duration retry_after =
+      quotas_.OnRefused(context, call.metadata.tenant,
+                        Describe(context, decision_kind::kQuotaRefused, call));
+  Refuse(context, id, error_kind::kQuotaExceeded, retry_after);
+}
+
+void outgoing_calls::Begin(event_context& context,
+                           call_id id,
+                           call_state& call) {
   if (ShouldRefuseEarly(context, call)) {
-    return Refuse(context, arrived.call, error_kind::kOverloaded,
+    return Refuse(context, id, error_kind::kOverloaded,
                   RetryAfterFor(context, call, error_kind::kOverloaded));
   }
-  retry_policy_.OnFirstAttempt(context, metadata);
+  retry_policy_.OnFirstAttempt(context, call.metadata);
   context.Log(Describe(context, decision_kind::kCallRouted, call));
-  Send(context, arrived.call, call);
+  Send(context, id, call);
 }
 
 std::optional<error_kind> outgoing_calls::ApplyRoute(
@@ -228,6 +269,7 @@
     }
     context.Log(Describe(context, decision_kind::kCallAnswered, call));
     context.Emit(relay_answer{id, finished.attempt, call.allowance});
+    call.has_executed = true;
     return Close(context, id);
   }
   decision_record failed =
@@ -505,6 +547,11 @@
 void outgoing_calls::Close(event_context& context, call_id id) {
   const auto found = calls_.find(id);
   const call_state& call = found->second;
+  quotas_.Forget(id);
+  if (call.uses_quota &&
+      ExecutionStateOf(call) == execution_state::kNotExecuted) {
+    quotas_.Refund(context.now(), call.metadata.tenant);
+  }
   if (call.attempt) {
     calls_by_attempt_.erase(*call.attempt);
     connections_.OnAbandoned(*call.attempt);
--- a/Libraries/LibDecision/Calls/outgoing_calls.h
+++ b/Libraries/LibDecision/Calls/outgoing_calls.h
@@ -12,6 +12,7 @@
 #include "LibDecision/Membership/membership.h"
 #include "LibDecision/Pressure/pressure_tracker.h"
 #include "LibDecision/Quarantine/quarantine.h"
+#include "LibDecision/Quotas/tenant_quotas.h"
 #include "LibDecision/Retries/retry_allowances.h"
 #include "LibDecision/Retries/retry_policy.h"
 #include "LibDecision/Routes/route_table.h"
@@ -41,6 +42,7 @@
                  const membership& members,
                  retry_allowances& allowances,
                  quarantine& request_quarantine,
+                 tenant_quotas& quotas,
                  pressure_tracker& pressure,
                  const node_options& options)
       : policies_(policies),
@@ -48,6 +50,7 @@
         members_(members),
         allowances_(allowances),
         quarantine_(request_quarantine),
+        quotas_(quotas),
         pressure_(pressure),
         options_(options),
         retry_policy_(pressure, options),
@@ -58,6 +61,8 @@
                  const call_arrived& arrived,
                  const parent_work* parent);
   void OnCancelled(event_context& context, call_id call);
+  /// Continues, or refuses, a call that waited for its tenant's quota.
+  void OnQuotaDecided(event_context& context, const quota_verdict& verdict);
   void OnSent(event_context& context, const attempt_sent& sent);
   void OnAttemptFinished(event_context& context,
                          const attempt_finished& finished);
@@ -97,6 +102,11 @@
   /// Returns the error if there is no such route.
   std::optional<error_kind> ApplyRoute(const route_target& target,
                                        request_metadata& metadata);
+  /// Admits a call that its tenant's quota allows.
+  void Begin(event_context& context, call_id id, call_state& call);
+  void RefuseByQuota(event_context& context,
+                     call_id id,
+                     const call_state& call);
   void Send(event_context& context, call_id id, call_state& call);
   /// Returns the member for the next attempt. Refuses the call and returns
   /// null if there is none.
@@ -150,6 +160,7 @@
   const membership& members_;
   retry_allowances& allowances_;
   quarantine& quarantine_;
+  tenant_quotas& quotas_;
   pressure_tracker& pressure_;
   const node_options& options_;
   retry_policy retry_policy_;
--- a/Libraries/LibDecision/Timers/timer_service.h
+++ b/Libraries/LibDecision/Timers/timer_service.h
@@ -32,6 +32,9 @@
   kCrashRecords,
   kCrashViews,
   kCrashExpiry,
+  kQuotaReports,
+  kQuotaWaits,
+  kQuotaDiscard,
 };
 
 /// Identifies a timer: `key` distinguishes the timers of one owner.
--- a/Libraries/LibDecision/counter.cc
+++ b/Libraries/LibDecision/counter.cc
@@ -20,6 +20,8 @@
       return "refused_by_limit";
     case counter::kRefusedByRateLimit:
       return "refused_by_rate_limit";
+    case counter::kRefusedByQuota:
+      return "refused_by_quota";
     case counter::kRefusedByQuarantine:
       return "refused_by_quarantine";
     case counter::kDroppedFromQueue:
@@ -70,6 +72,14 @@
       return "store_failures";
     case counter::kMessagesSent:
       return "messages_sent";
+    case counter::kQuotaAdmitted:
+      return "quota_admitted";
+    case counter::kQuotaReportsSent:
+      return "quota_reports_sent";
+    case counter::kQuotaReportsReceived:
+      return "quota_reports_received";
+    case counter::kQuotaFloorsUsed:
+      return "quota_floors_used";
     case counter::kEditsAccepted:
       return "edits_accepted";
     case counter::kEditsRefused:
--- a/Libraries/LibDecision/counter.h
+++ b/Libraries/LibDecision/counter.h
@@ -16,6 +16,7 @@
   kRefusedEarly,        ///< Calls refused since a dependency would refuse them.
   kRefusedByLimit,      ///< Work refused since a limit or the queue was full.
   kRefusedByRateLimit,  ///< Work refused since the endpoint's rate was used up.
+  kRefusedByQuota,      ///< Calls refused since a tenant's quota was used up.
   kRefusedByQuarantine,   ///< Refused since the request crashes endpoints.
   kDroppedFromQueue,      ///< Work that could not start in time.
   kWorkStarted,           ///< Work handed over to the local endpoint.
@@ -41,6 +42,11 @@
   kStoreCalls,
   kStoreFailures,
   kMessagesSent,
+  kQuotaAdmitted,         ///< Calls of tenants with a limited quota.
+  kQuotaReportsSent,      ///< Reports of used quotas to their owners.
+  kQuotaReportsReceived,  ///< Such reports of other nodes.
+  kQuotaFloorsUsed,       ///< Times that a quota's owner was lost and its equal
+                          ///< part was used instead.
   kEditsAccepted,
   kEditsRefused,
 };
--- a/Libraries/LibDecision/decision_record.cc
+++ b/Libraries/LibDecision/decision_record.cc
@@ -12,6 +12,8 @@
       return "call_answered";
     case decision_kind::kCallCancelled:
       return "call_cancelled";
+    case decision_kind::kQuotaRefused:
+      return "quota_refused";
     case decision_kind::kAttemptSent:
       return "attempt_sent";
     case decision_kind::kAttemptFailed:
@@ -64,6 +66,10 @@
       return "store_era_changed";
     case decision_kind::kStoreRegained:
       return "store_regained";
+    case decision_kind::kQuotaOwnerChanged:
+      return "quota_owner_changed";
+    case decision_kind::kQuotaOwnerLost:
+      return "quota_owner_lost";
     case decision_kind::kLoopDelayed:
       return "loop_delayed";
     case decision_kind::kStarted:
@@ -76,6 +82,16 @@
   return "unknown";
 }
 
+std::string_view NameOf(quota_basis basis) {
+  switch (basis) {
+    case quota_basis::kOwner:
+      return "owner";
+    case quota_basis::kEqualPart:
+      return "equal-part";
+  }
+  return "unknown";
+}
+
 bool IsRoutine(decision_kind kind) {
   switch (kind) {
     case decision_kind::kCallRouted:
@@ -87,6 +103,7 @@
     case decision_kind::kWorkAnswered:
       return true;
     case decision_kind::kCallRefused:
+    case decision_kind::kQuotaRefused:
     case decision_kind::kAttemptFailed:
     case decision_kind::kRequestAbandoned:
     case decision_kind::kWorkRefused:
@@ -109,6 +126,8 @@
     case decision_kind::kStoreLost:
     case decision_kind::kStoreEraChanged:
     case decision_kind::kStoreRegained:
+    case decision_kind::kQuotaOwnerChanged:
+    case decision_kind::kQuotaOwnerLost:
     case decision_kind::kLoopDelayed:
     case decision_kind::kStarted:
     case decision_kind::kStopping:
--- a/Libraries/LibDecision/decision_record.h
+++ b/Libraries/LibDecision/decision_record.h
@@ -21,6 +21,7 @@
   kCallRefused,       ///< Ended with an error from this node.
   kCallAnswered,      ///< Ended with the endpoint's answer.
   kCallCancelled,     ///< The caller closed its connection.
+  kQuotaRefused,      ///< Refused because of its tenant's quota.
   kAttemptSent,       ///< Sent to the node of an endpoint.
   kAttemptFailed,     ///< That node gave no complete answer.
   kRequestAbandoned,  ///< Read after its sender had left, and not handled.
@@ -50,6 +51,9 @@
   kStoreLost,          ///< The key-value store is unavailable.
   kStoreEraChanged,    ///< The key-value store has lost acknowledged writes.
   kStoreRegained,      ///< The key-value store is available again.
+  kQuotaOwnerChanged,  ///< Another node owns a tenant's quota.
+  kQuotaOwnerLost,     ///< The owner of a quota does not answer, or does not
+                       ///< consider itself the owner.
   kLoopDelayed,        ///< The node handles events late.
   kStarted,            ///< The node has started.
   kStopping,           ///< The node is asked to stop.
@@ -66,6 +70,15 @@
 /// frequent, so a log may keep them only for a sample of requests.
 bool IsRoutine(decision_kind kind);
 
+/// What a decision about a tenant's quota was based on.
+enum class quota_basis : std::uint8_t {
+  kOwner,      ///< What the owner of the quota granted.
+  kEqualPart,  ///< The owner is lost: an equal part for each node.
+};
+
+/// The name of `basis` in log lines.
+std::string_view NameOf(quota_basis basis);
+
 /// A decision and the inputs that it was based on. Fields that do not apply are
 /// unset.
 struct decision_record {
@@ -108,6 +121,8 @@
   std::optional<std::uint32_t> state;
   /// The part of the configuration that is not understood.
   std::optional<unread_field> config;
+  tenant_name tenant;
+  std::optional<quota_basis> basis;
 };
 
 }  // namespace auburnfold
--- a/Libraries/LibDecision/reducer.cc
+++ b/Libraries/LibDecision/reducer.cc
@@ -10,6 +10,7 @@
 #include "LibDecision/Membership/membership.h"
 #include "LibDecision/Pressure/pressure_tracker.h"
 #include "LibDecision/Quarantine/quarantine.h"
+#include "LibDecision/Quotas/tenant_quotas.h"
 #include "LibDecision/Registry/node_registry.h"
 #include "LibDecision/Retries/retry_allowances.h"
 #include "LibDecision/Routes/route_table.h"
@@ -49,8 +50,9 @@
   node_registry registry{members, request_quarantine};
   retry_allowances allowances;
   pressure_tracker pressure;
-  outgoing_calls calls{policies,           routes,   members, allowances,
-                       request_quarantine, pressure, options};
+  tenant_quotas quotas{members.list()};
+  outgoing_calls calls{policies,           routes, members,  allowances,
+                       request_quarantine, quotas, pressure, options};
   incoming_work work{policies,           routes,   allowances,
                      request_quarantine, pressure, options};
   /// Service of the local endpoint as configured at the node; may be empty.
@@ -82,6 +84,7 @@
         break;
     }
     request_quarantine.Start(self);
+    quotas.Start(context, self.node);
     work.Start(context, self);
     local_service = self.service;
   }
@@ -281,6 +284,7 @@
     context.Count(counter::kRoutesTaken);
     LogRoutes(context, decision_kind::kRoutesTaken, decoded);
     LogUnreadFields(context, *decoded.config);
+    quotas.Apply(context, decoded.config->tenants);
     context.Emit(apply_caller_limits{decoded.config->limits});
     for (const route& configured_route : decoded.config->routes) {
       ApplyRouteSettings(context, decoded.config->version, configured_route);
@@ -349,12 +353,19 @@
     context.Emit(send_view{request.call, std::move(view)});
   }
 
-  // FIXME: No quotas are owned yet.
   void On(event_context& context, const quota_reported& reported) {
-    context.Emit(send_quota_grants{reported.call, {}});
+    quotas.OnReported(context, reported);
   }
 
-  void On(event_context&, const quota_granted&) {}
+  void On(event_context& context, const quota_granted& granted) {
+    quotas.OnGranted(context, granted);
+  }
+
+  void ResumeCallsWithQuota(event_context& context) {
+    for (const quota_verdict& verdict : quotas.TakeVerdicts()) {
+      calls.OnQuotaDecided(context, verdict);
+    }
+  }
 
   void On(event_context& context, const view_received& received) {
     if (options.settings == settings_source::kRoutes) {
@@ -475,6 +486,10 @@
       case timer_owner::kCrashViews:
       case timer_owner::kCrashExpiry:
         return request_quarantine.OnTimer(context, due.owner);
+      case timer_owner::kQuotaReports:
+      case timer_owner::kQuotaWaits:
+      case timer_owner::kQuotaDiscard:
+        return quotas.OnTimer(context, due);
       case timer_owner::kNewerRoutes:
         return routes_watcher.OnNewerRoutesTimer(context, routes.version());
     }
@@ -559,6 +574,7 @@
   }
   std::visit([&](const auto& content) { impl.On(context, content); },
              input.content);
+  impl.ResumeCallsWithQuota(context);
   impl.CancelChildCallsOfEndedWork(context);
   impl.ResumeParents(context);
   impl.members.BroadcastChanges(context);
--- a/Libraries/LibRuntime/Observability/decision_log.cc
+++ b/Libraries/LibRuntime/Observability/decision_log.cc
@@ -109,6 +109,8 @@
   fields.Add("rate", record.rate);
   fields.Add("candidates", record.candidates);
   fields.Add("state", record.state);
+  fields.Add("tenant", record.tenant.value());
+  fields.Add("basis", record.basis ? NameOf(*record.basis) : "");
   if (record.config) {
     fields.Add("field", NameOf(record.config->field));
     fields.Add("value", record.config->value);
--- a/Libraries/LibRuntime/node_runtime.cc
+++ b/Libraries/LibRuntime/node_runtime.cc
@@ -17,6 +17,7 @@
 #include "LibRuntime/Connections/http_responses.h"
 #include "LibRuntime/Control/admin_port_handler.h"
 #include "LibRuntime/Control/control_channel.h"
+#include "LibRuntime/Control/quota_handler.h"
 #include "LibRuntime/Control/view_handler.h"
 #include "LibRuntime/Observability/decision_log.h"
 #include "LibRuntime/Observability/event_loop_monitor.h"
@@ -108,12 +109,10 @@
   void On(const probe_endpoint& effect) { works.ProbeEndpoint(effect.path); }
   void On(const request_view& effect) { views.Execute(effect); }
   void On(const send_view& effect) { views.Execute(effect); }
-  // FIXME: Calls are not pipelined yet, and no quota is reported.
+  // FIXME: Calls are not pipelined yet.
   void On(const defer_call&) {}
-  void On(const report_quota_usage& effect) {
-    sink(quota_granted{effect.call, std::nullopt});
-  }
-  void On(const send_quota_grants&) {}
+  void On(const report_quota_usage& effect) { quotas.Execute(effect); }
+  void On(const send_quota_grants& effect) { quotas.Execute(effect); }
   void On(const log_message& effect);
   void On(const log_decision& effect) { decisions.Write(effect.record); }
   void On(const stop_process& effect);
@@ -149,6 +148,7 @@
   work_handler works;
   call_handler calls;
   view_handler views;
+  quota_handler quotas;
   admin_port_handler admin;
   control_channel control;
   http_listener call_listener;
@@ -210,6 +210,11 @@
           io,
           [this] { return connection_id(next_connection++); },
           sink),
+      quotas(
+          io,
+          self.node,
+          [this] { return connection_id(next_connection++); },
+          sink),
       admin(sink, [this] { return MetricsText(); }),
       control(
           io,
@@ -229,6 +234,9 @@
                       if (view_handler::IsViewRequest(request)) {
                         return views.OnViewRequest(session);
                       }
+                      if (quota_handler::IsQuotaReport(request)) {
+                        return quotas.OnQuotaReport(session, request);
+                      }
                       last_request = std::chrono::steady_clock::now();
                       works.OnWork(session, std::move(request));
                     }),
@@ -474,6 +482,7 @@
   report_listener.Sweep();
   calls.Sweep();
   works.Sweep();
+  quotas.Sweep();
   control.Sweep();
   sweep_timer.expires_after(kSweepInterval);
   sweep_timer.async_wait([this](error_code error) {
