--- a/Libraries/LibDecision/Calls/outgoing_calls.cc
+++ b/Libraries/LibDecision/Calls/outgoing_calls.cc
@@ -47,8 +47,8 @@
   // An unused key that is issued by a repeated request does no harm.
   call.is_idempotent =
       row.is_idempotent || metadata.purpose == request_purpose::kIssueKey;
-  call.deadline =
-      context.now() + std::min(metadata.time_left, row.longest_deadline);
+  call.deadline = context.now() - arrived.waited +
+                  std::min(metadata.time_left, row.longest_deadline);
   if (parent != nullptr) {
     call.metadata.priority = parent->metadata.priority;
     call.metadata.is_repeat = parent->metadata.is_repeat;
@@ -83,7 +83,7 @@
     return Refuse(context, arrived.call, error_kind::kUnknownService,
                   duration::zero());
   }
-  if (metadata.time_left <= duration::zero()) {
+  if (metadata.time_left <= duration::zero() || call.deadline < context.now()) {
     return Refuse(context, arrived.call, error_kind::kDeadlineExpired,
                   duration::zero());
   }
@@ -167,6 +167,11 @@
   return true;
 }
 
+bool outgoing_calls::MustRunOnce(call_id call) const {
+  const auto found = calls_.find(call);
+  return found != calls_.end() && !found->second.is_idempotent;
+}
+
 void outgoing_calls::OnCancelled(event_context& context, call_id id) {
   const auto found = calls_.find(id);
   if (found != calls_.end()) {
--- a/Libraries/LibDecision/Calls/outgoing_calls.h
+++ b/Libraries/LibDecision/Calls/outgoing_calls.h
@@ -82,6 +82,8 @@
   std::vector<ended_child> TakeEndedChildCalls();
 
   std::size_t open_count() const { return calls_.size(); }
+  /// Whether `call` is open and may be executed once at most.
+  bool MustRunOnce(call_id call) const;
   /// The node that `attempt` was sent to; unset if it is not open.
   std::optional<node_id> NodeOf(attempt_id attempt) const;
   /// When `node` last answered an attempt; the clock's origin if never.
--- a/Libraries/LibDecision/counter.cc
+++ b/Libraries/LibDecision/counter.cc
@@ -32,6 +32,8 @@
       return "unreadable_rate_limits";
     case counter::kCancelledDown:
       return "cancelled_down";
+    case counter::kCallsDeferred:
+      return "calls_deferred";
     case counter::kRequestsAbandoned:
       return "requests_abandoned";
     case counter::kLateAnswers:
--- a/Libraries/LibDecision/counter.h
+++ b/Libraries/LibDecision/counter.h
@@ -22,6 +22,7 @@
   kEndpointCrashes,       ///< Ends of the local endpoint without notice.
   kUnreadableRateLimits,  ///< Answers whose rate limit is not a number.
   kCancelledDown,         ///< Child calls cancelled since their parent ended.
+  kCallsDeferred,         ///< Calls that wait for earlier ones.
   kRequestsAbandoned,     ///< Requests read after their sender had left.
   kLateAnswers,  ///< Answers to attempts or work that had already ended.
   kEndpointsEjected,
--- a/Libraries/LibDecision/effect.h
+++ b/Libraries/LibDecision/effect.h
@@ -61,9 +61,9 @@
   std::uint16_t allowance_left = 0;
 };
 
-/// Report `call_arrived` for `call` once more, with `is_pipelined` unset and
-/// the time that is left, when all earlier requests on its connection are
-/// answered.
+/// Report `call_arrived` for `call` once more, with `is_pipelined` and `behind`
+/// unset, when all earlier requests on its connection are answered. Until then
+/// report no later call of the connection.
 struct defer_call {
   call_id call;
 };
--- a/Libraries/LibDecision/event.h
+++ b/Libraries/LibDecision/event.h
@@ -71,6 +71,10 @@
   std::optional<api_key> key;
   /// Earlier requests on the caller's connection are not answered yet.
   bool is_pipelined = false;
+  /// The last of those requests that was reported as a call.
+  std::optional<call_id> behind;
+  /// Time since the request was read. The deadline counts from then.
+  duration waited{};
   request_metadata metadata;
 };
 
--- a/Libraries/LibDecision/reducer.cc
+++ b/Libraries/LibDecision/reducer.cc
@@ -7,6 +7,7 @@
 #include <variant>
 
 #include "LibDecision/Calls/outgoing_calls.h"
+#include "LibDecision/Calls/pipelined_calls.h"
 #include "LibDecision/Membership/membership.h"
 #include "LibDecision/Pressure/pressure_tracker.h"
 #include "LibDecision/Quarantine/quarantine.h"
@@ -51,6 +52,7 @@
   pressure_tracker pressure;
   outgoing_calls calls{policies,           routes,   members, allowances,
                        request_quarantine, pressure, options};
+  pipelined_calls pipelined{policies, routes, calls};
   incoming_work work{policies,           routes,   allowances,
                      request_quarantine, pressure, options};
   /// Service of the local endpoint as configured at the node; may be empty.
@@ -119,6 +121,9 @@
   }
 
   void On(event_context& context, const call_arrived& arrived) {
+    if (pipelined.Defer(context, arrived)) {
+      return;
+    }
     if (!arrived.parent && arrived.may_have_parent) {
       const auto parent_id = work.FindParentOf(arrived.metadata.own_id);
       if (parent_id) {
--- /dev/null
+++ b/Libraries/LibRuntime/Connections/server_exchange.cc
@@ -0,0 +1,68 @@
+#include "LibRuntime/Connections/server_exchange.h"
+
+#include <utility>
+
+#include "LibRuntime/Connections/server_session.h"
+
+namespace auburnfold {
+
+server_exchange::server_exchange(std::weak_ptr<server_session> session)
+    : session_(std::move(session)) {}
+
+void server_exchange::SetDisconnectHandler(
+    std::function<void()> on_disconnect) {
+  on_disconnect_ = std::move(on_disconnect);
+}
+
+void server_exchange::Defer(std::function<void()> on_turn) {
+  on_turn_ = std::move(on_turn);
+}
+
+void server_exchange::Respond(http_response response) {
+  if (const auto session = session_.lock()) {
+    session->Respond(*this, std::move(response));
+  }
+}
+
+void server_exchange::RespondAndDrain(http_response response) {
+  if (const auto session = session_.lock()) {
+    session->DropWaiting();
+    session->Respond(*this, std::move(response));
+  }
+}
+
+void server_exchange::RespondAndClose(http_response response) {
+  if (const auto session = session_.lock()) {
+    session->DropBehind(*this);
+    session->Respond(*this, std::move(response));
+  }
+}
+
+void server_exchange::CloseConnection() {
+  on_disconnect_ = nullptr;
+  if (const auto session = session_.lock()) {
+    session->OnDisconnected();
+  }
+}
+
+std::size_t server_exchange::CountBefore() const {
+  const auto session = session_.lock();
+  return session ? session->CountBefore(*this) : 0;
+}
+
+std::optional<call_id> server_exchange::CallBefore() const {
+  const auto session = session_.lock();
+  return session ? session->CallBefore(*this) : std::nullopt;
+}
+
+bool server_exchange::HasPeerClosed() const {
+  const auto session = session_.lock();
+  return !session || session->HasPeerClosed();
+}
+
+std::string server_exchange::peer_host() const {
+  const auto session = session_.lock();
+  return session ? session->peer_host() : std::string();
+}
+
+}  // namespace auburnfold
--- a/Libraries/LibRuntime/Connections/server_session.cc
+++ b/Libraries/LibRuntime/Connections/server_session.cc
@@ -1,11 +1,14 @@
 #include "LibRuntime/Connections/server_session.h"
 
+#include <poll.h>
+
 #include <algorithm>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 #include <boost/beast/http/write.hpp>
 #include <utility>
+#include <vector>
 
 #include "LibRuntime/Connections/http_responses.h"
 
@@ -15,6 +18,18 @@
 
 constexpr std::chrono::seconds kReadTimeout{10};
 constexpr std::chrono::seconds kLingerTimeout{2};
+/// A peer that takes none of a response for this time, while others wait behind
+/// it, gives way to other peers' requests.
+constexpr std::chrono::seconds kWriteTimeout{30};
+/// What is read beyond the requests that are taken. The peer's close is noticed
+/// at once behind as many bytes.
+constexpr std::size_t kReadAheadBytes = std::size_t{16} * 1024;
+/// From this size of the requests and responses of one connection on, no
+/// further request is taken.
+constexpr std::size_t kMaxHeldBytes = kMaxBodyBytes;
+/// Responses beyond this size are not held: their requests were taken before
+/// the size of any response was known.
+constexpr std::size_t kMaxHeldResponseBytes = 4 * kMaxBodyBytes;
 constexpr std::string_view kContinueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
 
 }  // namespace
@@ -26,43 +41,23 @@
       memory_(handlers.memory) {}
 
 server_session::~server_session() {
-  ReleaseBodyMemory();
+  Close();
 }
 
 void server_session::Start() {
   error_code ignored;
   socket_.set_option(tcp::no_delay(true), ignored);
   socket_.non_blocking(true, ignored);
+  idle_since_ = clock::now();
   PrepareNext();
   Read();
 }
 
-void server_session::SetDisconnectHandler(std::function<void()> on_disconnect) {
-  on_disconnect_ = std::move(on_disconnect);
-}
-
-void server_session::SendResponse(http_response response) {
-  if (!is_open()) {
-    return;
-  }
-  on_disconnect_ = nullptr;
-  response_ = std::move(response);
-  // The endpoint's HTTP version does not apply to this connection.
-  response_.version(kHttp11);
-  FinishResponse(response_, method_);
-  response_.keep_alive(keeps_alive_);
-  Write();
-}
-
-void server_session::SendResponseAndClose(http_response response) {
-  keeps_alive_ = false;
-  SendResponse(std::move(response));
-}
-
 // Cancelling the read closes the connection, unless the read has already
 // received a request that waits in the event loop to be handled.
 bool server_session::CloseIfIdle() {
-  const bool has_request = is_busy_ || is_lingering_ || parser_->got_some();
+  const bool has_request = !exchanges_.empty() || is_lingering_ ||
+                           parser_->got_some() || buffer_.size() > 0;
   if (has_request || Peek() != asio::error::would_block) {
     return false;
   }
@@ -71,11 +66,6 @@
   return true;
 }
 
-bool server_session::HasPeerClosed() {
-  const error_code error = Peek();
-  return error && error != asio::error::would_block;
-}
-
 error_code server_session::Peek() {
   char next = 0;
   error_code error;
@@ -83,6 +73,12 @@
   return error;
 }
 
+// Also tells of a close behind bytes that were not read.
+bool server_session::HasPeerClosed() {
+  pollfd state{socket_.native_handle(), POLLRDHUP, 0};
+  return !is_open() || poll(&state, 1, 0) > 0;
+}
+
 std::string server_session::peer_host() const {
   error_code error;
   const tcp::endpoint peer = socket_.remote_endpoint(error);
@@ -92,13 +88,24 @@
 void server_session::Close() {
   error_code ignored;
   socket_.close(ignored);
-  on_disconnect_ = nullptr;
-  ReleaseBodyMemory();
+  for (const exchange_ptr& exchange : exchanges_) {
+    Release(*exchange);
+  }
+  exchanges_.clear();
+  ReleaseMemory();
 }
 
 void server_session::CloseIfStale(clock::time_point now) {
-  if (!is_busy_ && now >= deadline_) {
-    Close();
+  if (exchanges_.empty()) {
+    if (now >= deadline_) {
+      Close();
+    }
+    return;
+  }
+  const bool is_stuck =
+      is_writing_ && exchanges_.size() > 1 && now >= write_deadline_;
+  if (is_stuck || (is_watching_ && !is_reading_ && HasPeerClosed())) {
+    OnDisconnected();
   }
 }
 
@@ -120,55 +127,123 @@
     return Read();
   }
   buffer_.commit(size);
-  // A pipelined request stays in the buffer until the current one is answered.
-  if (!is_busy_) {
-    Parse();
+  Advance();
+}
+
+void server_session::Advance() {
+  while (is_open() && !IsPaused() && Parse()) {
   }
+  ReadOn();
 }
 
-void server_session::Parse() {
-  error_code error;
-  const std::size_t used = parser_->put(buffer_.data(), error);
-  buffer_.consume(used);
-  if (error && error != http::error::need_more) {
-    return RejectMalformed(error);
+// While the last response is written, what arrives is left to `Linger`, so that
+// a close by the peer does not cut the response.
+void server_session::ReadOn() {
+  const bool is_last = is_lingering_ || is_writing_last_;
+  if (!is_open() || is_reading_ || is_last) {
+    return;
   }
-  if (!ReserveBodyMemory()) {
-    return Reject(error_kind::kOverloaded);
+  if (!IsPaused() || buffer_.size() < kReadAheadBytes) {
+    return Read();
   }
-  if (parser_->is_done()) {
-    return DispatchRequest();
+  WatchForClose();
+}
+
+// Reports a reset at once. `CloseIfStale` looks for an orderly close behind
+// bytes that are not read. Anything else is urgent data, which HTTP does not
+// have.
+void server_session::WatchForClose() {
+  if (is_watching_) {
+    return;
   }
-  if (!parser_->got_some()) {
-    deadline_ = clock::now() + handlers_.limits->idle_timeout;
-  } else {
-    deadline_ = clock::now() + kReadTimeout;
+  is_watching_ = true;
+  socket_.async_wait(tcp::socket::wait_error,
+                     [self = shared_from_this()](error_code) {
+                       self->is_watching_ = false;
+                       self->OnDisconnected();
+                     });
+}
+
+bool server_session::IsPaused() const {
+  return is_ending_ || is_short_of_memory_ ||
+         exchanges_.size() >= handlers_.limits->max_pipelined ||
+         (!exchanges_.empty() && HeldBytes() >= kMaxHeldBytes);
+}
+
+bool server_session::Parse() {
+  if (!parser_->is_done()) {
+    if (buffer_.size() == 0) {
+      return false;
+    }
+    error_code error;
+    const std::size_t used = parser_->put(buffer_.data(), error);
+    buffer_.consume(used);
+    parsed_bytes_ += used;
+    if (error && error != http::error::need_more) {
+      RejectMalformed(error);
+      return false;
+    }
   }
+  if (!ReserveMemory()) {
+    if (exchanges_.empty()) {
+      Reject(error_kind::kOverloaded);
+    } else {
+      is_short_of_memory_ = true;
+    }
+    return false;
+  }
+  if (parser_->is_done()) {
+    TakeRequest();
+    return buffer_.size() > 0;
+  }
+  deadline_ =
+      clock::now() + (parser_->got_some() ? clock::duration(kReadTimeout)
+                                          : handlers_.limits->idle_timeout);
   SendContinueIfExpected();
-  Read();
+  return false;
 }
 
-void server_session::DispatchRequest() {
-  is_busy_ = true;
-  keeps_alive_ = parser_->keep_alive();
-  method_ = parser_->get().method();
-  http_request request = parser_->release();
-  if (buffer_.size() == 0) {
-    Read();
+void server_session::TakeRequest() {
+  auto exchange = std::make_shared<server_exchange>(weak_from_this());
+  exchange->method_ = parser_->get().method();
+  exchange->reserved_bytes_ = std::exchange(reserved_bytes_, 0);
+  is_ending_ = !parser_->keep_alive();
+  exchange->request_ = parser_->release();
+  exchanges_.push_back(std::move(exchange));
+  PrepareNext();
+  HandOver();
+}
+
+void server_session::HandOver() {
+  for (std::size_t i = 0; i < exchanges_.size(); ++i) {
+    const exchange_ptr exchange = exchanges_[i];
+    if (i == 0 && exchange->on_turn_) {
+      std::exchange(exchange->on_turn_, nullptr)();
+    } else if (exchange->request_) {
+      http_request request = *std::move(exchange->request_);
+      exchange->request_.reset();
+      handlers_.on_request(exchange, std::move(request));
+    }
+    if (exchange->on_turn_) {
+      return;
+    }
   }
-  handlers_.on_request(shared_from_this(), std::move(request));
 }
 
-// A body whose size is known is rejected before it is read.
-bool server_session::ReserveBodyMemory() {
-  if (!parser_->is_header_done()) {
-    return true;
+// A body whose size is known is rejected before it is read. The headers of one
+// request at a time are not counted, so that it is served even if memory is
+// used up.
+bool server_session::ReserveMemory() {
+  std::size_t needed = 0;
+  if (parser_->is_header_done()) {
+    const auto stated = static_cast<std::size_t>(std::min<std::uint64_t>(
+        parser_->content_length().value_or(0), handlers_.limits->body_bytes));
+    const std::string& body = parser_->get().body();
+    needed = std::max(stated, body.empty() ? 0 : body.capacity());
+  }
+  if (!exchanges_.empty()) {
+    needed += std::min(parsed_bytes_, handlers_.limits->header_bytes);
   }
-  const auto stated = static_cast<std::size_t>(std::min<std::uint64_t>(
-      parser_->content_length().value_or(0), handlers_.limits->body_bytes));
-  const std::string& body = parser_->get().body();
-  const std::size_t needed =
-      std::max(stated, body.empty() ? 0 : body.capacity());
   if (needed <= reserved_bytes_) {
     return true;
   }
@@ -179,7 +254,7 @@
   return true;
 }
 
-void server_session::ReleaseBodyMemory() {
+void server_session::ReleaseMemory() {
   memory_->Release(std::exchange(reserved_bytes_, 0));
 }
 
@@ -193,14 +268,17 @@
 
 // What was read of the body is dropped, and what follows is discarded.
 void server_session::Reject(error_kind kind) {
-  is_busy_ = true;
+  is_ending_ = true;
   parser_.emplace();
-  ReleaseBodyMemory();
-  handlers_.on_rejected(shared_from_this(), kind);
+  ReleaseMemory();
+  const auto exchange = std::make_shared<server_exchange>(weak_from_this());
+  exchanges_.push_back(exchange);
+  handlers_.on_rejected(exchange, kind);
 }
 
+// Between the responses to earlier requests it would be taken for one of them.
 void server_session::SendContinueIfExpected() {
-  if (is_continue_sent_ || !parser_->is_header_done()) {
+  if (is_continue_sent_ || !parser_->is_header_done() || !exchanges_.empty()) {
     return;
   }
   if (!beast::iequals(parser_->get()[http::field::expect], "100-continue")) {
@@ -211,53 +289,181 @@
                     [self = shared_from_this()](error_code, std::size_t) {});
 }
 
-void server_session::Write() {
-  serializer_.emplace(response_);
-  http::async_write(socket_, *serializer_,
-                    [self = shared_from_this()](error_code error, std::size_t) {
-                      self->OnWritten(error);
-                    });
+void server_session::PrepareNext() {
+  ReleaseMemory();
+  parser_.emplace();
+  parser_->eager(true);
+  parser_->header_limit(
+      static_cast<std::uint32_t>(handlers_.limits->header_bytes));
+  parser_->body_limit(handlers_.limits->body_bytes);
+  parsed_bytes_ = 0;
+  is_continue_sent_ = false;
+  deadline_ = clock::now() + handlers_.limits->idle_timeout;
+}
+
+// A response that finds no memory while it waits is dropped with all behind it,
+// as if their requests had not been read. The one before it closes the
+// connection, and if that is already on its way, this one.
+void server_session::Respond(server_exchange& exchange,
+                             http_response response) {
+  exchange.on_disconnect_ = nullptr;
+  // The endpoint's HTTP version does not apply to this connection.
+  response.version(kHttp11);
+  exchange.response_ = std::move(response);
+  const std::size_t before = CountBefore(exchange);
+  if (before > 0 && !HoldResponse(exchange)) {
+    DropFrom(is_writing_ && before == 1 ? 2 : before);
+  }
+  WriteNext();
+}
+
+bool server_session::HoldResponse(server_exchange& exchange) {
+  const std::size_t bytes = exchange.response_->body().size();
+  if (HeldBytes() + bytes > kMaxHeldResponseBytes ||
+      !memory_->TryReserve(bytes)) {
+    return false;
+  }
+  exchange.reserved_bytes_ += bytes;
+  return true;
+}
+
+void server_session::WriteNext() {
+  if (is_writing_ || exchanges_.empty() || !exchanges_.front()->response_) {
+    return;
+  }
+  is_writing_ = true;
+  is_writing_last_ = is_ending_ && exchanges_.size() == 1;
+  server_exchange& front = *exchanges_.front();
+  FinishResponse(*front.response_, front.method_);
+  front.response_->keep_alive(!is_writing_last_);
+  serializer_.emplace(*front.response_);
+  WriteSome();
+}
+
+void server_session::WriteSome() {
+  write_deadline_ = clock::now() + kWriteTimeout;
+  http::async_write_some(
+      socket_, *serializer_,
+      // The response lives as long as it is written, also if the session drops
+      // it.
+      [self = shared_from_this(), exchange = exchanges_.front()](
+          error_code error, std::size_t) { self->OnWritten(error); });
 }
 
 void server_session::OnWritten(error_code error) {
-  if (error) {
-    return Close();
+  if (error || exchanges_.empty()) {
+    is_writing_ = false;
+    return OnDisconnected();
   }
-  is_busy_ = false;
-  if (!keeps_alive_) {
-    socket_.shutdown(tcp::socket::shutdown_send, error);
-    is_lingering_ = true;
-    deadline_ = clock::now() + kLingerTimeout;
-    if (!is_reading_) {
-      buffer_.clear();
-      Read();
+  if (!serializer_->is_done()) {
+    return WriteSome();
+  }
+  is_writing_ = false;
+  Release(*exchanges_.front());
+  exchanges_.pop_front();
+  OnAnswered();
+}
+
+void server_session::OnAnswered() {
+  is_short_of_memory_ = false;
+  if (exchanges_.empty()) {
+    idle_since_ = clock::now();
+    if (is_ending_) {
+      return Linger();
     }
-    return;
+    // Limits may have changed meanwhile.
+    if (!parser_->got_some()) {
+      PrepareNext();
+    }
+    deadline_ =
+        idle_since_ + (parser_->got_some() ? clock::duration(kReadTimeout)
+                                           : handlers_.limits->idle_timeout);
+    SendContinueIfExpected();
   }
-  PrepareNext();
+  WriteNext();
+  HandOver();
+  Advance();
+}
+
+void server_session::Linger() {
+  error_code ignored;
+  socket_.shutdown(tcp::socket::shutdown_send, ignored);
+  is_lingering_ = true;
+  ReleaseMemory();
+  deadline_ = clock::now() + kLingerTimeout;
   if (!is_reading_) {
-    Parse();
+    buffer_.clear();
+    Read();
   }
 }
 
-void server_session::PrepareNext() {
-  ReleaseBodyMemory();
-  parser_.emplace();
-  parser_->eager(true);
-  parser_->header_limit(
-      static_cast<std::uint32_t>(handlers_.limits->header_bytes));
-  parser_->body_limit(handlers_.limits->body_bytes);
-  is_continue_sent_ = false;
-  idle_since_ = clock::now();
-  deadline_ = idle_since_ + handlers_.limits->idle_timeout;
+std::size_t server_session::CountBefore(const server_exchange& exchange) const {
+  const auto found = std::find_if(
+      exchanges_.begin(), exchanges_.end(),
+      [&](const exchange_ptr& other) { return other.get() == &exchange; });
+  return found == exchanges_.end()
+             ? 0
+             : static_cast<std::size_t>(found - exchanges_.begin());
+}
+
+std::optional<call_id> server_session::CallBefore(
+    const server_exchange& exchange) const {
+  for (std::size_t i = CountBefore(exchange); i > 0; --i) {
+    if (exchanges_[i - 1]->call_) {
+      return exchanges_[i - 1]->call_;
+    }
+  }
+  return std::nullopt;
+}
+
+std::size_t server_session::HeldBytes() const {
+  std::size_t sum = 0;
+  for (const exchange_ptr& exchange : exchanges_) {
+    sum += exchange->reserved_bytes_;
+  }
+  return sum;
+}
+
+void server_session::DropFrom(std::size_t first) {
+  is_ending_ = true;
+  std::vector<exchange_ptr> dropped;
+  while (exchanges_.size() > first) {
+    Release(*exchanges_.back());
+    dropped.push_back(std::move(exchanges_.back()));
+    exchanges_.pop_back();
+  }
+  for (const exchange_ptr& exchange : dropped) {
+    if (exchange->on_disconnect_) {
+      std::exchange(exchange->on_disconnect_, nullptr)();
+    }
+  }
+}
+
+void server_session::DropBehind(const server_exchange& exchange) {
+  DropFrom(CountBefore(exchange) + 1);
+}
+
+void server_session::DropWaiting() {
+  const auto waiting = std::find_if(
+      exchanges_.begin(), exchanges_.end(), [](const exchange_ptr& exchange) {
+        return exchange->request_ || exchange->on_turn_;
+      });
+  DropFrom(static_cast<std::size_t>(waiting - exchanges_.begin()));
+}
+
+// Nothing that the exchange does has an effect on the connection any more.
+void server_session::Release(server_exchange& exchange) {
+  memory_->Release(std::exchange(exchange.reserved_bytes_, 0));
+  exchange.session_.reset();
+  exchange.request_.reset();
+  exchange.on_turn_ = nullptr;
 }
 
 void server_session::OnDisconnected() {
-  const std::function<void()> on_disconnect = std::move(on_disconnect_);
+  error_code ignored;
+  socket_.close(ignored);
+  DropFrom(0);
   Close();
-  if (on_disconnect) {
-    on_disconnect();
-  }
 }
 
 }  // namespace auburnfold
--- a/Libraries/LibRuntime/Connections/server_session.h
+++ b/Libraries/LibRuntime/Connections/server_session.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -12,29 +13,30 @@
 #include "LibDecision/error_kind.h"
 #include "LibRuntime/Connections/body_memory.h"
 #include "LibRuntime/Connections/http_types.h"
+#include "LibRuntime/Connections/server_exchange.h"
 
 namespace auburnfold {
 
-class server_session;
-
 /// What a session accepts.
 struct session_limits {
   std::size_t header_bytes = kMaxHeaderBytes;
   std::uint64_t body_bytes = kMaxBodyBytes;
   /// A connection without a request is closed after this time.
   std::chrono::steady_clock::duration idle_timeout = std::chrono::seconds(90);
+  /// Requests that are read from one connection and not answered yet.
+  std::size_t max_pipelined = 1;
 };
 
 /// Callbacks to the server that owns the sessions, and what they share.
 struct session_handlers {
-  /// A complete request was read. Answer it with
-  /// `server_session::SendResponse`.
-  std::function<void(const std::shared_ptr<server_session>&, http_request)>
+  /// A complete request was read, in the order of the requests on the
+  /// connection. Answer it with `server_exchange::Respond`.
+  std::function<void(const std::shared_ptr<server_exchange>&, http_request)>
       on_request;
   /// A request was rejected before it was read: it is malformed or too large,
   /// or there is no memory for its body. Answer it with
-  /// `server_session::SendResponseAndClose`.
-  std::function<void(const std::shared_ptr<server_session>&, error_kind)>
+  /// `server_exchange::RespondAndClose`.
+  std::function<void(const std::shared_ptr<server_exchange>&, error_kind)>
       on_rejected;
   /// Must outlive the open sessions. The limits may change and then hold from
   /// the next request on.
@@ -43,8 +45,9 @@
   std::shared_ptr<body_memory> memory;
 };
 
-/// An accepted HTTP/1.1 connection. Serves requests one after the other, and
-/// detects a peer that disconnects while one is being served.
+/// An accepted HTTP/1.1 connection. Hands over requests as they arrive, sends
+/// the responses in the order of the requests, and detects a peer that
+/// disconnects meanwhile.
 class server_session : public std::enable_shared_from_this<server_session> {
  public:
   using clock = std::chrono::steady_clock;
@@ -56,18 +59,12 @@
 
   void Start();
 
-  /// Calls `on_disconnect` if the peer disconnects before the current request
-  /// is answered.
-  void SetDisconnectHandler(std::function<void()> on_disconnect);
-  /// Sends the response to the current request.
-  void SendResponse(http_response response);
-  /// Sends the response to the current request, then closes the connection.
-  void SendResponseAndClose(http_response response);
-  /// Closes the connection at once, without calling `on_disconnect`.
+  /// Closes the connection at once, without calling disconnect handlers.
   void Close();
 
   /// Closes the connection if no request is being served and the timeout for
-  /// an idle, reading or closing connection has expired at `now`.
+  /// an idle, reading or closing connection has expired at `now`, or if its
+  /// peer has left or takes no responses while others wait.
   void CloseIfStale(clock::time_point now);
 
   /// Closes the connection if it carries no request and none has arrived.
@@ -76,34 +73,61 @@
   /// When the last request was answered, or the connection was accepted.
   clock::time_point idle_since() const { return idle_since_; }
 
-  /// Whether the peer's close has arrived behind the current request. It is
-  /// reported to the disconnect handler only after the request was handled.
-  bool HasPeerClosed();
-
-  /// The IP address of the peer; empty if it has disconnected.
-  std::string peer_host() const;
   bool is_open() const { return socket_.is_open(); }
-  /// A request has been read and its response is not yet written.
-  bool is_busy() const { return is_busy_; }
 
  private:
+  friend class server_exchange;
+  using exchange_ptr = std::shared_ptr<server_exchange>;
+
   /// Looks at what has arrived without reading it: no error if there are bytes,
   /// `would_block` if there is nothing.
   error_code Peek();
+  bool HasPeerClosed();
+  std::string peer_host() const;
+
   void Read();
   void OnRead(error_code error, std::size_t size);
-  void Parse();
-  void DispatchRequest();
+  /// Takes the requests that were read as far as the bounds allow, then reads
+  /// on or waits for the peer's close.
+  void Advance();
+  void ReadOn();
+  void WatchForClose();
+  /// Whether no further request may be taken until others are answered.
+  bool IsPaused() const;
+  /// Returns whether a request was taken and more has been read.
+  bool Parse();
+  void TakeRequest();
+  /// Hands over the requests that were read, up to a deferred one.
+  void HandOver();
   void RejectMalformed(error_code error);
   void Reject(error_kind kind);
-  /// Reserves memory for the body of the current request, all of it once its
+  /// Reserves memory for the request that is being read, all of it once its
   /// size is known. Returns whether there is enough.
-  bool ReserveBodyMemory();
-  void ReleaseBodyMemory();
+  bool ReserveMemory();
+  void ReleaseMemory();
   void SendContinueIfExpected();
-  void Write();
-  void OnWritten(error_code error);
   void PrepareNext();
+
+  void Respond(server_exchange& exchange, http_response response);
+  /// Reserves memory for a response that waits for earlier ones. Returns
+  /// whether there is enough.
+  bool HoldResponse(server_exchange& exchange);
+  void WriteNext();
+  void WriteSome();
+  void OnWritten(error_code error);
+  void OnAnswered();
+  void Linger();
+
+  std::size_t CountBefore(const server_exchange& exchange) const;
+  std::optional<call_id> CallBefore(const server_exchange& exchange) const;
+  std::size_t HeldBytes() const;
+  /// Ends the connection with the requests before number `first`; the others
+  /// are dropped.
+  void DropFrom(std::size_t first);
+  void DropBehind(const server_exchange& exchange);
+  /// Drops the requests that were not handed over or are deferred.
+  void DropWaiting();
+  void Release(server_exchange& exchange);
   void OnDisconnected();
 
   tcp::socket socket_;
@@ -111,18 +135,27 @@
   std::shared_ptr<body_memory> memory_;
   beast::flat_buffer buffer_;
   std::optional<http::request_parser<http::string_body>> parser_;
-  http_response response_;
   std::optional<http::response_serializer<http::string_body>> serializer_;
-  std::function<void()> on_disconnect_;
+  /// Requests that were read and are not answered yet, in their order.
+  std::deque<exchange_ptr> exchanges_;
   clock::time_point deadline_;
   clock::time_point idle_since_;
-  http::verb method_ = http::verb::unknown;
-  /// Held until the request is answered, since the request is.
+  /// When the response that is being written must have made progress.
+  clock::time_point write_deadline_;
+  /// Reserved for the request that is being read; held until it is answered.
   std::size_t reserved_bytes_ = 0;
-  bool is_busy_ = false;
+  /// Bytes of the request that is being read.
+  std::size_t parsed_bytes_ = 0;
   bool is_reading_ = false;
+  bool is_watching_ = false;
+  bool is_writing_ = false;
+  /// The response that is being written closes the connection.
+  bool is_writing_last_ = false;
+  /// The request that is being read waits until others free memory.
+  bool is_short_of_memory_ = false;
   bool is_continue_sent_ = false;
-  bool keeps_alive_ = true;
+  /// No more requests are taken.
+  bool is_ending_ = false;
   /// The last response was written. Bytes that still arrive are read and
   /// discarded, since closing with unread bytes would reset the connection and
   /// could lose the response.
--- a/Libraries/LibRuntime/Control/admin_port_handler.cc
+++ b/Libraries/LibRuntime/Control/admin_port_handler.cc
@@ -20,42 +20,42 @@
     : sink_(std::move(sink)), metrics_text_(std::move(metrics_text)) {}
 
 void admin_port_handler::OnRequest(
-    const std::shared_ptr<server_session>& session,
+    const std::shared_ptr<server_exchange>& exchange,
     const http_request& request) {
   const std::string_view target = request.target();
   if (target == "/metrics") {
-    return session->SendResponse(MakeTextResponse(
+    return exchange->Respond(MakeTextResponse(
         http::status::ok, kMetricsContentType, metrics_text_()));
   }
   if (target == "/healthz") {
-    return session->SendResponse(
+    return exchange->Respond(
         MakeTextResponse(http::status::ok, kTextContentType, "alive\n"));
   }
   if (target == "/readyz") {
-    return HandleReadinessRequest(session);
+    return HandleReadinessRequest(exchange);
   }
   const bool is_handled =
-      handler_ && handler_(request, [session](http_response response) {
-        session->SendResponse(std::move(response));
+      handler_ && handler_(request, [exchange](http_response response) {
+        exchange->Respond(std::move(response));
       });
   if (!is_handled) {
-    session->SendResponse(MakeTextResponse(http::status::not_found,
-                                           kTextContentType, "no such path\n"));
+    exchange->Respond(MakeTextResponse(http::status::not_found,
+                                       kTextContentType, "no such path\n"));
   }
 }
 
 void admin_port_handler::HandleReadinessRequest(
-    const std::shared_ptr<server_session>& session) const {
+    const std::shared_ptr<server_exchange>& exchange) const {
   if (is_stopping_) {
-    return session->SendResponse(MakeTextResponse(
-        http::status::service_unavailable, kTextContentType, "stopping\n"));
+    return exchange->Respond(MakeTextResponse(http::status::service_unavailable,
+                                              kTextContentType, "stopping\n"));
   }
   if (is_waiting_for_routes_) {
-    return session->SendResponse(
-        MakeTextResponse(http::status::service_unavailable, kTextContentType,
-                         "no routes yet\n"));
+    return exchange->Respond(MakeTextResponse(http::status::service_unavailable,
+                                              kTextContentType,
+                                              "no routes yet\n"));
   }
-  session->SendResponse(
+  exchange->Respond(
       MakeTextResponse(http::status::ok, kTextContentType, "ready\n"));
 }
 
--- a/Libraries/LibRuntime/Control/admin_port_handler.h
+++ b/Libraries/LibRuntime/Control/admin_port_handler.h
@@ -7,7 +7,7 @@
 #include <unordered_map>
 
 #include "LibDecision/effect.h"
-#include "LibRuntime/Connections/server_session.h"
+#include "LibRuntime/Connections/server_exchange.h"
 #include "LibRuntime/Control/admin_handler.h"
 #include "LibRuntime/event_sink.h"
 
@@ -21,11 +21,11 @@
                      std::function<std::string()> metrics_text);
 
   void SetHandler(admin_handler handler) { handler_ = std::move(handler); }
-  void OnRequest(const std::shared_ptr<server_session>& session,
+  void OnRequest(const std::shared_ptr<server_exchange>& exchange,
                  const http_request& request);
   /// Responds with whether the node is ready for calls.
   void HandleReadinessRequest(
-      const std::shared_ptr<server_session>& session) const;
+      const std::shared_ptr<server_exchange>& exchange) const;
   /// Makes the node not ready until `OnRoutesAvailable` is called.
   void RequireRoutes() { is_waiting_for_routes_ = true; }
   void OnRoutesAvailable() { is_waiting_for_routes_ = false; }
--- a/Libraries/LibRuntime/Control/view_handler.cc
+++ b/Libraries/LibRuntime/Control/view_handler.cc
@@ -31,9 +31,9 @@
 }
 
 void view_handler::OnViewRequest(
-    const std::shared_ptr<server_session>& session) {
+    const std::shared_ptr<server_exchange>& exchange) {
   const view_call_id call(next_call_++);
-  pending_.emplace(call, session);
+  pending_.emplace(call, exchange);
   sink_(view_requested{call});
 }
 
@@ -61,10 +61,10 @@
 }
 
 void view_handler::Execute(const send_view& command) {
-  const auto session = pending_.extract(command.call);
-  if (session) {
-    session.mapped()->SendResponse(MakeTextResponse(
-        http::status::ok, "text/plain", EncodeView(command.view)));
+  const auto exchange = pending_.extract(command.call);
+  if (exchange) {
+    exchange.mapped()->Respond(MakeTextResponse(http::status::ok, "text/plain",
+                                                EncodeView(command.view)));
   }
 }
 
--- a/Libraries/LibRuntime/Control/view_handler.h
+++ b/Libraries/LibRuntime/Control/view_handler.h
@@ -7,7 +7,7 @@
 #include "LibDecision/effect.h"
 #include "LibRuntime/Connections/connection_pool.h"
 #include "LibRuntime/Connections/http_types.h"
-#include "LibRuntime/Connections/server_session.h"
+#include "LibRuntime/Connections/server_exchange.h"
 #include "LibRuntime/event_sink.h"
 
 namespace auburnfold {
@@ -22,7 +22,7 @@
 
   /// Whether a request at the peer port asks for this node's view.
   static bool IsViewRequest(const http_request& request);
-  void OnViewRequest(const std::shared_ptr<server_session>& session);
+  void OnViewRequest(const std::shared_ptr<server_exchange>& exchange);
 
   void Execute(const request_view& command);
   void Execute(const send_view& command);
@@ -32,7 +32,7 @@
   connection_pool::id_source next_connection_;
   event_sink sink_;
   std::uint64_t next_call_ = 1;
-  std::unordered_map<view_call_id, std::shared_ptr<server_session>> pending_;
+  std::unordered_map<view_call_id, std::shared_ptr<server_exchange>> pending_;
   /// Each request has a pool of its own, which the next request replaces.
   body_memory memory_{kMaxBodyBytes * 2};
   std::unique_ptr<connection_pool> pool_;
--- a/Libraries/LibRuntime/Observability/node_metrics.cc
+++ b/Libraries/LibRuntime/Observability/node_metrics.cc
@@ -6,6 +6,7 @@
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
+#include <algorithm>
 #include <array>
 
 #include "LibRuntime/Observability/labelled_histograms.h"
@@ -30,6 +31,8 @@
       return "connections_accepted";
     case runtime_counter::kAcceptFailures:
       return "accept_failures";
+    case runtime_counter::kCallsPipelined:
+      return "calls_pipelined";
   }
   return "unknown";
 }
@@ -60,6 +63,10 @@
             MakeGauge(registry,
                       "auburnfold_works_in_flight",
                       "Forwarded requests running or queued here.")),
+        longest_pipeline(MakeGauge(registry,
+                                   "auburnfold_longest_pipeline",
+                                   "Most requests of one connection that were "
+                                   "unanswered at once.")),
         call_seconds_by_class(registry,
                               "auburnfold_call_seconds",
                               "Time to the whole answer of a call, by class.",
@@ -122,6 +129,7 @@
   std::array<prometheus::Counter*, kConfigFieldCount> unread_fields{};
   prometheus::Gauge& calls_in_flight;
   prometheus::Gauge& work_items_in_flight;
+  prometheus::Gauge& longest_pipeline;
   labelled_histograms call_seconds_by_class;
   labelled_histograms call_seconds_by_tenant;
   labelled_histograms work_seconds_by_class;
@@ -173,6 +181,15 @@
       std::chrono::duration<double>(delay).count());
 }
 
+void node_metrics::ObservePipelining(std::size_t unanswered_before) {
+  if (unanswered_before == 0) {
+    return;
+  }
+  Count(runtime_counter::kCallsPipelined);
+  const auto depth = static_cast<double>(unanswered_before + 1);
+  impl_->longest_pipeline.Set(std::max(impl_->longest_pipeline.Value(), depth));
+}
+
 std::string node_metrics::ToPrometheusText(std::size_t open_calls,
                                            std::size_t open_work_items) {
   impl_->calls_in_flight.Set(static_cast<double>(open_calls));
--- a/Libraries/LibRuntime/Observability/node_metrics.h
+++ b/Libraries/LibRuntime/Observability/node_metrics.h
@@ -24,10 +24,11 @@
   kBytesReceived,     ///< Bytes of control messages received.
   kConnectionsAccepted,
   kAcceptFailures,  ///< Connections that could not be accepted.
+  kCallsPipelined,  ///< Calls read while earlier ones were unanswered.
 };
 
 inline constexpr std::size_t kRuntimeCounterCount =
-    static_cast<std::size_t>(runtime_counter::kAcceptFailures) + 1;
+    static_cast<std::size_t>(runtime_counter::kCallsPipelined) + 1;
 
 /// The metrics that a node exports at `/metrics`.
 class node_metrics {
@@ -52,6 +53,9 @@
   void ObserveWork(const class_name& request_class, elapsed latency);
   void ObserveQueueWait(const class_name& request_class, elapsed waited);
   void ObserveLoopDelay(elapsed delay);
+  /// A call was read while `unanswered_before` earlier requests on its
+  /// connection were unanswered.
+  void ObservePipelining(std::size_t unanswered_before);
 
   /// All metrics in the Prometheus text format. The arguments are the values of
   /// the gauges.
--- a/Libraries/LibRuntime/Requests/call_handler.cc
+++ b/Libraries/LibRuntime/Requests/call_handler.cc
@@ -16,6 +16,15 @@
 
 namespace auburnfold {
 
+namespace {
+
+duration TimeSince(call_handler::clock::time_point since) {
+  return std::chrono::duration_cast<duration>(call_handler::clock::now() -
+                                              since);
+}
+
+}  // namespace
+
 call_handler::call_handler(asio::io_context& io,
                            const node_identity& self,
                            const work_handler& work,
@@ -32,36 +41,36 @@
       metrics_(metrics),
       deadline_timer_(io, [this] { TimeOutAttempts(); }) {}
 
-void call_handler::OnCall(const std::shared_ptr<server_session>& session,
+void call_handler::OnCall(const std::shared_ptr<server_exchange>& exchange,
                           http_request request) {
-  Open(session, std::move(request), request_purpose::kExecute);
+  Open(exchange, std::move(request), request_purpose::kExecute);
 }
 
 void call_handler::OnKeyRequested(
-    const std::shared_ptr<server_session>& session,
+    const std::shared_ptr<server_exchange>& exchange,
     http_request request) {
-  Open(session, std::move(request), request_purpose::kIssueKey);
+  Open(exchange, std::move(request), request_purpose::kIssueKey);
 }
 
-void call_handler::Open(const std::shared_ptr<server_session>& session,
+void call_handler::Open(const std::shared_ptr<server_exchange>& exchange,
                         http_request request,
                         request_purpose purpose) {
   leaf::try_handle_all(
       [&]() -> leaf::result<void> {
         BOOST_LEAF_AUTO(read, dialect_.ReadCallerRequest(request));
         read.metadata.purpose = purpose;
-        Accept(session, std::move(request), std::move(read));
+        Accept(exchange, std::move(request), std::move(read));
         return {};
       },
       [&](const request_error& error) {
         metrics_.CountError(error.kind);
-        session->SendResponse(
+        exchange->Respond(
             dialect_.MakeError({.kind = error.kind, .reason = error.reason}));
       },
-      [&] { session->Close(); });
+      [&] { exchange->CloseConnection(); });
 }
 
-void call_handler::Accept(const std::shared_ptr<server_session>& session,
+void call_handler::Accept(const std::shared_ptr<server_exchange>& exchange,
                           http_request request,
                           caller_request read) {
   request_metadata metadata = std::move(read.metadata);
@@ -88,24 +97,54 @@
   if (metadata.own_id.value().empty()) {
     metadata.own_id = metadata.root;
   }
-  if (session->HasPeerClosed()) {
+  const std::size_t depth = exchange->CountBefore();
+  arrived.is_pipelined = depth > 0;
+  arrived.behind = exchange->CallBefore();
+  arrived.waited = TimeSince(exchange->read_at());
+  metrics_.ObservePipelining(depth);
+  if (exchange->HasPeerClosed()) {
     sink_(request_abandoned{std::move(metadata)});
-    return session->Close();
+    return exchange->CloseConnection();
   }
   StripHeaders(request);
   dialect_.AddOriginHeaders(request);
   metadata.digest = DigestOf(request, dialect_.IdentityOf(request, metadata));
   calls_.emplace(
       arrived.call,
-      open_call{session, std::make_shared<http_request>(std::move(request)),
+      open_call{exchange, std::make_shared<http_request>(std::move(request)),
                 metadata.own_id, metadata.request_class, metadata.tenant,
-                clock::now()});
-  session->SetDisconnectHandler([this, call = arrived.call] {
+                exchange->read_at(), std::nullopt});
+  exchange->set_call(arrived.call);
+  exchange->SetDisconnectHandler([this, call = arrived.call] {
     if (calls_.erase(call) > 0) {
       sink_(call_cancelled{call});
     }
   });
   arrived.metadata = std::move(metadata);
+  if (arrived.is_pipelined) {
+    calls_.at(arrived.call).pipelined = arrived;
+  }
+  sink_(std::move(arrived));
+}
+
+void call_handler::Execute(const defer_call& deferred) {
+  const auto found = calls_.find(deferred.call);
+  if (found == calls_.end() || !found->second.pipelined) {
+    return;
+  }
+  found->second.exchange->Defer([this, call = deferred.call] { Resume(call); });
+}
+
+void call_handler::Resume(call_id call) {
+  const auto found = calls_.find(call);
+  if (found == calls_.end()) {
+    return;
+  }
+  call_arrived arrived = *std::move(found->second.pipelined);
+  found->second.pipelined.reset();
+  arrived.is_pipelined = false;
+  arrived.behind.reset();
+  arrived.waited = TimeSince(found->second.started);
   sink_(std::move(arrived));
 }
 
@@ -185,13 +224,13 @@
 
 void call_handler::SendResponse(call_id call, http_response response) {
   const auto found = calls_.find(call);
-  const std::shared_ptr<server_session> session =
-      std::move(found->second.session);
+  const std::shared_ptr<server_exchange> exchange =
+      std::move(found->second.exchange);
   calls_.erase(found);
   if (is_stopping_) {
-    return session->SendResponseAndClose(std::move(response));
+    return exchange->RespondAndDrain(std::move(response));
   }
-  session->SendResponse(std::move(response));
+  exchange->Respond(std::move(response));
 }
 
 bool call_handler::Close(connection_id connection) {
--- a/Libraries/LibRuntime/Requests/call_handler.h
+++ b/Libraries/LibRuntime/Requests/call_handler.h
@@ -4,12 +4,14 @@
 #include <chrono>
 #include <map>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 
 #include "LibDecision/effect.h"
+#include "LibDecision/event.h"
 #include "LibRuntime/Connections/connection_pool.h"
 #include "LibRuntime/Connections/http_types.h"
-#include "LibRuntime/Connections/server_session.h"
+#include "LibRuntime/Connections/server_exchange.h"
 #include "LibRuntime/Observability/node_metrics.h"
 #include "LibRuntime/Requests/wire_dialect.h"
 #include "LibRuntime/event_sink.h"
@@ -34,23 +36,25 @@
                event_sink sink,
                node_metrics& metrics);
 
-  /// Handles a call that was read from `session`.
-  void OnCall(const std::shared_ptr<server_session>& session,
+  /// Handles a call that was read from `exchange`.
+  void OnCall(const std::shared_ptr<server_exchange>& exchange,
               http_request request);
   /// Handles a caller's request for an idempotency key.
-  void OnKeyRequested(const std::shared_ptr<server_session>& session,
+  void OnKeyRequested(const std::shared_ptr<server_exchange>& exchange,
                       http_request request);
 
   void Execute(send_attempt& sent);
   void Execute(const cancel_attempt& cancelled);
   void Execute(const relay_answer& relayed);
   void Execute(const refuse_call& refused);
+  void Execute(const defer_call& deferred);
 
   /// Discards the response of an attempt that the reducer has handled.
   void DiscardAttempt(attempt_id attempt) { attempts_.erase(attempt); }
   /// Closes the connection; false if it does not lead to another node.
   bool Close(connection_id connection);
-  /// From now on, each response closes its connection.
+  /// From now on, connections close after the responses to the calls that are
+  /// open on them.
   void OnStopRequested() { is_stopping_ = true; }
   /// Closes idle connections. Call it about once a second.
   void Sweep();
@@ -59,7 +63,7 @@
 
  private:
   struct open_call {
-    std::shared_ptr<server_session> session;
+    std::shared_ptr<server_exchange> exchange;
     /// Without hop-by-hop and `Auburnfold-` headers.
     std::shared_ptr<const http_request> request;
     /// The id by which the caller knows this request; see
@@ -68,6 +72,8 @@
     class_name request_class;
     tenant_name tenant;
     clock::time_point started;
+    /// Kept while the call may be deferred.
+    std::optional<call_arrived> pipelined;
   };
   struct open_attempt {
     std::weak_ptr<client_connection> connection;
@@ -75,12 +81,14 @@
     http_response response;
   };
 
-  void Open(const std::shared_ptr<server_session>& session,
+  void Open(const std::shared_ptr<server_exchange>& exchange,
             http_request request,
             request_purpose purpose);
-  void Accept(const std::shared_ptr<server_session>& session,
+  void Accept(const std::shared_ptr<server_exchange>& exchange,
               http_request request,
               caller_request read);
+  /// Reports a deferred call once more.
+  void Resume(call_id call);
   /// Null if the host of `to` is not an IP address.
   connection_pool* PoolFor(const node_address& to, node_id node);
   void OnAttemptFinished(attempt_id attempt, client_result result);
--- a/Libraries/LibRuntime/Requests/work_handler.cc
+++ b/Libraries/LibRuntime/Requests/work_handler.cc
@@ -44,47 +44,47 @@
       deadline_timer_(io, [this] { TimeOutWork(); }),
       settle_timer_(io) {}
 
-void work_handler::OnWork(const std::shared_ptr<server_session>& session,
+void work_handler::OnWork(const std::shared_ptr<server_exchange>& exchange,
                           http_request request) {
   leaf::try_handle_all(
       [&]() -> leaf::result<void> {
         BOOST_LEAF_AUTO(read, ReadForwardedHeaders(request));
-        Accept(session, std::move(request), std::move(read.metadata), read.from,
-               read.expected_run);
+        Accept(exchange, std::move(request), std::move(read.metadata),
+               read.from, read.expected_run);
         return {};
       },
       [&](const request_error& error) {
         metrics_.CountError(error.kind);
-        session->SendResponse(
+        exchange->Respond(
             MakeErrorResponse(error.kind, execution_state::kNotExecuted,
                               duration::zero(), request_id(), error.reason));
       },
-      [&] { session->Close(); });
+      [&] { exchange->CloseConnection(); });
 }
 
-void work_handler::Accept(const std::shared_ptr<server_session>& session,
+void work_handler::Accept(const std::shared_ptr<server_exchange>& exchange,
                           http_request request,
                           request_metadata metadata,
                           node_id from,
                           incarnation expected_run) {
-  if (session->HasPeerClosed()) {
+  if (exchange->HasPeerClosed()) {
     sink_(request_abandoned{std::move(metadata)});
-    return session->Close();
+    return exchange->CloseConnection();
   }
   const work_id id(next_work_++);
   StripHeaders(request);
   metadata.digest = DigestOf(request, dialect_.IdentityOf(request, metadata));
   open_work& open = open_work_[id];
-  open.session = session;
+  open.exchange = exchange;
   open.request = std::move(request);
   open.metadata = metadata;
   open.arrived = clock::now();
-  session->SetDisconnectHandler([this, id] { OnForwarderDisconnected(id); });
+  exchange->SetDisconnectHandler([this, id] { OnForwarderDisconnected(id); });
   // All nodes use the same peer port.
   sink_(work_arrived{
       id,
       from,
-      {.host = session->peer_host(), .peer_port = self_.address.peer_port},
+      {.host = exchange->peer_host(), .peer_port = self_.address.peer_port},
       std::move(metadata),
       expected_run});
 }
@@ -94,7 +94,7 @@
   if (found == open_work_.end()) {
     return;
   }
-  found->second.session.reset();
+  found->second.exchange.reset();
   const bool is_executing = found->second.is_executing;
   sink_(work_cancelled{work});
   // Executing work stays until the reducer cancels it or the endpoint answers.
@@ -193,7 +193,7 @@
   if (const auto connection = found->second.connection.lock()) {
     connection->Cancel();
   }
-  if (!found->second.session) {
+  if (!found->second.exchange) {
     open_work_.erase(found);
   }
 }
@@ -276,7 +276,7 @@
     return;
   }
   found->second.is_executing = false;
-  if (!found->second.session) {
+  if (!found->second.exchange) {
     open_work_.erase(found);
   }
 }
@@ -356,17 +356,17 @@
                                 http_response response,
                                 const answer_metadata& metadata) {
   const auto found = open_work_.find(work);
-  const std::shared_ptr<server_session> session =
-      std::move(found->second.session);
+  const std::shared_ptr<server_exchange> exchange =
+      std::move(found->second.exchange);
   open_work_.erase(found);
-  if (!session) {
+  if (!exchange) {
     return;
   }
   WriteAnswerMetadata(response, metadata);
   if (is_stopping_) {
-    return session->SendResponseAndClose(std::move(response));
+    return exchange->RespondAndDrain(std::move(response));
   }
-  session->SendResponse(std::move(response));
+  exchange->Respond(std::move(response));
 }
 
 void work_handler::TimeOutWork() {
--- a/Libraries/LibRuntime/Requests/work_handler.h
+++ b/Libraries/LibRuntime/Requests/work_handler.h
@@ -11,7 +11,7 @@
 #include "LibDecision/effect.h"
 #include "LibRuntime/Connections/connection_pool.h"
 #include "LibRuntime/Connections/http_types.h"
-#include "LibRuntime/Connections/server_session.h"
+#include "LibRuntime/Connections/server_exchange.h"
 #include "LibRuntime/Observability/node_metrics.h"
 #include "LibRuntime/Requests/wire_dialect.h"
 #include "LibRuntime/event_sink.h"
@@ -33,8 +33,8 @@
                event_sink sink,
                node_metrics& metrics);
 
-  /// Handles a forwarded request that was read from `session`.
-  void OnWork(const std::shared_ptr<server_session>& session,
+  /// Handles a forwarded request that was read from `exchange`.
+  void OnWork(const std::shared_ptr<server_exchange>& exchange,
               http_request request);
   /// Sets the address at which the local endpoint listens.
   void SetEndpointAddress(const tcp::endpoint& address);
@@ -68,7 +68,7 @@
  private:
   struct open_work {
     /// Unset once the forwarding node has disconnected.
-    std::shared_ptr<server_session> session;
+    std::shared_ptr<server_exchange> exchange;
     http_request request;
     request_metadata metadata;
     http_response response;
@@ -78,7 +78,7 @@
     bool is_executing = false;
   };
 
-  void Accept(const std::shared_ptr<server_session>& session,
+  void Accept(const std::shared_ptr<server_exchange>& exchange,
               http_request request,
               request_metadata metadata,
               node_id from,
--- a/Libraries/LibRuntime/node_runtime.cc
+++ b/Libraries/LibRuntime/node_runtime.cc
@@ -33,7 +33,7 @@
 
 namespace {
 
-using session_ptr = std::shared_ptr<server_session>;
+using exchange_ptr = std::shared_ptr<server_exchange>;
 
 constexpr std::chrono::seconds kSweepInterval{1};
 // How often a stopping node checks whether all answers have been relayed.
@@ -46,6 +46,9 @@
 constexpr std::chrono::milliseconds kMemoryRetryDelay{200};
 // Nodes add headers of their own to the requests that they forward.
 constexpr std::size_t kForwardedHeaderBytes = std::size_t{4} * 1024;
+// What one connection may have open at once; many more would let one caller
+// take the place of others.
+constexpr std::size_t kMaxPipelinedCalls = 16;
 constexpr std::string_view kIdempotencyKeysTarget = "/auburnfold/v1/keys";
 
 // Counts microseconds, so that a restart within the same millisecond gets a
@@ -108,8 +111,8 @@
   void On(const probe_endpoint& effect) { works.ProbeEndpoint(effect.path); }
   void On(const request_view& effect) { views.Execute(effect); }
   void On(const send_view& effect) { views.Execute(effect); }
-  // FIXME: Calls are not pipelined yet, and no quota is reported.
-  void On(const defer_call&) {}
+  void On(const defer_call& effect) { calls.Execute(effect); }
+  // FIXME: No quota is reported.
   void On(const report_quota_usage& effect) {
     sink(quota_granted{effect.call, std::nullopt});
   }
@@ -118,12 +121,12 @@
   void On(const log_decision& effect) { decisions.Write(effect.record); }
   void On(const stop_process& effect);
 
-  void OnCallPort(const std::shared_ptr<server_session>& session,
+  void OnCallPort(const std::shared_ptr<server_exchange>& exchange,
                   http_request request);
-  void OnEndpointReport(const std::shared_ptr<server_session>& session,
+  void OnEndpointReport(const std::shared_ptr<server_exchange>& exchange,
                         const http_request& request);
   session_handlers MakeSessionHandlers(
-      std::function<void(const std::shared_ptr<server_session>&, http_request)>
+      std::function<void(const std::shared_ptr<server_exchange>&, http_request)>
           on_request);
   leaf::result<void> ListenAt(http_listener& listener,
                               const std::string& key,
@@ -218,37 +221,37 @@
           },
           metrics),
       call_listener(io,
-                    MakeSessionHandlers([this](const session_ptr& session,
+                    MakeSessionHandlers([this](const exchange_ptr& exchange,
                                                http_request request) {
-                      OnCallPort(session, std::move(request));
+                      OnCallPort(exchange, std::move(request));
                     }),
                     metrics),
       peer_listener(io,
-                    MakeSessionHandlers([this](const session_ptr& session,
+                    MakeSessionHandlers([this](const exchange_ptr& exchange,
                                                http_request request) {
                       if (view_handler::IsViewRequest(request)) {
-                        return views.OnViewRequest(session);
+                        return views.OnViewRequest(exchange);
                       }
                       last_request = std::chrono::steady_clock::now();
-                      works.OnWork(session, std::move(request));
+                      works.OnWork(exchange, std::move(request));
                     }),
                     metrics),
       admin_listener(io,
-                     MakeSessionHandlers([this](const session_ptr& session,
+                     MakeSessionHandlers([this](const exchange_ptr& exchange,
                                                 const http_request& request) {
-                       admin.OnRequest(session, request);
+                       admin.OnRequest(exchange, request);
                      }),
                      metrics),
       ready_listener(io,
-                     MakeSessionHandlers([this](const session_ptr& session,
+                     MakeSessionHandlers([this](const exchange_ptr& exchange,
                                                 const http_request&) {
-                       admin.HandleReadinessRequest(session);
+                       admin.HandleReadinessRequest(exchange);
                      }),
                      metrics),
       report_listener(io,
-                      MakeSessionHandlers([this](const session_ptr& session,
+                      MakeSessionHandlers([this](const exchange_ptr& exchange,
                                                  const http_request& request) {
-                        OnEndpointReport(session, request);
+                        OnEndpointReport(exchange, request);
                       }),
                       metrics),
       loop_monitor(io,
@@ -261,16 +264,17 @@
       idle_timer(io) {}
 
 session_handlers node_runtime::impl::MakeSessionHandlers(
-    std::function<void(const std::shared_ptr<server_session>&, http_request)>
+    std::function<void(const std::shared_ptr<server_exchange>&, http_request)>
         on_request) {
   session_handlers handlers;
   handlers.on_request = std::move(on_request);
-  handlers.on_rejected = [this](const std::shared_ptr<server_session>& session,
-                                error_kind kind) {
+  handlers.on_rejected = [this](
+                             const std::shared_ptr<server_exchange>& exchange,
+                             error_kind kind) {
     metrics.CountError(kind);
     const bool may_retry =
         TraitsOf(kind).advice == retry_advice::kAfterPressureDelay;
-    session->SendResponseAndClose(dialect.MakeError(
+    exchange->RespondAndClose(dialect.MakeError(
         {.kind = kind,
          .execution = execution_state::kNotExecuted,
          .retry_after = may_retry ? kMemoryRetryDelay : duration::zero()}));
@@ -279,6 +283,9 @@
 }
 
 leaf::result<void> node_runtime::impl::Start() {
+  session_limits call_limits;
+  call_limits.max_pipelined = kMaxPipelinedCalls;
+  call_listener.set_limits(call_limits);
   call_listener.LimitSessions(DescriptorLimit() / kCallerDescriptorDivisor);
   BOOST_LEAF_CHECK(ListenAt(call_listener, "call_port", settings.call_port));
   BOOST_LEAF_CHECK(ListenAt(peer_listener, "peer_port", settings.peer_port));
@@ -399,6 +406,7 @@
 
 void node_runtime::impl::On(const apply_caller_limits& effect) {
   session_limits limits;
+  limits.max_pipelined = kMaxPipelinedCalls;
   limits.header_bytes =
       std::max<std::size_t>(kMaxHeaderBytes, effect.limits.header_bytes);
   limits.body_bytes =
@@ -407,6 +415,7 @@
   call_listener.set_limits(limits);
   limits.header_bytes += kForwardedHeaderBytes;
   limits.idle_timeout = session_limits().idle_timeout;
+  limits.max_pipelined = session_limits().max_pipelined;
   peer_listener.set_limits(limits);
 }
 
@@ -484,21 +493,21 @@
 }
 
 void node_runtime::impl::OnCallPort(
-    const std::shared_ptr<server_session>& session,
+    const std::shared_ptr<server_exchange>& exchange,
     http_request request) {
   if (dialect.IsReport(request)) {
-    return OnEndpointReport(session, request);
+    return OnEndpointReport(exchange, request);
   }
   last_request = std::chrono::steady_clock::now();
   if (request.target() == kIdempotencyKeysTarget &&
       request.method() == http::verb::post) {
-    return calls.OnKeyRequested(session, std::move(request));
+    return calls.OnKeyRequested(exchange, std::move(request));
   }
-  calls.OnCall(session, std::move(request));
+  calls.OnCall(exchange, std::move(request));
 }
 
 void node_runtime::impl::OnEndpointReport(
-    const std::shared_ptr<server_session>& session,
+    const std::shared_ptr<server_exchange>& exchange,
     const http_request& request) {
   leaf::try_handle_all(
       [&]() -> leaf::result<void> {
@@ -508,16 +517,16 @@
           works.SetEndpointAddress(tcp::endpoint(host, report.port));
         }
         sink(std::move(report.content));
-        session->SendResponse(
+        exchange->Respond(
             MakeTextResponse(http::status::ok, "text/plain", "ok\n"));
         return {};
       },
       [&](const request_error& error) {
         metrics.CountError(error.kind);
-        session->SendResponse(
+        exchange->Respond(
             dialect.MakeError({.kind = error.kind, .reason = error.reason}));
       },
-      [&] { session->Close(); });
+      [&] { exchange->CloseConnection(); });
 }
 
 node_runtime::node_runtime(asio::io_context& io, const node_settings& settings)
--- a/Tests/LibRuntime/http_listener_test.cc
+++ b/Tests/LibRuntime/http_listener_test.cc
@@ -19,9 +19,10 @@
   node_metrics metrics_{1};
   // Leaves every request unanswered.
   session_handlers handlers_{
-      .on_request = [](const std::shared_ptr<server_session>&,
+      .on_request = [](const std::shared_ptr<server_exchange>&,
                        const http_request&) {},
-      .on_rejected = [](const std::shared_ptr<server_session>&, error_kind) {}};
+      .on_rejected = [](const std::shared_ptr<server_exchange>&,
+                        error_kind) {}};
   http_listener listener_{io_, handlers_, metrics_};
 };
 
