--- a/Libraries/LibRuntime/Control/quota_handler.cc
+++ b/Libraries/LibRuntime/Control/quota_handler.cc
@@ -38,15 +38,15 @@
 }
 
 void quota_handler::OnQuotaReport(
-    const std::shared_ptr<server_session>& session,
+    const std::shared_ptr<server_exchange>& exchange,
     const http_request& request) {
   auto report = DecodeQuotaReport(request.body());
   if (!report) {
-    return session->SendResponse(MakeTextResponse(
+    return exchange->Respond(MakeTextResponse(
         http::status::bad_request, "text/plain", "malformed report\n"));
   }
   const quota_call_id call(next_call_++);
-  received_.emplace(call, session);
+  received_.emplace(call, exchange);
   sink_(quota_reported{call, report->from, std::move(report->usage)});
 }
 
@@ -83,9 +83,9 @@
 }
 
 void quota_handler::Execute(const send_quota_grants& command) {
-  const auto session = received_.extract(command.call);
-  if (session) {
-    session.mapped()->SendResponse(MakeTextResponse(
+  const auto exchange = received_.extract(command.call);
+  if (exchange) {
+    exchange.mapped()->Respond(MakeTextResponse(
         http::status::ok, kJsonContentType, EncodeQuotaGrants(command.grants)));
   }
 }
--- a/Libraries/LibRuntime/Control/quota_handler.h
+++ b/Libraries/LibRuntime/Control/quota_handler.h
@@ -8,7 +8,7 @@
 #include "LibDecision/effect.h"
 #include "LibRuntime/Connections/connection_pool.h"
 #include "LibRuntime/Connections/http_types.h"
-#include "LibRuntime/Connections/server_session.h"
+#include "LibRuntime/Connections/server_exchange.h"
 #include "LibRuntime/event_sink.h"
 
 namespace auburnfold {
@@ -24,7 +24,7 @@
 
   /// Whether a request at the peer port is a report.
   static bool IsQuotaReport(const http_request& request);
-  void OnQuotaReport(const std::shared_ptr<server_session>& session,
+  void OnQuotaReport(const std::shared_ptr<server_exchange>& exchange,
                      const http_request& request);
 
   void Execute(const report_quota_usage& command);
@@ -43,7 +43,7 @@
   event_sink sink_;
   std::uint64_t next_call_ = 1;
   /// Reports of other nodes that are not answered yet.
-  std::unordered_map<quota_call_id, std::shared_ptr<server_session>> received_;
+  std::unordered_map<quota_call_id, std::shared_ptr<server_exchange>> received_;
   /// Ends the reports of this node that are not answered in time.
   std::unordered_map<quota_call_id, asio::steady_timer> timeouts_;
   body_memory memory_{kMaxBodyBytes * 2};
