--- a/Libraries/LibRuntime/Requests/headers.cc
+++ b/Libraries/LibRuntime/Requests/headers.cc
@@ -364,7 +364,7 @@
 leaf::result<request_metadata> ReadCallerHeaders(const http::fields& headers) {
   BOOST_LEAF_AUTO(metadata, ReadRequestHeaders(headers));
   BOOST_LEAF_CHECK(ReadTenant(headers, metadata));
-  return std::move(metadata);
+  return metadata;
 }
 
 leaf::result<forwarded_metadata> ReadForwardedHeaders(
--- a/Tests/LibDecision/api_keys_test.cc
+++ b/Tests/LibDecision/api_keys_test.cc
@@ -150,7 +150,7 @@
   void Do(const other&) {}
 
   void Pass(duration time) {
-    for (; time > kReportInterval; time -= kReportInterval) {
+    for (; time >= kReportInterval; time -= kReportInterval) {
       PassQuietly(kReportInterval);
       ReportEndpoint();
     }
--- a/Tests/LibRuntime/headers_test.cc
+++ b/Tests/LibRuntime/headers_test.cc
@@ -84,6 +84,29 @@
   EXPECT_EQ(ReadPeerOutcome(response).peer->newer_routes, route_version(13));
 }
 
+TEST(TheHeadersBetweenNodes, TellHowOldTheRoutesAreAtMost) {
+  const auto carried = [](std::optional<duration> age) {
+    http_response response;
+    response.set("Auburnfold-Result", "complete");
+    WriteAnswerMetadata(response, {.routes_confirmed_age = age});
+    return ReadPeerOutcome(response).peer->routes_confirmed_age;
+  };
+  EXPECT_EQ(carried(std::nullopt), std::nullopt);
+  EXPECT_EQ(carried(1200ms), 1200ms);
+  EXPECT_EQ(carried(1us), 1ms);
+  EXPECT_EQ(carried(-1500us), -1ms);
+}
+
+TEST(TheHeadersBetweenNodes, TellAnyTenantOrNone) {
+  for (const char* name : {"", "t 1/\xc3\xa4"}) {
+    http::fields headers;
+    request_metadata metadata = Facts();
+    metadata.tenant = tenant_name(name);
+    WriteForwardedHeaders(headers, metadata, node_id(1), incarnation(1));
+    EXPECT_EQ(ReadForwardedHeaders(headers)->metadata.tenant, metadata.tenant);
+  }
+}
+
 TEST(TheHeadersBetweenNodes, TellTheChecksumOfTheCrashes) {
   http::fields headers;
   request_metadata metadata = Facts();
