--- a/Libraries/LibDecision/Quotas/local_quota.cc
+++ b/Libraries/LibDecision/Quotas/local_quota.cc
@@ -118,7 +118,10 @@
 void local_quota::OnGrant(instant now, const quota_grant& grant) {
   ExpireTokens(now);
   is_owner_lost_ = false;
-  floor_.reset();
+  if (floor_) {
+    admitted_ += floor_->Debt(now);
+    floor_.reset();
+  }
   word_at_ = now;
   is_ample_ = grant.is_ample;
   retry_at_ = now + grant.retry_after;
@@ -135,9 +138,12 @@
                               const quota_usage& usage,
                               std::optional<quota_floor> floor) {
   admitted_ += usage.admitted;
-  if (!is_owner_lost_ || !floor_) {
+  if (!floor_) {
     floor_ = std::move(floor);
   }
+  if (floor_) {
+    floor_->Charge(std::exchange(admitted_, 0));
+  }
   is_owner_lost_ = true;
   is_ample_ = false;
   next_report_at_ = now + kProbeInterval;
--- a/Libraries/LibDecision/Quotas/quota_floor.cc
+++ b/Libraries/LibDecision/Quotas/quota_floor.cc
@@ -30,9 +30,20 @@
     return false;
   }
   level_ -= 1;
+  used_ += 1;
   return true;
 }
 
+void quota_floor::Charge(std::uint32_t admitted) {
+  level_ -= std::max(admitted - burst_, 0.0);
+}
+
+std::uint32_t quota_floor::Debt(instant now) {
+  Refill(now);
+  return static_cast<std::uint32_t>(
+      std::lround(used_ + std::max(-level_, 0.0)));
+}
+
 duration quota_floor::NextAfter() const {
   const double seconds = std::min((1 - level_) / rate_, Seconds(kMaxDelay));
   return std::chrono::duration_cast<duration>(
@@ -43,7 +54,9 @@
 // which the rate adds up to the burst. Otherwise each of many idle nodes would
 // hold one, and together they would exceed the burst.
 void quota_floor::Refill(instant now) {
-  level_ += rate_ * Seconds(now - refilled_at_);
+  const double elapsed = Seconds(now - refilled_at_);
+  level_ += rate_ * elapsed;
+  used_ *= std::exp(-elapsed);
   refilled_at_ = now;
   if (burst_ >= 1) {
     level_ = std::min(level_, burst_);
--- a/Libraries/LibDecision/Quotas/quota_floor.h
+++ b/Libraries/LibDecision/Quotas/quota_floor.h
@@ -2,6 +2,7 @@
 #define LIBDECISION_QUOTAS_QUOTA_FLOOR_H_
 
 #include <cstddef>
+#include <cstdint>
 
 #include "LibDecision/Routes/route.h"
 #include "LibDecision/instant.h"
@@ -22,6 +23,12 @@
 
   /// Whether the part allows a request now; if so, it is used.
   bool TryTake(instant now);
+  /// Accounts for requests that were admitted before the owner was lost, and
+  /// that it does not know of.
+  void Charge(std::uint32_t admitted);
+  /// What the owner has to account for when it is back: recent requests, and
+  /// those that exceed the part.
+  std::uint32_t Debt(instant now);
   /// When the next request will be allowed.
   duration NextAfter() const;
 
@@ -31,6 +38,8 @@
   double rate_;
   double burst_;
   double level_;
+  /// Requests within about the last second.
+  double used_ = 0;
   instant refilled_at_;
 };
 
--- a/Libraries/LibDecision/Quotas/quota_pool.cc
+++ b/Libraries/LibDecision/Quotas/quota_pool.cc
@@ -20,8 +20,9 @@
 /// A node that is cut off for longer has a part of its own only in the view of
 /// the members.
 constexpr duration kReservationTime = std::chrono::seconds(20);
-constexpr duration kSilence = kQuotaReportInterval + kQuotaReportInterval / 2;
-constexpr duration kReservationCheckInterval = std::chrono::milliseconds(250);
+/// Time for a report and its answer, on top of two report intervals.
+constexpr duration kSilenceMargin = std::chrono::milliseconds(200);
+constexpr duration kReservationCheckInterval = std::chrono::milliseconds(100);
 constexpr double kMaxRetrySeconds = 5;
 
 double Seconds(duration value) {
@@ -50,9 +51,9 @@
                              node_id from,
                              const quota_usage& usage,
                              const quota_fleet& fleet) {
-  reporters_[from] = {now, usage.will_report_again};
   Refill(now, fleet);
-  balance_ = std::min(balance_ + usage.returned, capacity()) - usage.admitted;
+  balance_ = std::min(balance_ + usage.returned, capacity());
+  Charge(usage.admitted);
   const double available = std::max(std::floor(balance_), 0.0);
   const double granted = std::min<double>(usage.requested, available);
   balance_ -= granted;
@@ -62,7 +63,11 @@
                     .granted = static_cast<std::uint32_t>(granted)};
   const double unreported = used_ * Seconds(kAmpleReportInterval);
   grant.is_ample = balance_ >= std::max({capacity() / 2, unreported, 1.0});
+  reporter& known = reporters_[from];
   grant.report_after = ReportAfter(grant.is_ample);
+  known = {now, usage.will_report_again
+                    ? now + grant.report_after * 2 + kSilenceMargin
+                    : instant::max()};
   if (granted < usage.requested) {
     const double missing = std::max(1 - balance_, 0.0) + unmet_;
     grant.retry_after =
@@ -88,24 +93,33 @@
   }
   const double elapsed = Seconds(now - refilled_at_);
   const double share = std::max(fleet.member_share - reserved_, 0.0);
-  balance_ =
-      std::min(balance_ + limit_.rate.value() * share * elapsed, capacity());
+  const double filled = balance_ + limit_.rate.value() * share * elapsed;
+  balance_ = std::min(filled, capacity());
   used_ *= std::exp(-elapsed);
   unmet_ *= std::exp(-elapsed);
+  overflow_ = std::min(overflow_ + filled - balance_,
+                       used_ * Seconds(kAmpleReportInterval));
   refilled_at_ = now;
 }
 
+// What is reported now was used before the bucket was full.
+void quota_pool::Charge(std::uint32_t admitted) {
+  const double from_overflow = std::min<double>(admitted, overflow_);
+  overflow_ -= from_overflow;
+  balance_ -= admitted - from_overflow;
+}
+
 double quota_pool::ReservedShare(instant now, const quota_fleet& fleet) {
   counted_at_ = now;
   std::erase_if(reporters_, [now](const auto& entry) {
-    const duration silent = now - entry.second.reported_at;
-    return silent > (entry.second.will_report_again ? kReservationTime
-                                                    : kQuotaReportInterval);
+    const reporter& known = entry.second;
+    return now - known.reported_at > (known.silent_at == instant::max()
+                                          ? kQuotaReportInterval
+                                          : kReservationTime);
   });
   const auto silent = std::count_if(
-      reporters_.begin(), reporters_.end(), [now](const auto& entry) {
-        return now - entry.second.reported_at > kSilence;
-      });
+      reporters_.begin(), reporters_.end(),
+      [now](const auto& entry) { return now > entry.second.silent_at; });
   return static_cast<double>(silent) /
          static_cast<double>(std::max<std::size_t>(fleet.member_count, 1));
 }
--- a/Libraries/LibDecision/Quotas/quota_pool.h
+++ b/Libraries/LibDecision/Quotas/quota_pool.h
@@ -38,7 +38,8 @@
  private:
   struct reporter {
     instant reported_at;
-    bool will_report_again = false;
+    /// When the node is silent unless it has reported again.
+    instant silent_at;
   };
 
   double capacity() const;
@@ -47,9 +48,13 @@
   /// they may be cut off and use their equal part.
   double ReservedShare(instant now, const quota_fleet& fleet);
   duration ReportAfter(bool is_ample) const;
+  /// Accounts for requests that were admitted before they were reported.
+  void Charge(std::uint32_t admitted);
 
   tenant_quota limit_;
   double balance_ = 0;
+  /// What recently did not fit into the bucket.
+  double overflow_ = 0;
   /// Requests within about the last second that were used, and that could not
   /// be granted.
   double used_ = 0;
