--- a/Libraries/LibDecision/Quotas/quota_pool.cc
+++ b/Libraries/LibDecision/Quotas/quota_pool.cc
@@ -94,7 +94,8 @@
   const double elapsed = Seconds(now - refilled_at_);
   const double share = std::max(fleet.member_share - reserved_, 0.0);
   const double filled = balance_ + limit_.rate.value() * share * elapsed;
-  balance_ = std::min(filled, capacity());
+  // A silent node has a part of the burst, too.
+  balance_ = std::min(filled, std::max(capacity() * share, 1.0));
   used_ *= std::exp(-elapsed);
   unmet_ *= std::exp(-elapsed);
   overflow_ = std::min(overflow_ + filled - balance_,
