LibRuntime: Bound the responses that slow callers leave unread

A response that was being written was counted in no bound, so 100 slow readers of 1 MiB held 100 MiB.

--- a/Libraries/LibRuntime/Connections/server_exchange.cc
+++ b/Libraries/LibRuntime/Connections/server_exchange.cc
@@ -18,6 +18,11 @@
   on_turn_ = std::move(on_turn);
 }
 
+bool server_exchange::ReserveResponse(std::size_t body_bytes) {
+  const auto session = session_.lock();
+  return !session || session->ReserveResponse(*this, body_bytes);
+}
+
 void server_exchange::Respond(http_response response) {
   if (const auto session = session_.lock()) {
     session->Respond(*this, std::move(response));
--- a/Libraries/LibRuntime/Connections/server_exchange.h
+++ b/Libraries/LibRuntime/Connections/server_exchange.h
@@ -30,6 +30,9 @@
   /// Until then no request behind this one is handed over.
   void Defer(std::function<void()> on_turn);
 
+  /// Reserves memory for the response until it is written, if the response is
+  /// the next one and not small. Returns whether there is enough.
+  bool ReserveResponse(std::size_t body_bytes);
   /// Sends the response after those to all earlier requests.
   void Respond(http_response response);
   /// As above. No more requests are handed over, and the connection closes
@@ -72,6 +75,7 @@
   /// Memory reserved for the request, and for the response while it waits for
   /// earlier ones.
   std::size_t reserved_bytes_ = 0;
+  bool is_response_reserved_ = false;
 };
 
 }  // namespace auburnfold
--- a/Libraries/LibRuntime/Connections/server_session.cc
+++ b/Libraries/LibRuntime/Connections/server_session.cc
@@ -18,8 +18,8 @@
 
 constexpr std::chrono::seconds kReadTimeout{10};
 constexpr std::chrono::seconds kLingerTimeout{2};
-/// A peer that takes none of a response for this time, while others wait behind
-/// it, gives way to other peers' requests.
+/// A peer that takes nothing of a response for this time has left, or holds
+/// memory that others need.
 constexpr std::chrono::seconds kWriteTimeout{30};
 /// What is read beyond the requests that are taken. The peer's close is noticed
 /// at once behind as many bytes.
@@ -30,6 +30,9 @@
 /// Responses beyond this size are not held: their requests were taken before
 /// the size of any response was known.
 constexpr std::size_t kMaxHeldResponseBytes = 4 * kMaxBodyBytes;
+/// Smaller responses are sent even if memory is used up, as requests without a
+/// body are read.
+constexpr std::size_t kMaxUncountedBytes = kMaxHeaderBytes;
 constexpr std::string_view kContinueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
 
 }  // namespace
@@ -102,8 +105,7 @@
     }
     return;
   }
-  const bool is_stuck =
-      is_writing_ && exchanges_.size() > 1 && now >= write_deadline_;
+  const bool is_stuck = is_writing_ && now >= write_deadline_;
   if (is_stuck || (is_watching_ && !is_reading_ && HasPeerClosed())) {
     OnDisconnected();
   }
@@ -301,6 +303,19 @@
   deadline_ = clock::now() + handlers_.limits->idle_timeout;
 }
 
+bool server_session::ReserveResponse(server_exchange& exchange,
+                                     std::size_t body_bytes) {
+  if (body_bytes <= kMaxUncountedBytes || CountBefore(exchange) > 0) {
+    return true;
+  }
+  if (!memory_->TryReserve(body_bytes)) {
+    return false;
+  }
+  exchange.reserved_bytes_ += body_bytes;
+  exchange.is_response_reserved_ = true;
+  return true;
+}
+
 // A response that finds no memory while it waits is dropped with all behind it,
 // as if their requests had not been read. The one before it closes the
 // connection, and if that is already on its way, this one.
@@ -318,6 +333,9 @@
 }
 
 bool server_session::HoldResponse(server_exchange& exchange) {
+  if (exchange.is_response_reserved_) {
+    return true;
+  }
   const std::size_t bytes = exchange.response_->body().size();
   if (HeldBytes() + bytes > kMaxHeldResponseBytes ||
       !memory_->TryReserve(bytes)) {
--- a/Libraries/LibRuntime/Connections/server_session.h
+++ b/Libraries/LibRuntime/Connections/server_session.h
@@ -64,7 +64,7 @@
 
   /// Closes the connection if no request is being served and the timeout for
   /// an idle, reading or closing connection has expired at `now`, or if its
-  /// peer has left or takes no responses while others wait.
+  /// peer has left or takes nothing of a response.
   void CloseIfStale(clock::time_point now);
 
   /// Closes the connection if it carries no request and none has arrived.
@@ -108,6 +108,7 @@
   void SendContinueIfExpected();
   void PrepareNext();
 
+  bool ReserveResponse(server_exchange& exchange, std::size_t body_bytes);
   void Respond(server_exchange& exchange, http_response response);
   /// Reserves memory for a response that waits for earlier ones. Returns
   /// whether there is enough.
--- a/Libraries/LibRuntime/Requests/call_handler.cc
+++ b/Libraries/LibRuntime/Requests/call_handler.cc
@@ -202,6 +202,10 @@
     return;
   }
   http_response response = std::move(attempt->second.response);
+  if (!call->second.exchange->ReserveResponse(response.body().size())) {
+    return Execute(refuse_call{relayed.call, error_kind::kAnswerTooLarge,
+                               execution_state::kExecuted});
+  }
   StripHeaders(response);
   dialect_.MarkComplete(response, call->second.id);
   metrics_.ObserveCall(call->second.request_class, call->second.tenant,
--- a/Tests/LibRuntime/pipelining_test.cc
+++ b/Tests/LibRuntime/pipelining_test.cc
@@ -1,13 +1,14 @@
 #include <gtest/gtest.h>
 
-#include <atomic>
 #include <condition_variable>
 #include <memory>
 #include <mutex>
 #include <set>
 #include <string>
 
+#include "LibDecision/peer_message.h"
 #include "LibRuntime/Connections/http_types.h"
+#include "LibWire/cbor_codec.h"
 #include "raw_client.h"
 #include "running_node.h"
 #include "scripted_server.h"
@@ -15,8 +16,8 @@
 namespace auburnfold::testing_support {
 namespace {
 
-// A key may be issued twice without harm, so that requests for keys run side by
-// side; the class `lookup` has no row, so that its calls do not.
+// A key may be issued twice without harm. The class `browse` is idempotent by
+// its row; the class `lookup` has none.
 std::string KeyText(const std::string& name) {
   return "POST /auburnfold/v1/keys HTTP/1.1\r\nHost: test\r\n"
          "Auburnfold-Service: listings\r\nAuburnfold-Class: lookup\r\n"
@@ -24,6 +25,12 @@
          name + "\r\n\r\n";
 }
 
+std::string Lookup(const std::string& name) {
+  std::string text =
+      CallText("listings", "Auburnfold-Request-Id: " + name + "\r\n", name);
+  return text.replace(text.find("lookup"), 6, "browse");
+}
+
 std::string NamedCall(const std::string& name) {
   return CallText("listings", "Auburnfold-Request-Id: " + name + "\r\n", name);
 }
@@ -35,6 +42,13 @@
       : node_(settings) {
     node_.Announce("listings", endpoint_.port());
     client_ = std::make_unique<raw_client>(node_.call_port());
+    const table_row row{.service = service_name("listings"),
+                        .request_class = class_name("browse"),
+                        .version = row_version(1),
+                        .settings = {.is_idempotent = true}};
+    node_.SendControl(cbor_codec::Encode(
+        {node_id(99), incarnation(1), {"127.0.0.1", 1, 1}, row_update{{row}}}));
+    node_.WaitForMetric("auburnfold_rows_taken_total", 1);
   }
   ~a_pipeline() override { AllowAll(); }
 
@@ -47,7 +61,8 @@
       changed_.wait(lock,
                     [&] { return allows_all_ || allowed_.contains(body); });
       lock.unlock();
-      connection.Write(AnswerText(body));
+      connection.Write(AnswerText(
+          body.starts_with("big") ? std::string(kBigBytes, 'x') : body));
     }
     const std::lock_guard lock(mutex_);
     ++closed_;
@@ -88,6 +103,8 @@
     EXPECT_TRUE(client_->ReadsEnd());
   }
 
+  static constexpr std::size_t kBigBytes = 900'000;
+
   std::mutex mutex_;
   std::condition_variable changed_;
   std::set<std::string> read_;
@@ -126,6 +143,73 @@
   EXPECT_EQ(node_.Metric("auburnfold_longest_pipeline"), 16);
 }
 
+TEST_F(a_pipeline, KeepsTheOrderBehindASlowRequest) {
+  client_->Write(Lookup("slow") + Lookup("fast-1") + Lookup("fast-2"));
+  Allow("fast-1");
+  Allow("fast-2");
+  WaitUntilRead("slow");
+  WaitUntilRead("fast-1");
+  WaitUntilRead("fast-2");
+  while (node_.Metric("auburnfold_calls_in_flight") > 1) {
+  }
+  Allow("slow");
+  ExpectAnswer("slow");
+  ExpectAnswer("fast-1");
+  ExpectAnswer("fast-2");
+}
+
+TEST_F(a_pipeline, RunsNothingBesideACallThatMayRunOnce) {
+  client_->Write(NamedCall("c1") + Lookup("l1") + Lookup("l2"));
+  WaitUntilRead("c1");
+  node_.WaitForMetric("auburnfold_calls_deferred_total", 1);
+  EXPECT_FALSE(WasRead("l1"));
+  Allow("c1");
+  ExpectAnswer("c1");
+  WaitUntilRead("l1");
+  WaitUntilRead("l2");
+  AllowAll();
+  ExpectAnswer("l1");
+  ExpectAnswer("l2");
+}
+
+// The answers that find no room count as not sent for.
+TEST_F(a_pipeline, EndsWhenItsClientReadsNothing) {
+  constexpr int kRequests = 12;
+  AllowAll();
+  std::string requests;
+  for (int i = 0; i < kRequests; ++i) {
+    requests += Lookup("big-" + std::to_string(i));
+  }
+  client_->Write(requests);
+  while (node_.Metric("auburnfold_longest_pipeline") < kRequests ||
+         node_.Metric("auburnfold_calls_in_flight") > 0) {
+  }
+  int whole = 0;
+  bool is_closed = false;
+  while (const auto answer = client_->Read()) {
+    EXPECT_EQ(answer->Header("Auburnfold-Request-Id"),
+              "big-" + std::to_string(whole));
+    EXPECT_EQ(answer->body.size(), kBigBytes);
+    EXPECT_FALSE(is_closed);
+    is_closed = answer->Header("Connection") == "close";
+    ++whole;
+  }
+  EXPECT_TRUE(is_closed);
+  EXPECT_GE(whole, 4);
+  EXPECT_LT(whole, kRequests);
+}
+
+TEST_F(a_pipeline, IsAnsweredWholeIfItRunsWhenTheNodeStops) {
+  client_->Write(Lookup("l1") + Lookup("l2") + Lookup("l3"));
+  WaitUntilRead("l1");
+  WaitUntilRead("l3");
+  node_.Stop();
+  AllowAll();
+  ExpectAnswer("l1");
+  ExpectAnswer("l2");
+  ExpectLast(200);
+}
+
 TEST_F(a_pipeline, RunsACallThatMayRunOnceAlone) {
   client_->Write(KeyText("k1") + NamedCall("c1") + NamedCall("c2") +
                  KeyText("k2"));
--- a/Tests/LibRuntime/uploads_test.cc
+++ b/Tests/LibRuntime/uploads_test.cc
@@ -59,6 +59,18 @@
       200);
 }
 
+// The answer was read whole, and cannot be kept until its caller has taken it.
+TEST_F(uploads_at_once, LeaveNoRoomForALargeAnswer) {
+  scripted_server large(AnswersWith(std::string(kMaxHeaderBytes + 1, 'x')));
+  node_.Announce("listings", large.port());
+  FillMemory();
+  const read_answer answer =
+      raw_client::Exchange(node_.call_port(), CallText("listings"));
+  EXPECT_EQ(answer.status, 502);
+  EXPECT_EQ(answer.Header("Auburnfold-Result"), "answer-too-large");
+  EXPECT_EQ(answer.Header("Auburnfold-Ran"), "ran");
+}
+
 TEST_F(uploads_at_once, GiveTheirMemoryBackWhenTheirSendersLeave) {
   FillMemory();
   for (const std::unique_ptr<raw_client>& upload : uploads_) {
