LibRuntime: Drop the last pipelined requests when responses find no room

The response that found no room was dropped with all behind it, also if it was an early one: of 12 answers of 900 kB as few as 2 were delivered (twice in 10 runs of a_pipeline.EndsWhenItsClientReadsNothing). Now the last requests make room, so that at least 4 are. The test's row allows 16 at once: in 1 of 20 runs on a machine with a load of 30, a request was refused by the endpoint's queue instead.

--- a/Libraries/LibRuntime/Connections/server_session.cc
+++ b/Libraries/LibRuntime/Connections/server_session.cc
@@ -316,20 +316,31 @@
   return true;
 }
 
-// A response that finds no memory while it waits is dropped with all behind it,
-// as if their requests had not been read. The one before it closes the
-// connection, and if that is already on its way, this one.
 void server_session::Respond(server_exchange& exchange,
                              http_response response) {
   exchange.on_disconnect_ = nullptr;
   // The endpoint's HTTP version does not apply to this connection.
   response.version(kHttp11);
   exchange.response_ = std::move(response);
+  MakeRoomFor(exchange);
+  WriteNext();
+}
+
+// Requests are dropped from the last one on, as if they had not been read. If
+// that is not enough, so is this one. The one before it then closes the
+// connection, or this one does if that one is already on its way.
+void server_session::MakeRoomFor(server_exchange& exchange) {
   const std::size_t before = CountBefore(exchange);
-  if (before > 0 && !HoldResponse(exchange)) {
-    DropFrom(is_writing_ && before == 1 ? 2 : before);
+  if (before == 0) {
+    return;
+  }
+  while (!HoldResponse(exchange)) {
+    if (exchanges_.size() > before + 1) {
+      DropFrom(exchanges_.size() - 1);
+    } else {
+      return DropFrom(is_writing_ && before == 1 ? 2 : before);
+    }
   }
-  WriteNext();
 }
 
 bool server_session::HoldResponse(server_exchange& exchange) {
--- a/Tests/LibRuntime/pipelining_test.cc
+++ b/Tests/LibRuntime/pipelining_test.cc
@@ -42,10 +42,11 @@
       : node_(settings) {
     node_.Announce("listings", endpoint_.port());
     client_ = std::make_unique<raw_client>(node_.call_port());
-    const table_row row{.service = service_name("listings"),
-                        .request_class = class_name("browse"),
-                        .version = row_version(1),
-                        .settings = {.is_idempotent = true}};
+    const table_row row{
+        .service = service_name("listings"),
+        .request_class = class_name("browse"),
+        .version = row_version(1),
+        .settings = {.concurrency_limit = 16, .is_idempotent = true}};
     node_.SendControl(cbor_codec::Encode(
         {node_id(99), incarnation(1), {"127.0.0.1", 1, 1}, row_update{{row}}}));
     node_.WaitForMetric("auburnfold_rows_taken_total", 1);
