--- a/Libraries/LibRuntime/Connections/server_session.cc
+++ b/Libraries/LibRuntime/Connections/server_session.cc
@@ -18,8 +18,8 @@
 
 constexpr std::chrono::seconds kReadTimeout{10};
 constexpr std::chrono::seconds kLingerTimeout{2};
-/// A peer that takes none of a response for this time, while others wait behind
-/// it, gives way to other peers' requests.
+/// A peer that takes nothing of a response for this time has left, or holds
+/// memory that others need.
 constexpr std::chrono::seconds kWriteTimeout{30};
 /// What is read beyond the requests that are taken. The peer's close is noticed
 /// at once behind as many bytes.
@@ -30,6 +30,9 @@
 /// Responses beyond this size are not held: their requests were taken before
 /// the size of any response was known.
 constexpr std::size_t kMaxHeldResponseBytes = 4 * kMaxBodyBytes;
+/// Smaller responses are sent even if memory is used up, as requests without a
+/// body are read.
+constexpr std::size_t kMaxUncountedBytes = kMaxHeaderBytes;
 constexpr std::string_view kContinueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
 
 }  // namespace
@@ -102,8 +105,7 @@
     }
     return;
   }
-  const bool is_stuck =
-      is_writing_ && exchanges_.size() > 1 && now >= write_deadline_;
+  const bool is_stuck = is_writing_ && now >= write_deadline_;
   if (is_stuck || (is_watching_ && !is_reading_ && HasPeerClosed())) {
     OnDisconnected();
   }
@@ -301,23 +303,50 @@
   deadline_ = clock::now() + handlers_.limits->idle_timeout;
 }
 
-// A response that finds no memory while it waits is dropped with all behind it,
-// as if their requests had not been read. The one before it closes the
-// connection, and if that is already on its way, this one.
+bool server_session::ReserveResponse(server_exchange& exchange,
+                                     std::size_t body_bytes) {
+  if (body_bytes <= kMaxUncountedBytes || CountBefore(exchange) > 0) {
+    return true;
+  }
+  if (!memory_->TryReserve(body_bytes)) {
+    return false;
+  }
+  exchange.reserved_bytes_ += body_bytes;
+  exchange.is_response_reserved_ = true;
+  return true;
+}
+
 void server_session::Respond(server_exchange& exchange,
                              http_response response) {
   exchange.on_disconnect_ = nullptr;
   // The endpoint's HTTP version does not apply to this connection.
   response.version(kHttp11);
   exchange.response_ = std::move(response);
+  MakeRoomFor(exchange);
+  WriteNext();
+}
+
+// Requests are dropped from the last one on, as if they had not been read. If
+// that is not enough, so is this one. The one before it then closes the
+// connection, or this one does if that one is already on its way.
+void server_session::MakeRoomFor(server_exchange& exchange) {
   const std::size_t before = CountBefore(exchange);
-  if (before > 0 && !HoldResponse(exchange)) {
-    DropFrom(is_writing_ && before == 1 ? 2 : before);
+  if (before == 0) {
+    return;
+  }
+  while (!HoldResponse(exchange)) {
+    if (exchanges_.size() > before + 1) {
+      DropFrom(exchanges_.size() - 1);
+    } else {
+      return DropFrom(is_writing_ && before == 1 ? 2 : before);
+    }
   }
-  WriteNext();
 }
 
 bool server_session::HoldResponse(server_exchange& exchange) {
+  if (exchange.is_response_reserved_) {
+    return true;
+  }
   const std::size_t bytes = exchange.response_->body().size();
   if (HeldBytes() + bytes > kMaxHeldResponseBytes ||
       !memory_->TryReserve(bytes)) {
