--- a/Libraries/LibDecision/Quotas/local_quota.cc
+++ b/Libraries/LibDecision/Quotas/local_quota.cc
@@ -139,7 +139,7 @@
                               std::optional<quota_floor> floor) {
   admitted_ += usage.admitted;
   if (!floor_) {
-    floor_ = std::move(floor);
+    floor_ = floor;
   }
   if (floor_) {
     floor_->Charge(std::exchange(admitted_, 0));
--- a/Tests/LibDecision/tenant_quotas_test.cc
+++ b/Tests/LibDecision/tenant_quotas_test.cc
@@ -86,7 +86,9 @@
 
   /// Sends `rate` requests per second for `length`, to the node that `place`
   /// names each time.
-  void Load(double rate, duration length, std::function<std::size_t()> place) {
+  void Load(double rate,
+            duration length,
+            const std::function<std::size_t()>& place) {
     const instant end = now_ + length;
     std::exponential_distribution<double> gap(rate);
     instant next = now_;
@@ -136,7 +138,8 @@
         (limit_.rate.value() * 5 + limit_.burst) * 1.1 + 20);
   }
   double ServedShare() const {
-    return static_cast<double>(admitted_at.size()) / std::max(offered, 1UL);
+    return static_cast<double>(admitted_at.size()) /
+           static_cast<double>(std::max(offered, 1UL));
   }
   /// Forgets what was counted so far, once no request waits any more.
   void Reset() {
@@ -243,7 +246,8 @@
         return;
       }
       const quota_call_id call(++received_);
-      answers_[call.value()] = [=, this](std::vector<quota_grant> grants) {
+      answers_[call.value()] = [=,
+                                this](const std::vector<quota_grant>& grants) {
         mail_.emplace(now_ + kLinkDelay, [=] {
           if (is_open() && !is_answer_lost) {
             finish(grants);
