Settings, LibDecision: Add the switch of capacity planning

Parts that plan by learned capacity need one answer to the question whether they are on now. Add the setting capacity_planning, and IsPlanning, which combines it with the routes in force.

--- a/Libraries/LibRuntime/Settings/node_settings.cc
+++ b/Libraries/LibRuntime/Settings/node_settings.cc
@@ -25,6 +25,12 @@
   return kLevels;
 }
 
+const std::vector<std::string_view>& PlanningChoices() {
+  static const std::vector<std::string_view> kChoices{"never", "with_downloads",
+                                                      "always"};
+  return kChoices;
+}
+
 constexpr std::string_view kOwnDialect = "own";
 
 const std::vector<std::string_view>& Dialects() {
@@ -129,6 +135,8 @@
   BOOST_LEAF_CHECK(ReadLimits(reader, settings));
   BOOST_LEAF_CHECK(
       reader.ReadChoice("log_level", LogLevels(), settings.log_level));
+  BOOST_LEAF_CHECK(reader.ReadChoice("capacity_planning", PlanningChoices(),
+                                     settings.capacity_planning));
   BOOST_LEAF_CHECK(reader.ReadObjectText("admin", settings.admin));
   BOOST_LEAF_CHECK(reader.RejectUnknownKeys());
   return settings;
--- a/Libraries/LibRuntime/Settings/node_settings.h
+++ b/Libraries/LibRuntime/Settings/node_settings.h
@@ -51,6 +51,9 @@
   /// as `other`.
   std::size_t label_limit = 64;
   std::string log_level = "info";
+  /// When the node learns how much endpoints take: `never`, `with_downloads` or
+  /// `always`.
+  std::string capacity_planning = "never";
   /// The settings of the administration API as JSON text. LibAdmin validates
   /// them.
   std::string admin = "{}";
--- a/Libraries/LibRuntime/Settings/settings_change_detector.cc
+++ b/Libraries/LibRuntime/Settings/settings_change_detector.cc
@@ -41,6 +41,8 @@
   note(before.domain != now.domain, "domain", later);
   note(before.service != now.service, "service", later);
   note(before.dialect != now.dialect, "dialect", later);
+  note(before.capacity_planning != now.capacity_planning, "capacity_planning",
+       later);
   note(before.call_port != now.call_port, "call_port", later);
   note(before.ready_port != now.ready_port, "ready_port", later);
   note(before.report_port != now.report_port, "report_port", later);
--- a/Services/auburnfold-node/main.cc
+++ b/Services/auburnfold-node/main.cc
@@ -22,6 +22,7 @@
 #include "LibAdmin/admin_api.h"
 #include "LibRuntime/Observability/bounded_appender.h"
 #include "LibRuntime/Observability/json_layout.h"
+#include "LibRuntime/Requests/own_dialect.h"
 #include "LibRuntime/Settings/node_settings.h"
 #include "LibRuntime/Settings/settings_change_detector.h"
 #include "LibRuntime/node_runtime.h"
@@ -121,6 +122,15 @@
   std::quick_exit(EX_OK);
 }
 
+capacity_planning PlanningOf(const node_settings& settings) {
+  if (settings.capacity_planning == "always") {
+    return capacity_planning::kAlways;
+  }
+  return settings.capacity_planning == "with_downloads"
+             ? capacity_planning::kWithDownloads
+             : capacity_planning::kNever;
+}
+
 // Options for the platform dialect: the platform's key-value store provides
 // both the routes and the registry through which nodes discover each other.
 node_options PlatformOptions(const node_settings& settings) {
@@ -142,13 +152,16 @@
           .leaving_grace = kPlatformLeavingGracePeriod,
           .stop_grace = kPlatformStopGracePeriod,
           .stop_limit = settings.stop_limit * kAbortPercent / 100,
-          .refuses_child_calls_early = false};
+          .refuses_child_calls_early = false,
+          .planning = PlanningOf(settings)};
 }
 
 std::unique_ptr<node_runtime> MakeNode(boost::asio::io_context& io,
                                        node_settings settings) {
   if (settings.dialect == "own") {
-    return std::make_unique<node_runtime>(io, settings);
+    return std::make_unique<node_runtime>(
+        io, settings, any_wire_dialect(own_dialect()),
+        node_options{.planning = PlanningOf(settings)});
   }
   const node_options options = PlatformOptions(settings);
   // The platform kills the process at the stop limit, even if callers still
--- a/Tests/LibDecision/routes_test.cc
+++ b/Tests/LibDecision/routes_test.cc
@@ -3,6 +3,7 @@
 #include <map>
 #include <string>
 
+#include "LibDecision/Admission/capacity_switch.h"
 #include "LibDecision/Routes/route_table.h"
 
 namespace auburnfold {
@@ -75,6 +76,19 @@
   EXPECT_EQ(Matched("lots.example", "/a/"), "");
 }
 
+TEST_F(a_version, WithADownloadSwitchesPlanningOnUntilOneWithout) {
+  using enum capacity_planning;
+  EXPECT_FALSE(IsPlanning(kWithDownloads, table_));
+  route download = MakeRoute("one", "/a/", "s");
+  download.is_download = true;
+  Take(3, {download, MakeRoute("two", "/b/", "s")});
+  EXPECT_TRUE(IsPlanning(kWithDownloads, table_));
+  EXPECT_FALSE(IsPlanning(kNever, table_));
+  Take(4, {MakeRoute("two", "/b/", "s")});
+  EXPECT_FALSE(IsPlanning(kWithDownloads, table_));
+  EXPECT_TRUE(IsPlanning(kAlways, table_));
+}
+
 class weighted_services : public a_route_table {};
 
 TEST_F(weighted_services, GetTheirSharesOverFewRequests) {
--- a/Tests/LibRuntime/settings_test.cc
+++ b/Tests/LibRuntime/settings_test.cc
@@ -65,7 +65,8 @@
   const loaded read = Parse(
       With(R"("node":"ff","endpoint_host":"10.0.0.2","store_host":"10.0.0.3",)"
            R"("store_port":5,"stop_limit_ms":7,"stop_linger_ms":8,)"
-           R"("label_limit":9,"log_level":"warn","admin":{"tokens":[1]},)"
+           R"("label_limit":9,"log_level":"warn",)"
+           R"("capacity_planning":"with_downloads","admin":{"tokens":[1]},)"
            R"("seeds":[{"host":"::1","peer_port":10,"control_port":11}])"));
   ASSERT_TRUE(read.settings) << read.error->key;
   const node_settings& settings = *read.settings;
@@ -77,6 +78,7 @@
   EXPECT_EQ(settings.stop_linger.count(), 8);
   EXPECT_EQ(settings.label_limit, 9U);
   EXPECT_EQ(settings.log_level, "warn");
+  EXPECT_EQ(settings.capacity_planning, "with_downloads");
   EXPECT_EQ(settings.admin, R"({"tokens":[1]})");
   EXPECT_EQ(settings.seeds, (std::vector{node_address{"::1", 10, 11}}));
 }
