LibDecision: Learn how many requests the local endpoint takes well

Announced slots say nothing about an endpoint that slows down before all of them are in use. While the endpoint is full and slow, try a lower limit and keep it if as much work is done with it. Tell the capacity with answers, as Auburnfold-Capacity. Only with capacity planning on.

--- a/Libraries/LibDecision/Admission/admission_controller.cc
+++ b/Libraries/LibDecision/Admission/admission_controller.cc
@@ -226,6 +226,7 @@
   connection_limit_ = report.connection_limit;
   if (auto* announced = std::get_if<announced_limit>(&limit_)) {
     announced->SetSlots(report.slots);
+    capacity_.SetMaxLimit(report.slots == 0 ? 0 : announced->limit());
   }
   if (report.run != endpoint_incarnation_) {
     endpoint_incarnation_ = report.run;
@@ -256,6 +257,7 @@
     answer.retry_after = std::chrono::duration_cast<duration>(
         std::chrono::duration<double>(seconds));
   }
+  answer.capacity = plans_ ? capacity_.capacity() : 0;
   answer.is_cold = now - endpoint_started_ < kColdPeriod;
 }
 
@@ -272,12 +274,17 @@
 }
 
 std::uint32_t admission_controller::limit() const {
-  return std::visit([](const auto& limit) { return limit.limit(); }, limit_);
+  const auto limit =
+      std::visit([](const auto& policy) { return policy.limit(); }, limit_);
+  return IsLimitedByCapacity() ? std::min(limit, capacity_.limit()) : limit;
 }
 
 // The highest priority may slightly exceed the limit, so that it does not wait
 // behind long-running requests of lower priorities.
 bool admission_controller::HasCapacity(std::uint8_t priority) const {
+  if (IsLimitedByCapacity() && occupancy_.total >= capacity_.limit()) {
+    return false;
+  }
   if (connection_limit_ > 0 && occupancy_.total >= connection_limit_) {
     return false;
   }
@@ -294,6 +301,10 @@
       limit_);
 }
 
+bool admission_controller::IsLimitedByCapacity() const {
+  return plans_ && capacity_.limit() > 0;
+}
+
 bool admission_controller::WaitsOnlyForRate(instant now) const {
   return !queue_.empty() && HasCapacity(queue_.next_priority()) &&
          !rate_limiter_.HasToken(now);
@@ -316,7 +327,9 @@
     const class_name& request_class) {
   ++occupancy_.active;
   ++occupancy_.total;
-  admitted_[work] = {request_class, context.now()};
+  admitted_[work] = {.request_class = request_class,
+                     .started = context.now(),
+                     .in_use = occupancy_.total};
   rate_limiter_.OnStarted(context.now());
   return {work, std::nullopt};
 }
@@ -333,6 +346,10 @@
                             is_refused};
   if (!is_refused) {
     times_.OnSelfTime(work.request_class, sample.self_time);
+    if (plans_) {
+      capacity_.OnSample(now, work.request_class, work.in_use, occupancy_.total,
+                         sample.self_time);
+    }
   }
   times_.Rescale(std::visit(
       [&](auto& limit) { return limit.OnSample(now, sample); }, limit_));
--- a/Libraries/LibDecision/Admission/admission_controller.h
+++ b/Libraries/LibDecision/Admission/admission_controller.h
@@ -10,6 +10,7 @@
 
 #include "LibDecision/Admission/adaptive_limit.h"
 #include "LibDecision/Admission/announced_limit.h"
+#include "LibDecision/Admission/capacity_estimator.h"
 #include "LibDecision/Admission/fixed_limit.h"
 #include "LibDecision/Admission/rate_limiter.h"
 #include "LibDecision/Admission/request_queue.h"
@@ -62,6 +63,9 @@
   void OnEndpointReported(event_context& context,
                           const endpoint_reported& report);
 
+  /// Whether the learned capacity of the endpoint limits its requests.
+  void set_plans(bool plans) { plans_ = plans; }
+
   /// Limits the rate at which requests are started; unset ends the limit.
   std::vector<admission_decision> SetRateLimit(
       event_context& context,
@@ -90,12 +94,15 @@
   struct admitted_work {
     class_name request_class;
     instant started;
+    /// Requests at the endpoint when it started, itself included.
+    std::uint32_t in_use = 0;
     bool is_waiting = false;
     /// A sample of this request was passed to the limit.
     bool is_sampled = false;
   };
 
   bool HasCapacity(std::uint8_t priority) const;
+  bool IsLimitedByCapacity() const;
   /// Whether a request that has a slot waits only for the rate limit.
   bool WaitsOnlyForRate(instant now) const;
   bool IsBelowClassLimit(const class_name& request_class,
@@ -122,6 +129,8 @@
   std::size_t QueueCapacity() const;
 
   limit_variant limit_;
+  capacity_estimator capacity_;
+  bool plans_ = false;
   rate_limiter rate_limiter_;
   std::uint32_t connection_limit_ = 0;
   endpoint_occupancy occupancy_;
--- a/Libraries/LibDecision/Work/incoming_work.cc
+++ b/Libraries/LibDecision/Work/incoming_work.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "LibDecision/Admission/capacity_switch.h"
+
 namespace auburnfold {
 
 void incoming_work::Start(event_context& context, const node_started& self) {
@@ -37,6 +39,7 @@
                             item.deadline);
   const row_settings& row =
       policies_.SettingsFor(item.metadata.service, item.metadata.request_class);
+  admission_.set_plans(IsPlanning(planning_, routes_));
   ApplyDecisions(context,
                  admission_.Offer(context, arrived.work, item.metadata, row));
   const auto waiting = work_items_.find(arrived.work);
--- a/Libraries/LibDecision/Work/incoming_work.h
+++ b/Libraries/LibDecision/Work/incoming_work.h
@@ -46,6 +46,7 @@
         checks_expected_run_(options.discovery == discovery_mode::kGossip),
         counts_arrivals_(options.retries == retry_mode::kArrivals),
         endpoint_(options.leaving_grace),
+        planning_(options.planning),
         admission_(options.limit) {}
 
   void Start(event_context& context, const node_started& self);
@@ -180,6 +181,7 @@
   incarnation run_;
   std::optional<instant> stopping_since_;
   local_endpoint endpoint_;
+  capacity_planning planning_;
   admission_controller admission_;
   named_rate_limit rate_limit_;
   active_senders senders_;
--- a/Libraries/LibRuntime/Requests/headers.cc
+++ b/Libraries/LibRuntime/Requests/headers.cc
@@ -306,6 +306,7 @@
       ReadNumberOrZero<std::uint16_t>(headers, kAllowanceLeftHeader);
   metadata.in_flight =
       ReadNumberOrZero<std::uint32_t>(headers, kInFlightHeader);
+  metadata.capacity = ReadNumberOrZero<std::uint32_t>(headers, kCapacityHeader);
   metadata.retry_after = std::chrono::milliseconds(
       ReadNumberOrZero<std::uint32_t>(headers, kRetryAfterMsHeader));
   metadata.send_interval = std::chrono::milliseconds(
@@ -435,6 +436,9 @@
   if (metadata.in_flight > 0) {
     Set(headers, kInFlightHeader, metadata.in_flight);
   }
+  if (metadata.capacity > 0) {
+    Set(headers, kCapacityHeader, metadata.capacity);
+  }
   if (metadata.retry_after > duration::zero()) {
     Set(headers, kRetryAfterMsHeader,
         MillisecondsRoundedUp(metadata.retry_after));
--- a/Libraries/LibWire/header_names.h
+++ b/Libraries/LibWire/header_names.h
@@ -58,6 +58,7 @@
 inline constexpr std::string_view kAllowanceLeftHeader =
     "Auburnfold-Allowance-Left";
 /// Number of requests that run or wait at the answering endpoint.
+inline constexpr std::string_view kCapacityHeader = "Auburnfold-Capacity";
 inline constexpr std::string_view kInFlightHeader = "Auburnfold-In-Flight";
 /// Rate in requests per second at which an endpoint accepts requests from all
 /// nodes together, as a decimal number.
--- a/Tests/LibRuntime/headers_test.cc
+++ b/Tests/LibRuntime/headers_test.cc
@@ -125,7 +125,8 @@
                              .allowance_left = 1,
                              .in_flight = 170,
                              .retry_after = 1500ms,
-                             .is_cold = true};
+                             .is_cold = true,
+                             .capacity = 33};
   WriteAnswerMetadata(response, sent);
   response.set("Auburnfold-Result", "overloaded");
   response.set("Auburnfold-Ran", "not-run");
@@ -138,6 +139,7 @@
   EXPECT_EQ(read.peer->in_flight, sent.in_flight);
   EXPECT_EQ(read.peer->retry_after, sent.retry_after);
   EXPECT_EQ(read.peer->is_cold, sent.is_cold);
+  EXPECT_EQ(read.peer->capacity, sent.capacity);
 }
 
 TEST(AnAnswerOfAPeer, IsUnknownIfItsRunStateIsMissingOrStrange) {
