LibDecision: Place requests by free capacity while planning is on

The product of own requests in flight and latency fills fast endpoints while slow ones have free slots. Compare endpoints by their latency in proportion to the class and by the capacity that is free, as last told plus the work sent since. Without planning the choice is as before.

--- a/Libraries/LibDecision/Calls/outgoing_calls.cc
+++ b/Libraries/LibDecision/Calls/outgoing_calls.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "LibDecision/Admission/capacity_switch.h"
 #include "LibDecision/Pressure/rank.h"
 #include "LibDecision/Work/local_endpoint.h"
 
@@ -213,7 +214,8 @@
     connections_.OnAbandoned(finished.attempt);
   }
   router_.OnFinished(context, call.history.tried_nodes.back(), result,
-                     context.now() - call.attempt_started, call.carries_notice);
+                     context.now() - call.attempt_started, call.carries_notice,
+                     ServiceClassOf(call));
   ReclaimAllowance(call, result);
   pressure_.OnAnswer(context.now(), ServiceClassOf(call),
                      call.history.tried_nodes.back(), result);
@@ -391,7 +393,7 @@
   call.is_attempt_sent = false;
   call.history.tried_nodes.push_back(chosen->node);
   calls_by_attempt_[attempt] = id;
-  router_.OnSent(context, *chosen);
+  router_.OnSent(context, *chosen, call.metadata.request_class);
   request_metadata metadata = call.metadata;
   metadata.time_left = call.deadline - context.now();
   metadata.is_repeat =
@@ -427,6 +429,7 @@
       return nullptr;
     }
   }
+  router_.set_plans(IsPlanning(options_.planning, routes_));
   const member_record* chosen = router_.Choose(
       context, call.metadata.service, call.history, RateToleranceOf(call));
   if (chosen != nullptr) {
--- a/Libraries/LibDecision/Routing/endpoint_stats.cc
+++ b/Libraries/LibDecision/Routing/endpoint_stats.cc
@@ -183,13 +183,21 @@
 
 double endpoint_stats::Cost(instant now) const {
   const double latency = std::max(latency_ns_, kMinLatencyNs);
+  return (in_flight_ + 1) * latency * RefusalFactor(now) / UsableShare(now);
+}
+
+double endpoint_stats::Penalty(instant now) const {
+  return RefusalFactor(now) / UsableShare(now);
+}
+
+double endpoint_stats::RefusalFactor(instant now) const {
   const bool has_refused_recently =
       refused_at_ != instant::min() && now - refused_at_ < kRefusalPenaltyTime;
-  const double refusal_factor = has_refused_recently ? kRefusalCostFactor : 1;
-  const double served_fraction =
-      std::max(1 - failed_fraction_, kMinServedFraction);
-  return (in_flight_ + 1) * latency * refusal_factor /
-         (WarmUpFactor(now) * served_fraction);
+  return has_refused_recently ? kRefusalCostFactor : 1;
+}
+
+double endpoint_stats::UsableShare(instant now) const {
+  return WarmUpFactor(now) * std::max(1 - failed_fraction_, kMinServedFraction);
 }
 
 bool endpoint_stats::should_eject() const {
--- a/Libraries/LibDecision/Routing/endpoint_stats.h
+++ b/Libraries/LibDecision/Routing/endpoint_stats.h
@@ -29,6 +29,9 @@
 
   /// Estimated cost of sending one more request; lower is better.
   double Cost(instant now) const;
+  /// Factor of the cost for recent refusals and failures, and for a cold start;
+  /// 1 or more.
+  double Penalty(instant now) const;
   /// Smoothed latency in nanoseconds; 0 while it is not known.
   double latency_ns() const { return latency_ns_; }
   /// Fraction of recent requests that failed or that the endpoint itself
@@ -61,6 +64,9 @@
   void UpdateNotice(instant now, const outcome& result, bool carried_notice);
   void UpdateFailedFraction(const outcome& result);
   double WarmUpFactor(instant now) const;
+  double RefusalFactor(instant now) const;
+  /// What recent failures and a cold start leave of the endpoint's share.
+  double UsableShare(instant now) const;
 
   incarnation run_;
   std::uint32_t in_flight_ = 0;
--- a/Libraries/LibDecision/Routing/router.cc
+++ b/Libraries/LibDecision/Routing/router.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <utility>
 
 #include "LibDecision/Routing/endpoint_subset.h"
 
@@ -22,6 +23,11 @@
 constexpr double kMaxPreferredUtilization = 0.7;
 /// A preferred endpoint may be this many times as slow as the fastest one.
 constexpr double kMaxLatencyRatio = 3;
+/// The same if endpoints are chosen by capacity, in proportion to the mean.
+constexpr double kMaxPreferredSlowness = 1.25;
+/// Candidates compared by capacity. More would send the requests of many nodes
+/// to the endpoint that looked best when it last answered.
+constexpr int kCapacityDraws = 3;
 /// An endpoint with this fraction of failed requests is no longer preferred.
 constexpr double kMaxPreferredFailedFraction = 0.1;
 
@@ -71,6 +77,9 @@
   if (candidates_.empty()) {
     return nullptr;
   }
+  if (plans_) {
+    return ChooseByCapacity(context);
+  }
   if (const member_record* preferred = ChooseInLocalDomain(context)) {
     return preferred;
   }
@@ -99,8 +108,58 @@
   return best;
 }
 
-void router::OnSent(event_context& context, const member_record& to) {
+const member_record* router::ChooseByCapacity(event_context& context) {
+  if (context.RandomFraction() >= kExplorationFraction) {
+    PreferLocalDomain(context.now());
+  }
+  const auto cost = [&](const member_record* record) {
+    const endpoint_stats& stats = endpoints_[record->node];
+    return placement_.Cost(context.now(), *record, stats.in_flight()) *
+           stats.Penalty(context.now());
+  };
+  const member_record* best =
+      candidates_[context.RandomBelow(candidates_.size())];
+  double best_cost = cost(best);
+  for (int i = 1; i < kCapacityDraws; ++i) {
+    const member_record* drawn =
+        candidates_[context.RandomBelow(candidates_.size())];
+    const double drawn_cost = cost(drawn);
+    if (drawn_cost < best_cost) {
+      best = drawn;
+      best_cost = drawn_cost;
+    }
+  }
+  return best;
+}
+
+// Callers lose nothing in the local domain while its endpoints have free
+// capacity and are about as fast as others.
+void router::PreferLocalDomain(instant now) {
+  std::vector<const member_record*> preferred;
+  for (const member_record* candidate : candidates_) {
+    const endpoint_stats& stats = endpoints_[candidate->node];
+    const bool is_preferred =
+        candidate->domain == members_.self().domain && candidate->slots > 0 &&
+        placement_.Utilization(now, *candidate, stats.in_flight()) <
+            kMaxPreferredUtilization &&
+        placement_.Slowness(candidate->node) < kMaxPreferredSlowness &&
+        stats.failed_fraction() < kMaxPreferredFailedFraction;
+    if (is_preferred) {
+      preferred.push_back(candidate);
+    }
+  }
+  if (!preferred.empty()) {
+    candidates_ = std::move(preferred);
+  }
+}
+
+void router::OnSent(event_context& context,
+                    const member_record& to,
+                    const class_name& request_class) {
   endpoints_[to.node].OnSent(context.now());
+  if (plans_) {
+    placement_.OnSent(to.node, {to.service, request_class});
+  }
 }
 
 // Traffic between failure domains is expensive, and a request that stays in the
@@ -159,7 +218,11 @@
                         node_id node,
                         const outcome& result,
                         duration elapsed,
-                        bool carried_notice) {
+                        bool carried_notice,
+                        const service_class& target) {
+  if (plans_) {
+    placement_.OnFinished(context.now(), node, target, result, elapsed);
+  }
   endpoints_[node].OnFinished(context.now(), result, elapsed, carried_notice);
   EjectIfFailing(context, node);
 }
--- a/Libraries/LibDecision/Routing/router.h
+++ b/Libraries/LibDecision/Routing/router.h
@@ -7,6 +7,7 @@
 
 #include "LibDecision/Membership/membership.h"
 #include "LibDecision/Routing/attempt_history.h"
+#include "LibDecision/Routing/capacity_placement.h"
 #include "LibDecision/Routing/endpoint_stats.h"
 #include "LibDecision/event_context.h"
 #include "LibDecision/member_record.h"
@@ -20,6 +21,9 @@
  public:
   explicit router(const membership& members) : members_(members) {}
 
+  /// Whether endpoints are chosen by their free capacity.
+  void set_plans(bool plans) { plans_ = plans; }
+
   /// Chooses an endpoint of `service`, avoiding the nodes already tried if
   /// others remain. Returns null if none is ready, or if the rate limits of all
   /// are used up; see `next_send_at`. The result is valid until the next call.
@@ -33,12 +37,15 @@
   /// last returned null; unset if no endpoint was ready.
   const std::optional<instant>& next_send_at() const { return next_send_at_; }
 
-  void OnSent(event_context& context, const member_record& to);
+  void OnSent(event_context& context,
+              const member_record& to,
+              const class_name& request_class = {});
   void OnFinished(event_context& context,
                   node_id node,
                   const outcome& result,
                   duration elapsed,
-                  bool carried_notice = false);
+                  bool carried_notice = false,
+                  const service_class& target = {});
   void OnCancelled(event_context& context, node_id node);
   /// What `node` last said about its endpoint; unset if the endpoint names no
   /// limit and is not leaving.
@@ -65,6 +72,11 @@
   /// Returns the best candidate in the local failure domain if using it costs
   /// callers nothing, null otherwise.
   const member_record* ChooseInLocalDomain(event_context& context);
+  /// Chooses among few random candidates by free capacity and speed.
+  const member_record* ChooseByCapacity(event_context& context);
+  /// Leaves only candidates of the local failure domain if using them costs
+  /// callers nothing.
+  void PreferLocalDomain(instant now);
   bool IsPreferable(instant now,
                     const member_record& record,
                     double best_latency) const;
@@ -74,6 +86,8 @@
   const membership& members_;
   std::unordered_map<service_name, service_subset> subsets_;
   std::unordered_map<node_id, endpoint_stats> endpoints_;
+  capacity_placement placement_;
+  bool plans_ = false;
   std::vector<const member_record*> candidates_;
   std::optional<instant> next_send_at_;
 };
