LibDecision: Try to refuse roots whose trees lack repeats

Where endpoints refuse at random, most trees fail at a later call. Trial: the entry admits only the trees whose repeats the retry budget allows.

--- a/Libraries/LibDecision/Retries/retry_priority.cc
+++ b/Libraries/LibDecision/Retries/retry_priority.cc
@@ -4,7 +4,11 @@
 
 namespace auburnfold {
 
-retry_priority RetryPriorityOf(const request_metadata& metadata) {
+retry_priority RetryPriorityOf(const request_metadata& metadata,
+                               bool is_tree_planned) {
+  if (is_tree_planned && metadata.depth > 0) {
+    return retry_priority::kLaterCall;
+  }
   // The highest two priorities, which are refused last.
   const bool is_important =
       metadata.priority.value_or(0) + 1 >= kHighestPriority;
--- a/Libraries/LibDecision/Routes/route_table.cc
+++ b/Libraries/LibDecision/Routes/route_table.cc
@@ -25,6 +25,9 @@
   }
   version_ = config.version;
   applied_at_ = now;
+  has_downloads_ =
+      std::any_of(config.routes.begin(), config.routes.end(),
+                  [](const route& entry) { return entry.is_download; });
   hosts_.clear();
   services_.clear();
   for (const service_config& entry : config.services) {
--- a/Libraries/LibDecision/Routes/route_table.h
+++ b/Libraries/LibDecision/Routes/route_table.h
@@ -28,6 +28,8 @@
   /// from `Match`, in proportion to the weights.
   const service_name& NextService(const route& matched);
 
+  /// Whether a route in force is a download.
+  bool has_downloads() const { return has_downloads_; }
   bool has_service(const service_name& service) const {
     return services_.contains(service);
   }
@@ -48,6 +50,7 @@
 
   std::optional<route_version> version_;
   instant applied_at_{};
+  bool has_downloads_ = false;
   /// By host in lower case; longest prefix first.
   std::unordered_map<std::string, std::vector<host_route>> hosts_;
   /// Health probe path of each service.
--- a/Services/auburnfold-node/main.cc
+++ b/Services/auburnfold-node/main.cc
@@ -142,7 +142,8 @@
           .leaving_grace = kPlatformLeavingGracePeriod,
           .stop_grace = kPlatformStopGracePeriod,
           .stop_limit = settings.stop_limit * kAbortPercent / 100,
-          .refuses_child_calls_early = false};
+          .refuses_child_calls_early = false,
+          .planning = capacity_planning::kWithDownloads};
 }
 
 std::unique_ptr<node_runtime> MakeNode(boost::asio::io_context& io,
