--- a/Libraries/LibDecision/Calls/outgoing_calls.cc
+++ b/Libraries/LibDecision/Calls/outgoing_calls.cc
@@ -24,10 +24,6 @@
          (kHighestPriority + 1);
 }
 
-rank RankOf(const request_metadata& metadata) {
-  return RankOf(metadata.priority.value_or(0), metadata.root);
-}
-
 /// Result of an attempt whose connection no longer answers.
 constexpr outcome kConnectionLost{error_kind::kAnswerLost,
                                   execution_state::kUnknown};
@@ -103,12 +99,6 @@
                   RetryAfterFor(context, call, error_kind::kOverloaded));
   }
   retry_policy_.OnFirstAttempt(context, metadata);
-  if (call.parent && PlansCapacity(options_, routes_)) {
-    planner_.OnCall(
-        context.now(), *call.parent, call.parent_class, metadata.service,
-        RankOf(metadata),
-        retry_policy_.SustainableRate(context.now(), metadata.service));
-  }
   context.Log(Describe(context, decision_kind::kCallRouted, call));
   Send(context, arrived.call, call);
 }
@@ -149,11 +139,7 @@
   if (arrived.has_parent) {
     return 0;
   }
-  if (!counts_arrivals) {
-    return row.retry_allowance;
-  }
-  return PlansCapacity(options_, routes_) ? kMaxRetriesPerPlannedTree
-                                          : kMaxRetriesPerCallTree;
+  return counts_arrivals ? kMaxRetriesPerCallTree : row.retry_allowance;
 }
 
 bool outgoing_calls::ShouldRefuseEarly(event_context& context,
@@ -172,19 +158,15 @@
   }
   const std::uint16_t level =
       pressure_.LevelFor(context.now(), ServiceClassOf(call));
-  if (PassesLevel(RankOf(call.metadata), level)) {
+  const rank request_rank =
+      RankOf(call.metadata.priority.value_or(0), call.metadata.root);
+  if (PassesLevel(request_rank, level)) {
     return false;
   }
   context.Count(counter::kRefusedEarly);
   return true;
 }
 
-bool outgoing_calls::IsBeyondBudget(instant now, const call_state& call) const {
-  return call.parent && PlansCapacity(options_, routes_) &&
-         planner_.IsBeyondBudget(now, call.parent_class, call.metadata.service,
-                                 RankOf(call.metadata));
-}
-
 void outgoing_calls::OnCancelled(event_context& context, call_id id) {
   const auto found = calls_.find(id);
   if (found != calls_.end()) {
@@ -235,7 +217,6 @@
   ReclaimAllowance(call, result);
   pressure_.OnAnswer(context.now(), ServiceClassOf(call),
                      call.history.tried_nodes.back(), result);
-  planner_.OnAttemptEnded(context.now(), call.metadata.service, result);
   if (result.is_complete() && TryRetryFailedAnswer(context, call, result)) {
     context.Count(counter::kRetries);
     return Send(context, id, call);
@@ -288,11 +269,7 @@
 bool outgoing_calls::TryRetry(event_context& context,
                               call_state& call,
                               const outcome& result) {
-  const bool is_out_of_plan = retry_policy_.CountsAgainstAllowance(result) &&
-                              IsBeyondBudget(context.now(), call);
-  call.last_retry_decision = is_out_of_plan
-                                 ? retry_decision::kTreeUnaffordable
-                                 : retry_policy_.Decide(context, call, result);
+  call.last_retry_decision = retry_policy_.Decide(context, call, result);
   const bool is_allowed = *call.last_retry_decision == retry_decision::kAllowed;
   if (is_allowed && retry_policy_.CountsAgainstAllowance(result)) {
     --call.allowance;
@@ -421,10 +398,7 @@
       metadata.is_repeat || call.history.may_have_reached_endpoint();
   // Retries handed to the attempt count as spent until its answer returns them.
   call.attempt_allowance = std::exchange(call.allowance, std::uint16_t{0});
-  // The endpoint's node grants no repeats without an allowance.
-  metadata.allowance = IsBeyondBudget(context.now(), call)
-                           ? std::uint16_t{0}
-                           : call.attempt_allowance;
+  metadata.allowance = call.attempt_allowance;
   metadata.routes = routes_.version();
   metadata.crash_checksum = quarantine_.checksum();
   metadata.notice = router_.NoticeOf(chosen->node);
@@ -542,9 +516,6 @@
     const auto [first, last] = child_calls_by_parent_.equal_range(*call.parent);
     child_calls_by_parent_.erase(std::find_if(
         first, last, [id](const auto& child) { return child.second == id; }));
-    if (call.has_useful_answer) {
-      planner_.OnCallAnswered(*call.parent, call.metadata.service);
-    }
     ended_child_calls_.push_back({*call.parent, !call.has_useful_answer});
   }
   context.timers().Cancel({timer_owner::kCalls, id.value()});
--- a/Libraries/LibDecision/Calls/outgoing_calls.h
+++ b/Libraries/LibDecision/Calls/outgoing_calls.h
@@ -6,7 +6,6 @@
 #include <unordered_map>
 #include <vector>
 
-#include "LibDecision/CallTrees/call_tree_planner.h"
 #include "LibDecision/Calls/outgoing_call.h"
 #include "LibDecision/Connections/connection_monitor.h"
 #include "LibDecision/Idempotency/idempotency_key_registry.h"
@@ -43,7 +42,6 @@
                  retry_allowances& allowances,
                  quarantine& request_quarantine,
                  pressure_tracker& pressure,
-                 call_tree_planner& planner,
                  const node_options& options)
       : policies_(policies),
         routes_(routes),
@@ -51,9 +49,8 @@
         allowances_(allowances),
         quarantine_(request_quarantine),
         pressure_(pressure),
-        planner_(planner),
         options_(options),
-        retry_policy_(pressure, routes, options),
+        retry_policy_(pressure, options),
         router_(members) {}
 
   /// `parent` is null if this node knows none.
@@ -129,9 +126,6 @@
   std::uint16_t InitialAllowance(const call_arrived& arrived,
                                  const row_settings& row);
   bool ShouldRefuseEarly(event_context& context, const call_state& call);
-  /// Whether the call's tree gets no repeats at the called service, which trees
-  /// of a higher rank need.
-  bool IsBeyondBudget(instant now, const call_state& call) const;
   void ReclaimAllowance(call_state& call, const outcome& result) const;
   /// Takes one retry if the complete answer reports a failure of the endpoint
   /// itself and another execution may succeed.
@@ -157,7 +151,6 @@
   retry_allowances& allowances_;
   quarantine& quarantine_;
   pressure_tracker& pressure_;
-  call_tree_planner& planner_;
   const node_options& options_;
   retry_policy retry_policy_;
   router router_;
--- a/Libraries/LibDecision/Retries/retry_decision.cc
+++ b/Libraries/LibDecision/Retries/retry_decision.cc
@@ -16,8 +16,6 @@
       return "service-refuses";
     case retry_decision::kBudgetExhausted:
       return "no-share";
-    case retry_decision::kTreeUnaffordable:
-      return "tree-unaffordable";
   }
   return "unknown";
 }
--- a/Libraries/LibDecision/Retries/retry_decision.h
+++ b/Libraries/LibDecision/Retries/retry_decision.h
@@ -17,7 +17,6 @@
   kServiceOverloaded,   ///< The service as a whole is overloaded.
   kBudgetExhausted,     ///< The retry budget is spent or reserved for other
                         ///< retries.
-  kTreeUnaffordable,    ///< Call trees of a higher rank need the retries.
 };
 
 /// The name of `decision` in log lines.
--- a/Libraries/LibDecision/Retries/retry_policy.cc
+++ b/Libraries/LibDecision/Retries/retry_policy.cc
@@ -117,15 +117,8 @@
   }
   const bool is_granted = result.peer && result.peer->grants_retry;
   return is_granted ||
-         service_budgets_.TrySpend(
-             context.now(), open.metadata.service,
-             RetryPriorityOf(open.metadata, PlansCapacity(options_, routes_)));
-}
-
-// The endpoints' nodes earn and grant as many retries as the callers' nodes.
-double retry_policy::SustainableRate(instant now, const service_name& service) {
-  constexpr double kBudgetsPerRequest = 2;
-  return kBudgetsPerRequest * service_budgets_.SustainableRate(now, service);
+         service_budgets_.TrySpend(context.now(), open.metadata.service,
+                                   RetryPriorityOf(open.metadata));
 }
 
 }  // namespace auburnfold
--- a/Libraries/LibDecision/Retries/retry_policy.h
+++ b/Libraries/LibDecision/Retries/retry_policy.h
@@ -6,7 +6,6 @@
 #include "LibDecision/Retries/retry_budget.h"
 #include "LibDecision/Retries/retry_decision.h"
 #include "LibDecision/Retries/service_retry_budgets.h"
-#include "LibDecision/Routes/planned_capacity.h"
 #include "LibDecision/event_context.h"
 #include "LibDecision/node_options.h"
 #include "LibDecision/outcome.h"
@@ -20,10 +19,8 @@
 /// Decides whether a failed attempt of a call is retried.
 class retry_policy {
  public:
-  retry_policy(const pressure_tracker& pressure,
-               const route_table& routes,
-               const node_options& options)
-      : pressure_(pressure), routes_(routes), options_(options) {}
+  retry_policy(const pressure_tracker& pressure, const node_options& options)
+      : pressure_(pressure), options_(options) {}
 
   void OnFirstAttempt(event_context& context, const request_metadata& metadata);
   /// Whether executing the call again is harmless and may still succeed in
@@ -37,9 +34,6 @@
                         const outcome& result);
   /// Whether a retry after `result` is deducted from the call tree's allowance.
   bool CountsAgainstAllowance(const outcome& result) const;
-  /// Retries per second that the budgets of this node and of the endpoints'
-  /// nodes allow for its calls to `service`.
-  double SustainableRate(instant now, const service_name& service);
 
  private:
   bool IsOverloaded(instant now,
@@ -50,7 +44,6 @@
                    const outcome& result);
 
   const pressure_tracker& pressure_;
-  const route_table& routes_;
   const node_options& options_;
   retry_budget node_budget_;
   service_retry_budgets service_budgets_;
--- a/Libraries/LibDecision/Retries/retry_priority.cc
+++ b/Libraries/LibDecision/Retries/retry_priority.cc
@@ -4,11 +4,7 @@
 
 namespace auburnfold {
 
-retry_priority RetryPriorityOf(const request_metadata& metadata,
-                               bool is_tree_planned) {
-  if (is_tree_planned && metadata.depth > 0) {
-    return retry_priority::kLaterCall;
-  }
+retry_priority RetryPriorityOf(const request_metadata& metadata) {
   // The highest two priorities, which are refused last.
   const bool is_important =
       metadata.priority.value_or(0) + 1 >= kHighestPriority;
--- a/Libraries/LibDecision/Retries/retry_priority.h
+++ b/Libraries/LibDecision/Retries/retry_priority.h
@@ -17,11 +17,8 @@
   kRootCall,     ///< Root call: this one success completes it.
 };
 
-/// Classifies a retry of the request that `metadata` describes. If the entry
-/// admits only call trees that get the retries that they need, all child calls
-/// are alike.
-retry_priority RetryPriorityOf(const request_metadata& metadata,
-                               bool is_tree_planned = false);
+/// Classifies a retry of the request that `metadata` describes.
+retry_priority RetryPriorityOf(const request_metadata& metadata);
 
 }  // namespace auburnfold
 
--- a/Libraries/LibDecision/Retries/service_retry_budgets.cc
+++ b/Libraries/LibDecision/Retries/service_retry_budgets.cc
@@ -65,16 +65,6 @@
   return true;
 }
 
-double service_retry_budgets::SustainableRate(instant now,
-                                              const service_name& service) {
-  // Credits of the last ten seconds expire in five seconds on average.
-  constexpr double kWindowSeconds = 10;
-  constexpr double kMeanSecondsToExpiry = kWindowSeconds / 2;
-  const service_budget& budget = FindOrCreateBudget(now, service);
-  return budget.available() / kMeanSecondsToExpiry +
-         budget.credited() / kWindowSeconds;
-}
-
 service_retry_budgets::service_budget&
 service_retry_budgets::FindOrCreateBudget(instant now,
                                           const service_name& service) {
--- a/Libraries/LibDecision/Retries/service_retry_budgets.h
+++ b/Libraries/LibDecision/Retries/service_retry_budgets.h
@@ -35,8 +35,6 @@
   bool TrySpend(instant now,
                 const service_name& service,
                 retry_priority priority);
-  /// Retries per second that can be spent until the credits expire.
-  double SustainableRate(instant now, const service_name& service);
 
  private:
   static constexpr std::size_t kSliceCount = 10;
--- a/Libraries/LibDecision/Work/incoming_work.cc
+++ b/Libraries/LibDecision/Work/incoming_work.cc
@@ -169,7 +169,6 @@
     endpoint_.OnAnswered(context);
     if (!finished.result.is_failure) {
       quarantine_.OnAnswered(context, item.metadata.digest);
-      planner_.OnWorkAnswered(finished.work, item.metadata.request_class);
     }
     if (item.holds_key) {
       keys_.OnFinished(context, *item.metadata.key, finished.work,
@@ -563,9 +562,8 @@
   return counts_arrivals_ && may_have_reached_endpoint &&
          !item.is_caller_gone && item.metadata.allowance > 0 &&
          item.deadline > context.now() &&
-         retry_budgets_.TrySpend(
-             context.now(), item.metadata.service,
-             RetryPriorityOf(item.metadata, PlansCapacity(options_, routes_)));
+         retry_budgets_.TrySpend(context.now(), item.metadata.service,
+                                 RetryPriorityOf(item.metadata));
 }
 
 void incoming_work::IssueKey(event_context& context, work_id id) {
@@ -592,9 +590,6 @@
   metadata.level = std::max(
       metadata.level,
       pressure_.DependencyLevelFor(context.now(), item.metadata.request_class));
-  const tree_level trees =
-      planner_.LevelFor(context.now(), item.metadata.request_class);
-  metadata.level = std::max(metadata.level, trees.level);
   metadata.allowance_left = allowance;
   metadata.has_failed_child_call = item.has_failed_child_call;
   const bool has_newer_routes =
@@ -621,7 +616,6 @@
 
 void incoming_work::Close(event_context& context, work_id id) {
   allowances_.Close(id);
-  planner_.OnWorkClosed(id);
   context.timers().Cancel({timer_owner::kWork, id.value()});
   const auto closed = work_items_.find(id);
   const auto running =
--- a/Libraries/LibDecision/Work/incoming_work.h
+++ b/Libraries/LibDecision/Work/incoming_work.h
@@ -8,13 +8,11 @@
 #include <vector>
 
 #include "LibDecision/Admission/admission_controller.h"
-#include "LibDecision/CallTrees/call_tree_planner.h"
 #include "LibDecision/Idempotency/idempotency_key_registry.h"
 #include "LibDecision/Pressure/pressure_tracker.h"
 #include "LibDecision/Quarantine/quarantine.h"
 #include "LibDecision/Retries/retry_allowances.h"
 #include "LibDecision/Retries/service_retry_budgets.h"
-#include "LibDecision/Routes/planned_capacity.h"
 #include "LibDecision/Routes/route_table.h"
 #include "LibDecision/Table/policy_table.h"
 #include "LibDecision/Work/active_senders.h"
@@ -38,15 +36,12 @@
                 retry_allowances& allowances,
                 quarantine& request_quarantine,
                 const pressure_tracker& pressure,
-                call_tree_planner& planner,
                 const node_options& options)
       : policies_(policies),
         routes_(routes),
         allowances_(allowances),
         quarantine_(request_quarantine),
         pressure_(pressure),
-        planner_(planner),
-        options_(options),
         stop_grace_(options.stop_grace),
         checks_expected_run_(options.discovery == discovery_mode::kGossip),
         counts_arrivals_(options.retries == retry_mode::kArrivals),
@@ -179,8 +174,6 @@
   retry_allowances& allowances_;
   quarantine& quarantine_;
   const pressure_tracker& pressure_;
-  call_tree_planner& planner_;
-  const node_options& options_;
   duration stop_grace_;
   bool checks_expected_run_;
   bool counts_arrivals_;
--- a/Libraries/LibDecision/node_options.h
+++ b/Libraries/LibDecision/node_options.h
@@ -16,10 +16,6 @@
 /// passes on half of its allowance, so one retry remains five levels down.
 inline constexpr std::uint16_t kMaxRetriesPerCallTree = 32;
 
-/// The same while capacity is planned: the entry then admits only trees whose
-/// repeats are available, and the last call of a deep tree needs some too.
-inline constexpr std::uint16_t kMaxRetriesPerPlannedTree = 128;
-
 /// How a node limits the number of requests that run at its endpoint at once.
 enum class limit_mode : std::uint8_t {
   kAdaptive,   ///< Derived from the node's own observations.
--- a/Libraries/LibDecision/reducer.cc
+++ b/Libraries/LibDecision/reducer.cc
@@ -6,7 +6,6 @@
 #include <utility>
 #include <variant>
 
-#include "LibDecision/CallTrees/call_tree_planner.h"
 #include "LibDecision/Calls/outgoing_calls.h"
 #include "LibDecision/Membership/membership.h"
 #include "LibDecision/Pressure/pressure_tracker.h"
@@ -50,11 +49,10 @@
   node_registry registry{members, request_quarantine};
   retry_allowances allowances;
   pressure_tracker pressure;
-  call_tree_planner planner;
   outgoing_calls calls{policies,           routes,   members, allowances,
-                       request_quarantine, pressure, planner, options};
-  incoming_work work{policies, routes,  allowances, request_quarantine,
-                     pressure, planner, options};
+                       request_quarantine, pressure, options};
+  incoming_work work{policies,           routes,   allowances,
+                     request_quarantine, pressure, options};
   /// Service of the local endpoint as configured at the node; may be empty.
   service_name local_service;
   bool is_stopped = false;
