Admission: Start later calls of running trees first where capacity is planned

A burst fills a service that trees call several times in a row. A child call was refused there after half of its objective, in the order of its root's rank, and all that ran for the root was lost. With planned capacity it waits for up to half of the time until its deadline, goes before root calls, and calls whose tree has had answers go before first calls.

--- a/Libraries/LibDecision/Admission/admission_controller.cc
+++ b/Libraries/LibDecision/Admission/admission_controller.cc
@@ -4,6 +4,8 @@
 #include <chrono>
 #include <cmath>
 
+#include "LibDecision/Admission/queue_wait.h"
+
 namespace auburnfold {
 
 namespace {
@@ -16,10 +18,6 @@
 constexpr duration kBaseRetryAfter = std::chrono::milliseconds(100);
 constexpr duration kMaxRetryAfter = std::chrono::seconds(1);
 constexpr duration kColdPeriod = std::chrono::seconds(5);
-/// A root call waits for at most its latency objective divided by this.
-constexpr int kRootWaitDivisor = 8;
-/// The same for a child call of work that has already started.
-constexpr int kChildWaitDivisor = 2;
 /// With a rate limit, as many requests are queued as start within this time.
 constexpr double kRateQueueSeconds = 0.1;
 /// Bounds the time until a sender notices that a limit has ended.
@@ -45,19 +43,6 @@
   return adaptive_limit();
 }
 
-// A root call waits only briefly, so that a refused caller learns soon that it
-// has to retry. Refusing a child call loses the work already done for its
-// request, so child calls may wait longer. Without a latency objective, the
-// `queue_limit` of the table row bounds the wait.
-duration MaxQueueWait(const request_metadata& metadata,
-                      const row_settings& settings) {
-  if (metadata.objective <= duration::zero()) {
-    return settings.queue_limit;
-  }
-  return metadata.depth > 0 ? metadata.objective / kChildWaitDivisor
-                            : metadata.objective / kRootWaitDivisor;
-}
-
 counter CounterOf(error_kind refusal) {
   switch (refusal) {
     case error_kind::kQueueDeadline:
@@ -82,7 +67,8 @@
     event_context& context,
     work_id work,
     const request_metadata& metadata,
-    const row_settings& settings) {
+    const row_settings& settings,
+    bool is_capacity_planned) {
   const rank request_rank = RankOf(metadata, settings);
   const auto priority =
       static_cast<std::uint8_t>(request_rank.value / kRanksPerPriority);
@@ -116,29 +102,30 @@
   const instant deadline = context.now() + metadata.time_left -
                            times_.MinTotalTime(metadata.request_class);
   const queued_request request{
-      work, request_rank,
-      std::min(deadline, context.now() + MaxQueueWait(metadata, settings))};
+      work, QueueRank(metadata, request_rank, is_capacity_planned),
+      std::min(deadline, context.now() + MaxQueueWait(metadata, settings,
+                                                      is_capacity_planned))};
   // No queue order can start it in time.
   if (waits_for_rate &&
       rate_limiter_.NextTokenAt(context.now()) > request.expires_at) {
     Refuse(context, work, error_kind::kRateLimited, decisions);
     return decisions;
   }
-  return Enqueue(context, request, metadata, settings);
+  return Enqueue(context, request, metadata,
+                 QueueWeight(metadata, settings, is_capacity_planned));
 }
 
 std::vector<admission_decision> admission_controller::Enqueue(
     event_context& context,
     const queued_request& request,
     const request_metadata& metadata,
-    const row_settings& settings) {
+    std::uint32_t weight) {
   std::vector<admission_decision> decisions;
   if (request.expires_at <= context.now()) {
     Refuse(context, request.work, error_kind::kQueueDeadline, decisions);
     return decisions;
   }
-  queue_.Push(request, metadata.request_class, settings.weight,
-              metadata.tenant);
+  queue_.Push(request, metadata.request_class, weight, metadata.tenant);
   ++work_count_by_class_[metadata.request_class];
   queued_classes_[request.work] = metadata.request_class;
   if (next_expiry_ && request.expires_at < *next_expiry_) {
--- a/Libraries/LibDecision/Admission/admission_controller.h
+++ b/Libraries/LibDecision/Admission/admission_controller.h
@@ -44,7 +44,8 @@
   std::vector<admission_decision> Offer(event_context& context,
                                         work_id work,
                                         const request_metadata& metadata,
-                                        const row_settings& settings);
+                                        const row_settings& settings,
+                                        bool is_capacity_planned = false);
   /// An admitted request ended.
   std::vector<admission_decision> OnFinished(event_context& context,
                                              work_id work,
@@ -106,7 +107,7 @@
   std::vector<admission_decision> Enqueue(event_context& context,
                                           const queued_request& request,
                                           const request_metadata& metadata,
-                                          const row_settings& settings);
+                                          std::uint32_t weight);
   std::vector<admission_decision> AdmitQueued(event_context& context);
   void RecordSample(instant now, admitted_work& work, bool is_refused);
   void RemoveAdmitted(work_id work);
--- a/Libraries/LibDecision/Work/incoming_work.cc
+++ b/Libraries/LibDecision/Work/incoming_work.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "LibDecision/Routes/planned_capacity.h"
+
 namespace auburnfold {
 
 void incoming_work::Start(event_context& context, const node_started& self) {
@@ -38,7 +40,8 @@
   const row_settings& row =
       policies_.SettingsFor(item.metadata.service, item.metadata.request_class);
   ApplyDecisions(context,
-                 admission_.Offer(context, arrived.work, item.metadata, row));
+                 admission_.Offer(context, arrived.work, item.metadata, row,
+                                  PlansCapacity(options_, routes_)));
   const auto waiting = work_items_.find(arrived.work);
   if (waiting != work_items_.end() && !waiting->second.is_executing) {
     context.Log(Describe(context, decision_kind::kWorkQueued, waiting->second));
--- a/Libraries/LibDecision/Work/incoming_work.h
+++ b/Libraries/LibDecision/Work/incoming_work.h
@@ -42,6 +42,7 @@
         allowances_(allowances),
         quarantine_(request_quarantine),
         pressure_(pressure),
+        options_(options),
         stop_grace_(options.stop_grace),
         checks_expected_run_(options.discovery == discovery_mode::kGossip),
         counts_arrivals_(options.retries == retry_mode::kArrivals),
@@ -174,6 +175,7 @@
   retry_allowances& allowances_;
   quarantine& quarantine_;
   const pressure_tracker& pressure_;
+  const node_options& options_;
   duration stop_grace_;
   bool checks_expected_run_;
   bool counts_arrivals_;
