--- a/Libraries/LibDecision/Admission/admission_controller.h
+++ b/Libraries/LibDecision/Admission/admission_controller.h
@@ -63,7 +63,8 @@
   void OnEndpointReported(event_context& context,
                           const endpoint_reported& report);
 
-  /// Whether the learned capacity of the endpoint limits its requests.
+  /// Whether the learned capacity of the endpoint limits its requests, and
+  /// those of running call trees wait longer and start first.
   void set_plans(bool plans) { plans_ = plans; }
 
   /// Limits the rate at which requests are started; unset ends the limit.
@@ -113,7 +114,7 @@
   std::vector<admission_decision> Enqueue(event_context& context,
                                           const queued_request& request,
                                           const request_metadata& metadata,
-                                          const row_settings& settings);
+                                          std::uint32_t weight);
   std::vector<admission_decision> AdmitQueued(event_context& context);
   void RecordSample(instant now, admitted_work& work, bool is_refused);
   void RemoveAdmitted(work_id work);
--- a/Libraries/LibDecision/Routes/route_table.h
+++ b/Libraries/LibDecision/Routes/route_table.h
@@ -28,11 +28,11 @@
   /// from `Match`, in proportion to the weights.
   const service_name& NextService(const route& matched);
 
+  /// Whether a route in force is a download.
+  bool has_downloads() const { return has_downloads_; }
   bool has_service(const service_name& service) const {
     return services_.contains(service);
   }
-  /// Whether a route in force is a download.
-  bool has_downloads() const { return has_downloads_; }
   /// Path of the health probe at endpoints of `service`; empty if there is
   /// none.
   std::string HealthPathOf(const service_name& service) const;
