--- a/Tests/LibDecision/api_keys_test.cc
+++ b/Tests/LibDecision/api_keys_test.cc
@@ -99,9 +99,8 @@
   }
 
   void ReportEndpoint() {
-    Happen(endpoint_reported{.service = service_name("lots"),
-                             .run = incarnation(1),
-                             .slots = 8});
+    Happen(endpoint_reported{
+        .service = service_name("lots"), .run = incarnation(1), .slots = 8});
   }
 
   void Happen(event_content content) {
