--- a/Tests/LibDecision/queue_wait_test.cc
+++ b/Tests/LibDecision/queue_wait_test.cc
@@ -59,8 +59,8 @@
 class a_burst_at_a_shared_service {
  public:
   a_burst_at_a_shared_service(std::uint64_t seed, bool is_capacity_planned)
-      : random_(seed), is_capacity_planned_(is_capacity_planned) {
-    admission_.set_plans(is_capacity_planned_);
+      : random_(seed) {
+    admission_.set_plans(is_capacity_planned);
     admission_.OnEndpointReported(Context(),
                                   {.run = incarnation(1), .slots = kSlots});
   }
@@ -154,7 +154,6 @@
   }
 
   std::mt19937_64 random_;
-  bool is_capacity_planned_;
   instant now_{};
   std::uint64_t entropy_ = 0;
   timer_service timers_;
