Quotas: Own quotas at once after a restart of the whole fleet

A node that has just started owned no quota and had no part of its own for a second, since it might know only some of the members. If the first listing of the registry holds an earlier run of the node, it holds the other members too, so there is nothing to wait for.

--- a/Libraries/LibDecision/Quotas/tenant_quotas.cc
+++ b/Libraries/LibDecision/Quotas/tenant_quotas.cc
@@ -303,7 +303,7 @@
     if (entries_.empty() && pools_.empty()) {
       context.timers().Schedule(kDiscardTimer, now + kDiscardInterval);
     }
-    const instant since = std::max(owner->since, started_at_ + kSettleTime);
+    const instant since = std::max(owner->since, SettledAt());
     const auto pool =
         pools_.try_emplace(reported.tenant, now, limit->second, since).first;
     grants.push_back(pool->second.Take(now, from, reported, fleet));
@@ -419,8 +419,8 @@
   }
 }
 
-bool tenant_quotas::IsSettled(instant now) const {
-  return now - started_at_ >= kSettleTime;
+instant tenant_quotas::SettledAt() const {
+  return is_fleet_known_ ? started_at_ : started_at_ + kSettleTime;
 }
 
 // Calls that no longer wait leave the queue when they reach its front.
--- a/Libraries/LibDecision/Quotas/tenant_quotas.h
+++ b/Libraries/LibDecision/Quotas/tenant_quotas.h
@@ -32,6 +32,9 @@
       : members_(members), owners_(members) {}
 
   void Start(event_context& context, node_id self);
+  /// The members that are known now are those of the whole fleet, although this
+  /// node has just started.
+  void OnFleetKnown() { is_fleet_known_ = true; }
   /// Quotas that changed take effect at once.
   void Apply(event_context& context, const std::vector<tenant_config>& tenants);
 
@@ -113,13 +116,16 @@
   void Resolve(call_id call, bool is_admitted);
   void EndWaits(event_context& context);
   void DiscardIdle(event_context& context);
-  bool IsSettled(instant now) const;
+  /// From when on this node knows enough members to own quotas.
+  instant SettledAt() const;
+  bool IsSettled(instant now) const { return now >= SettledAt(); }
   std::uint32_t CountWaiting(entry& local);
 
   const member_list& members_;
   quota_owner_choice owners_;
   node_id self_;
   instant started_at_{};
+  bool is_fleet_known_ = false;
   std::map<tenant_name, tenant_quota> limits_;
   std::unordered_map<tenant_name, entry> entries_;
   std::unordered_map<tenant_name, quota_pool> pools_;
--- a/Libraries/LibDecision/Registry/node_registry.cc
+++ b/Libraries/LibDecision/Registry/node_registry.cc
@@ -80,12 +80,23 @@
     watch_.ShortenDelay(context);
   }
   if (update->is_listing) {
+    NoteFirstListing(update->entries);
     MarkUnlistedAsLapsed(context, update->entries);
     may_list_older_records_ = false;
   }
   ScheduleLapseCheck(context);
 }
 
+// A node publishes its own record only after the first listing.
+void node_registry::NoteFirstListing(const std::vector<store_entry>& listed) {
+  if (std::exchange(is_first_listing_, false)) {
+    lists_earlier_run_ = std::any_of(
+        listed.begin(), listed.end(), [this](const store_entry& entry) {
+          return ParseMemberKey(entry.key) == members_.self().node;
+        });
+  }
+}
+
 void node_registry::OnStoreEraChanged(event_context& context) {
   may_list_older_records_ = true;
   quarantine_.OnStoreEraChanged();
--- a/Libraries/LibDecision/Registry/node_registry.h
+++ b/Libraries/LibDecision/Registry/node_registry.h
@@ -57,6 +57,9 @@
   void OnPeerView(event_context& context,
                   const std::vector<member_record>& records);
 
+  /// Whether the first listing held a record of an earlier run of this node. It
+  /// then holds those of the other nodes, too, even if all of them restart.
+  bool lists_earlier_run() const { return lists_earlier_run_; }
   /// Whether this node has listed the registry.
   bool is_listed() const { return watch_.is_listed(); }
   /// Whether the last call to the key-value store failed.
@@ -68,6 +71,7 @@
   static bool IsSilent(instant now, instant lapsed_at, instant answered_at);
   void ApplyEntry(event_context& context, const store_entry& entry);
   void OnKeyRemoved(event_context& context, node_id node);
+  void NoteFirstListing(const std::vector<store_entry>& listed);
   void MarkUnlistedAsLapsed(event_context& context,
                             const std::vector<store_entry>& listed);
   void RemoveMember(event_context& context, node_id node);
@@ -80,6 +84,8 @@
   member_record published_;
   std::map<node_id, instant> lapsed_since_;
   /// The next listing may contain records that the store held before.
+  bool lists_earlier_run_ = false;
+  bool is_first_listing_ = true;
   bool may_list_older_records_ = false;
 };
 
--- a/Libraries/LibDecision/reducer.cc
+++ b/Libraries/LibDecision/reducer.cc
@@ -281,6 +281,9 @@
     UpdateStoreAvailability(context, answer);
     members.OnStoreAnswered(context, answer);
     registry.OnStoreAnswered(context, answer);
+    if (registry.lists_earlier_run()) {
+      quotas.OnFleetKnown();
+    }
     if (options.settings == settings_source::kRoutes) {
       WatchRoutes(context);
     }
--- a/Tests/LibDecision/tenant_quotas_test.cc
+++ b/Tests/LibDecision/tenant_quotas_test.cc
@@ -46,6 +46,7 @@
     started.quotas->Start(context, node_id(i + 1));
     Configure(i);
   }
+  void KnowFleet(std::size_t i) { nodes_[i]->quotas->OnFleetKnown(); }
   void Configure(std::size_t i) {
     event_context context(now_, 1, nodes_[i]->timers);
     nodes_[i]->quotas->Apply(
@@ -366,6 +367,23 @@
   EXPECT_LE(fleet.MostInWindow(), fleet.WindowLimit());
 }
 
+// The registry still lists the earlier runs of all nodes.
+TEST_P(quotas_of_a_fleet, ServeTheUsualLoadSoonAfterAllNodesStartAgain) {
+  fleet.Load(kUsual * 7.5, seconds(6));
+  for (std::size_t i = 0; i < GetParam(); ++i) {
+    fleet.Start(i);
+    fleet.KnowFleet(i);
+  }
+  fleet.Reset();
+  fleet.Load(kUsual, seconds(1));
+  EXPECT_GE(fleet.ServedShare(), 0.25);
+  fleet.Load(kUsual, seconds(1));
+  fleet.Reset();
+  fleet.Load(kUsual, seconds(5));
+  EXPECT_GE(fleet.ServedShare(), 0.97);
+  EXPECT_LE(fleet.MostInWindow(), fleet.WindowLimit());
+}
+
 class quotas_under_failure : public quotas_of_a_fleet {};
 
 INSTANTIATE_TEST_SUITE_P(sizes, quotas_under_failure, testing::Values(16, 89));
