LibDecision: Log what made an attempt overdue and whether the node is stopping

`connection_dropped` named the request and how long it had waited, but not why its connection was taken for silent, so a slow answer and a connection that had really gone silent left the same lines. It now names the answers that the request's time was compared with, and every line about a call or work says whether the node had been asked to stop.

--- a/Libraries/LibDecision/Calls/outgoing_calls.cc
+++ b/Libraries/LibDecision/Calls/outgoing_calls.cc
@@ -390,7 +390,8 @@
            (call.allowance + call.attempt_allowance > 0 &&
             retry_policy::IsSafeToRetry(context.now(), call, kConnectionLost));
   };
-  for (const attempt_id lost : connections_.OnTimer(context, may_abandon)) {
+  for (const dropped_attempt& lost :
+       connections_.OnTimer(context, may_abandon)) {
     OnConnectionLost(context, lost);
   }
 }
@@ -398,7 +399,8 @@
 // The endpoint answers other requests, so this does not count as its failure.
 // Whether the request reached it is not known.
 void outgoing_calls::OnConnectionLost(event_context& context,
-                                      attempt_id attempt) {
+                                      const dropped_attempt& dropped) {
+  const attempt_id attempt = dropped.attempt;
   const call_id id = calls_by_attempt_.at(attempt);
   calls_by_attempt_.erase(attempt);
   call_state& call = calls_.at(id);
@@ -408,7 +410,11 @@
   ReclaimAllowance(call, kConnectionLost);
   router_.OnCancelled(context, call.history.tried_nodes.back());
   context.Emit(cancel_attempt{attempt});
-  context.Log(Describe(context, decision_kind::kConnectionDropped, call));
+  decision_record record =
+      Describe(context, decision_kind::kConnectionDropped, call);
+  record.known_answers = dropped.known_answers;
+  record.slowest = dropped.slowest;
+  context.Log(std::move(record));
   RetryOrRefuse(context, id, call, kConnectionLost);
 }
 
@@ -623,6 +629,7 @@
   record.waited = context.now() - call.arrived;
   record.attempt = static_cast<std::uint32_t>(call.history.tried_nodes.size());
   record.priority = call.metadata.priority;
+  record.is_stopping = stopping_since_.has_value();
   return record;
 }
 
--- a/Libraries/LibDecision/Calls/outgoing_calls.h
+++ b/Libraries/LibDecision/Calls/outgoing_calls.h
@@ -128,7 +128,7 @@
   const member_record* ChooseKeyHome(event_context& context,
                                      call_id id,
                                      const key_home& home);
-  void OnConnectionLost(event_context& context, attempt_id attempt);
+  void OnConnectionLost(event_context& context, const dropped_attempt& dropped);
   /// Handles an attempt that ended without a complete answer.
   void RetryOrRefuse(event_context& context,
                      call_id id,
--- a/Libraries/LibDecision/Connections/connection_monitor.cc
+++ b/Libraries/LibDecision/Connections/connection_monitor.cc
@@ -104,24 +104,25 @@
   RemoveConnection(id);
 }
 
-std::vector<attempt_id> connection_monitor::OnTimer(
+std::vector<dropped_attempt> connection_monitor::OnTimer(
     event_context& context,
     const std::function<bool(attempt_id)>& may_abandon) {
   next_check_.reset();
-  std::vector<attempt_id> lost;
+  std::vector<dropped_attempt> lost;
   for (const auto& [attempt, open] : attempts_) {
     if (!IsOverdue(context.now(), open)) {
       continue;
     }
     if (IsSilent(open) && may_abandon(attempt)) {
-      lost.push_back(attempt);
+      const answer_times times = KnownTimes(open);
+      lost.push_back({attempt, times.answers, times.slowest});
     }
     CloseIdle(context, open.peer, open.sent);
   }
-  for (const attempt_id attempt : lost) {
-    const open_attempt silent = attempts_.at(attempt);
+  for (const dropped_attempt& dropped : lost) {
+    const open_attempt silent = attempts_.at(dropped.attempt);
     context.Count(counter::kConnectionsReplaced);
-    attempts_.erase(attempt);
+    attempts_.erase(dropped.attempt);
     Close(context, silent.connection);
   }
   CloseUnused(context);
@@ -129,28 +130,37 @@
   return lost;
 }
 
+bool connection_monitor::HasClassTimes(const open_attempt& open) const {
+  const peer_state& peer = peers_.at(open.peer);
+  const auto times = peer.times.find(open.request_class);
+  return times != peer.times.end() && times->second.answers >= kMinAnswers;
+}
+
+// With too few answers of the class, the slowest of all classes counts.
+connection_monitor::answer_times connection_monitor::KnownTimes(
+    const open_attempt& open) const {
+  const peer_state& peer = peers_.at(open.peer);
+  if (HasClassTimes(open)) {
+    return peer.times.at(open.request_class);
+  }
+  answer_times all;
+  for (const auto& [name, times] : peer.times) {
+    all.slowest = std::max(all.slowest, times.slowest);
+    all.answers += times.answers;
+  }
+  return all;
+}
+
 bool connection_monitor::IsOverdue(instant now,
                                    const open_attempt& open) const {
   const duration waiting = now - open.sent;
   if (waiting < kMinOverdueTime) {
     return false;
   }
-  const peer_state& peer = peers_.at(open.peer);
-  const auto class_times = peer.times.find(open.request_class);
-  const bool is_known = class_times != peer.times.end() &&
-                        class_times->second.answers >= kMinAnswers;
-  if (is_known) {
-    return waiting > kOverdueFactor * class_times->second.slowest;
-  }
-  // Too few answers of this class: use the slowest of all classes.
-  duration slowest{};
-  std::uint32_t answers = 0;
-  for (const auto& [name, times] : peer.times) {
-    slowest = std::max(slowest, times.slowest);
-    answers += times.answers;
-  }
-  return answers >= kMinAnswers &&
-         waiting > kUnknownClassOverdueFactor * slowest;
+  const answer_times times = KnownTimes(open);
+  const int factor =
+      HasClassTimes(open) ? kOverdueFactor : kUnknownClassOverdueFactor;
+  return times.answers >= kMinAnswers && waiting > factor * times.slowest;
 }
 
 bool connection_monitor::IsSilent(const open_attempt& open) const {
--- a/Libraries/LibDecision/Connections/connection_monitor.h
+++ b/Libraries/LibDecision/Connections/connection_monitor.h
@@ -13,6 +13,14 @@
 
 namespace auburnfold {
 
+/// An attempt whose connection was closed, and what made it overdue.
+struct dropped_attempt {
+  attempt_id attempt;
+  /// Answers known of the class at the peer, or of the peer's other classes.
+  std::uint32_t known_answers = 0;
+  duration slowest{};
+};
+
 /// Detects silent connections to healthy peers by watching this node's own
 /// attempts.
 ///
@@ -40,7 +48,7 @@
   /// Closes silent and unused connections and returns the attempts lost with
   /// them. An attempt that `may_abandon` rejects keeps waiting, since a call
   /// that cannot be sent elsewhere gains nothing by giving up.
-  std::vector<attempt_id> OnTimer(
+  std::vector<dropped_attempt> OnTimer(
       event_context& context,
       const std::function<bool(attempt_id)>& may_abandon);
 
@@ -71,6 +79,9 @@
     instant idle_closed;
   };
 
+  /// The answers that the attempt's time is compared with.
+  answer_times KnownTimes(const open_attempt& open) const;
+  bool HasClassTimes(const open_attempt& open) const;
   bool IsOverdue(instant now, const open_attempt& open) const;
   bool IsSilent(const open_attempt& open) const;
   void Close(event_context& context, connection_id id);
--- a/Libraries/LibDecision/Work/incoming_work.cc
+++ b/Libraries/LibDecision/Work/incoming_work.cc
@@ -656,6 +656,7 @@
   record.running = admission_.running();
   record.queued = static_cast<std::uint32_t>(admission_.queued());
   record.limit = admission_.limit();
+  record.is_stopping = stopping_since_.has_value();
   return record;
 }
 
--- a/Libraries/LibDecision/decision_record.h
+++ b/Libraries/LibDecision/decision_record.h
@@ -119,6 +119,12 @@
   /// The rate limit that the local endpoint names.
   std::optional<request_rate> rate;
   std::optional<std::uint32_t> candidates;
+  /// Answers of the class, or of the peer, that made an attempt overdue, and
+  /// the time of the slowest recent one.
+  std::optional<std::uint32_t> known_answers;
+  std::optional<duration> slowest;
+  /// The node was asked to stop before.
+  bool is_stopping = false;
   /// The `endpoint_state` of the local endpoint, as a number.
   std::optional<std::uint32_t> state;
   /// The part of the configuration that is not understood.
--- a/Libraries/LibRuntime/Observability/decision_log.cc
+++ b/Libraries/LibRuntime/Observability/decision_log.cc
@@ -108,6 +108,11 @@
   fields.Add("limit", record.limit);
   fields.Add("rate", record.rate);
   fields.Add("candidates", record.candidates);
+  fields.Add("known_answers", record.known_answers);
+  fields.Add("slowest_ms", record.slowest);
+  if (record.is_stopping) {
+    line["stopping"] = true;
+  }
   fields.Add("state", record.state);
   fields.Add("tenant", record.tenant.value());
   fields.Add("basis", record.basis ? NameOf(*record.basis) : "");
--- a/Tests/LibDecision/connections_test.cc
+++ b/Tests/LibDecision/connections_test.cc
@@ -35,8 +35,12 @@
 
   std::vector<attempt_id> Look() {
     event_context context(now_, 1, timers_);
-    std::vector<attempt_id> lost =
-        monitor_.OnTimer(context, [this](attempt_id) { return may_abandon_; });
+    std::vector<attempt_id> lost;
+    for (const dropped_attempt& dropped : monitor_.OnTimer(
+             context, [this](attempt_id) { return may_abandon_; })) {
+      lost.push_back(dropped.attempt);
+      evidence_ = dropped;
+    }
     closed_.clear();
     for (const effect& each : context.TakeEffects()) {
       if (const auto* close = std::get_if<close_connection>(&each)) {
@@ -50,6 +54,8 @@
   instant now_{};
   connection_monitor monitor_;
   bool may_abandon_ = true;
+  /// About the attempt that was dropped last.
+  dropped_attempt evidence_;
   std::vector<connection_id> closed_;
 };
 
@@ -67,6 +73,8 @@
   }
   EXPECT_EQ(Look(), std::vector{attempt_id(1)});
   EXPECT_EQ(closed_, std::vector{connection_id(7)});
+  EXPECT_EQ(evidence_.known_answers, 22U);
+  EXPECT_EQ(evidence_.slowest, 10ms);
 }
 
 TEST_F(a_silent_connection, IsKeptForARequestThatCannotGoElsewhere) {
