--- a/Libraries/LibDecision/Calls/outgoing_call.h
+++ b/Libraries/LibDecision/Calls/outgoing_call.h
@@ -29,6 +29,9 @@
   instant attempt_started;
   /// The same on the clock of `event_context::elapsed_now`.
   instant elapsed_at_attempt;
+  /// The node that `attempt` goes to, and its incarnation.
+  node_address attempt_address;
+  incarnation attempt_run;
   /// Bytes of `attempt` may have been sent.
   bool is_attempt_sent = false;
   /// `attempt` carries a notice about the endpoint.
--- a/Libraries/LibDecision/Calls/outgoing_calls.cc
+++ b/Libraries/LibDecision/Calls/outgoing_calls.cc
@@ -26,8 +26,8 @@
 }
 
 /// Result of an attempt whose connection no longer answers.
-constexpr outcome kConnectionLost{error_kind::kAnswerLost,
-                                  execution_state::kUnknown};
+constexpr outcome kAnswerNotDelivered{error_kind::kAnswerLost,
+                                      execution_state::kUnknown};
 
 }  // namespace
 
@@ -240,9 +240,13 @@
   }
   call_state& call = calls_.at(found->second);
   call.is_attempt_sent = true;
-  connections_.OnSent(context, sent.attempt, sent.connection,
-                      call.history.tried_nodes.back(),
-                      call.metadata.request_class);
+  connections_.OnSent(context, sent.attempt,
+                      {.connection = sent.connection,
+                       .peer = call.history.tried_nodes.back(),
+                       .peer_run = call.attempt_run,
+                       .address = call.attempt_address,
+                       .request_class = call.metadata.request_class,
+                       .deadline = call.deadline});
 }
 
 void outgoing_calls::OnAttemptFinished(event_context& context,
@@ -383,39 +387,89 @@
   Refuse(context, id, error_kind::kAnswerTimeout, duration::zero());
 }
 
-void outgoing_calls::OnConnectionTimer(event_context& context) {
-  const auto may_abandon = [this, &context](attempt_id attempt) {
-    const call_state& call = calls_.at(calls_by_attempt_.at(attempt));
-    return options_.retries != retry_mode::kArrivals ||
-           (call.allowance + call.attempt_allowance > 0 &&
-            retry_policy::IsSafeToRetry(context.now(), call, kConnectionLost));
-  };
-  for (const dropped_attempt& lost :
-       connections_.OnTimer(context, may_abandon)) {
-    OnConnectionLost(context, lost);
+void outgoing_calls::OnAttemptReports(
+    event_context& context,
+    const attempt_reports_received& received) {
+  if (received.reports) {
+    for (const attempt_report& report : *received.reports) {
+      LogReport(context, decision_kind::kAttemptQueried, report);
+    }
+  }
+  for (const attempt_report& lost : connections_.OnReports(context, received)) {
+    if (lost.state == attempt_state::kNeverArrived) {
+      OnRequestLost(context, lost);
+    } else {
+      OnAnswerLost(context, lost);
+    }
   }
 }
 
-// The endpoint answers other requests, so this does not count as its failure.
-// Whether the request reached it is not known.
-void outgoing_calls::OnConnectionLost(event_context& context,
-                                      const dropped_attempt& dropped) {
-  const attempt_id attempt = dropped.attempt;
-  const call_id id = calls_by_attempt_.at(attempt);
-  calls_by_attempt_.erase(attempt);
+void outgoing_calls::LogReport(event_context& context,
+                               decision_kind kind,
+                               const attempt_report& report) {
+  const auto found = calls_by_attempt_.find(report.attempt);
+  if (found == calls_by_attempt_.end()) {
+    return;
+  }
+  decision_record record = Describe(context, kind, calls_.at(found->second));
+  record.evidence = report.state;
+  if (report.state == attempt_state::kAnswered) {
+    record.age = report.answered_ago;
+  }
+  context.Log(std::move(record));
+}
+
+// The other node refuses the request if it still arrives, so it may be sent
+// again whatever it does, and what travelled with it is unspent.
+void outgoing_calls::OnRequestLost(event_context& context,
+                                   const attempt_report& lost) {
+  context.Count(counter::kRequestsNeverArrived);
+  const call_id id = calls_by_attempt_.at(lost.attempt);
   call_state& call = calls_.at(id);
-  call.attempt.reset();
-  call.may_have_executed = true;
+  call.allowance =
+      static_cast<std::uint16_t>(call.allowance + call.attempt_allowance);
+  call.attempt_allowance = 0;
+  ++call.unreached_attempts;
+  DropAttempt(context, call, lost);
+  RetryOrRefuse(
+      context, id, call,
+      {error_kind::kEndpointUnreachable, execution_state::kNotExecuted});
+}
+
+// The answer may still arrive through a very slow link, so the attempt is only
+// given up for a retry.
+void outgoing_calls::OnAnswerLost(event_context& context,
+                                  const attempt_report& lost) {
+  context.Count(counter::kAnswersLost);
+  const call_id id = calls_by_attempt_.at(lost.attempt);
+  call_state& call = calls_.at(id);
+  const std::uint16_t allowance = call.allowance;
+  const std::uint16_t attempt_allowance = call.attempt_allowance;
+  ReclaimAllowance(call, kAnswerNotDelivered);
+  const bool is_quarantined = quarantine_.VerdictOn(call.metadata.digest) ==
+                              crash_verdict::kQuarantined;
+  if (is_quarantined || !TryRetry(context, call, kAnswerNotDelivered)) {
+    call.allowance = allowance;
+    call.attempt_allowance = attempt_allowance;
+    return;
+  }
+  call.has_executed = true;
   call.history.OnReached();
-  ReclaimAllowance(call, kConnectionLost);
+  DropAttempt(context, call, lost);
+  context.Count(counter::kRetries);
+  Send(context, id, call);
+}
+
+// The endpoint answers other requests, so this does not count as its failure.
+void outgoing_calls::DropAttempt(event_context& context,
+                                 call_state& call,
+                                 const attempt_report& lost) {
+  LogReport(context, decision_kind::kConnectionDropped, lost);
+  calls_by_attempt_.erase(lost.attempt);
+  call.attempt.reset();
+  connections_.Drop(context, lost.attempt);
   router_.OnCancelled(context, call.history.tried_nodes.back());
-  context.Emit(cancel_attempt{attempt});
-  decision_record record =
-      Describe(context, decision_kind::kConnectionDropped, call);
-  record.known_answers = dropped.known_answers;
-  record.slowest = dropped.slowest;
-  context.Log(std::move(record));
-  RetryOrRefuse(context, id, call, kConnectionLost);
+  context.Emit(cancel_attempt{lost.attempt});
 }
 
 void outgoing_calls::AbortAll(event_context& context) {
@@ -452,6 +506,8 @@
   call.attempt = attempt;
   call.attempt_started = context.now();
   call.elapsed_at_attempt = context.elapsed_now();
+  call.attempt_address = chosen->address;
+  call.attempt_run = chosen->run;
   call.is_attempt_sent = false;
   call.history.tried_nodes.push_back(chosen->node);
   calls_by_attempt_[attempt] = id;
--- a/Libraries/LibDecision/Calls/outgoing_calls.h
+++ b/Libraries/LibDecision/Calls/outgoing_calls.h
@@ -73,8 +73,12 @@
     connections_.OnClosed(closed);
   }
   void OnTimer(event_context& context, std::uint64_t key);
-  /// Retries or refuses the calls whose connection no longer answers.
-  void OnConnectionTimer(event_context& context);
+  void OnConnectionTimer(event_context& context) {
+    connections_.OnTimer(context);
+  }
+  /// Retries or refuses the calls whose request or answer was lost.
+  void OnAttemptReports(event_context& context,
+                        const attempt_reports_received& received);
   /// Once the stop grace period is over, only calls made for work at the local
   /// endpoint are carried out.
   void OnStopRequested(event_context& context) {
@@ -128,7 +132,17 @@
   const member_record* ChooseKeyHome(event_context& context,
                                      call_id id,
                                      const key_home& home);
-  void OnConnectionLost(event_context& context, const dropped_attempt& dropped);
+  void LogReport(event_context& context,
+                 decision_kind kind,
+                 const attempt_report& report);
+  /// The request never reached the other node.
+  void OnRequestLost(event_context& context, const attempt_report& lost);
+  /// The answer was sent, but did not arrive.
+  void OnAnswerLost(event_context& context, const attempt_report& lost);
+  /// Ends the attempt in flight because its connection is silent.
+  void DropAttempt(event_context& context,
+                   call_state& call,
+                   const attempt_report& lost);
   /// Handles an attempt that ended without a complete answer.
   void RetryOrRefuse(event_context& context,
                      call_id id,
--- a/Libraries/LibDecision/Connections/connection_monitor.cc
+++ b/Libraries/LibDecision/Connections/connection_monitor.cc
@@ -11,21 +11,36 @@
 
 /// Time between two checks of all open attempts.
 constexpr duration kCheckInterval = 50ms;
-/// Attempts younger than this are never overdue.
-constexpr duration kMinOverdueTime = 100ms;
-/// An attempt is overdue after this multiple of the slowest recent response
-/// time of its class.
-constexpr int kOverdueFactor = 4;
-/// The same for a class with too few answers from the peer, relative to the
-/// peer's slowest class.
-constexpr int kUnknownClassOverdueFactor = 6;
+constexpr duration kSuspiciousCheckInterval = 10ms;
+/// Peers are not asked about younger attempts.
+constexpr duration kMinQueryAge = 100ms;
+/// The same for attempts on connections that may have gone silent together with
+/// one that has.
+constexpr duration kMinSuspectQueryAge = 20ms;
+/// A peer is asked about an attempt after this multiple of the slowest recent
+/// response time of its class.
+constexpr int kSlowestFactor = 2;
+/// The same where no response times of the class are known.
+constexpr duration kUnknownClassQueryAge = 500ms;
+/// At the latest, a peer is asked after this fraction of the time until the
+/// deadline, so that a request that was lost can still be answered.
+constexpr int kDeadlineDivisor = 2;
 /// Number of answers of a class needed before its response times are used.
 constexpr std::uint32_t kMinAnswers = 8;
-/// Number of later requests that the peer must have answered on other
-/// connections before a connection counts as silent.
-constexpr std::size_t kMinLaterAnswers = 3;
 /// Fraction of the slowest response time that remains after each faster answer.
 constexpr double kSlowestDecay = 0.99;
+/// Questions per attempt that the calm state allows, and how many may be saved
+/// up.
+constexpr double kCreditPerAttempt = 0.01;
+constexpr double kMaxCredit = 8;
+/// While a silent connection was found this recently, questions need no credit:
+/// one cause silences many connections.
+constexpr duration kSuspicionTime = 2s;
+/// An answer that was sent this long ago is lost if no part of it has arrived.
+/// A lost packet is retransmitted twice within this time.
+constexpr duration kMaxAnswerTransit = 700ms;
+/// A question about more attempts is split.
+constexpr std::size_t kMaxAttemptsPerQuery = 64;
 /// Connections unused for this long are closed, since a network device in
 /// between may have dropped their state.
 constexpr duration kMaxIdleTime = 30s;
@@ -34,19 +49,29 @@
 
 }  // namespace
 
+void connection_monitor::answer_times::Add(duration elapsed) {
+  const auto decayed =
+      std::chrono::duration_cast<duration>(slowest * kSlowestDecay);
+  slowest = std::max(elapsed, decayed);
+  ++answers;
+}
+
 void connection_monitor::OnSent(event_context& context,
                                 attempt_id attempt,
-                                connection_id id,
-                                node_id peer,
-                                const class_name& request_class) {
-  const auto [found, is_new] = connections_.try_emplace(id);
+                                monitored_attempt sent) {
+  const auto [found, is_new] = connections_.try_emplace(sent.connection);
+  peers_.try_emplace(sent.peer);
   if (is_new) {
-    found->second.peer = peer;
-    ++peers_[peer].connections;
+    found->second.peer = sent.peer;
   }
+  const bool is_suspect = !is_new && IsSuspicious(context.now()) &&
+                          found->second.last_used < *silence_found_;
   found->second.is_busy = true;
   found->second.last_used = context.now();
-  attempts_[attempt] = {id, peer, request_class, context.now()};
+  query_credit_ = std::min(kMaxCredit, query_credit_ + kCreditPerAttempt);
+  const instant query_at = FirstQueryAt(context.now(), sent, is_suspect);
+  attempts_[attempt] = {
+      .sent = std::move(sent), .sent_at = context.now(), .query_at = query_at};
   ScheduleCheck(context);
 }
 
@@ -57,22 +82,10 @@
     return;
   }
   const open_attempt& ended = found->second;
-  peer_state& peer = peers_[ended.peer];
-  answer_times& times = peer.times[ended.request_class];
-  const duration elapsed = context.now() - ended.sent;
-  const auto decayed =
-      std::chrono::duration_cast<duration>(times.slowest * kSlowestDecay);
-  times.slowest = std::max(elapsed, decayed);
-  ++times.answers;
-  // Replaces the earliest send, so that the latest ones are kept.
-  std::vector<instant>& send_times = peer.answered_send_times;
-  if (send_times.size() < kMinLaterAnswers) {
-    send_times.push_back(ended.sent);
-  } else {
-    instant& oldest = *std::min_element(send_times.begin(), send_times.end());
-    oldest = std::max(oldest, ended.sent);
-  }
-  const auto connection = connections_.find(ended.connection);
+  const duration elapsed = context.now() - ended.sent_at;
+  peers_[ended.sent.peer].times[ended.sent.request_class].Add(elapsed);
+  times_[ended.sent.request_class].Add(elapsed);
+  const auto connection = connections_.find(ended.sent.connection);
   if (connection != connections_.end()) {
     connection->second.is_busy = false;
     connection->second.last_used = context.now();
@@ -85,7 +98,7 @@
   if (found == attempts_.end()) {
     return;
   }
-  const connection_id id = found->second.connection;
+  const connection_id id = found->second.sent.connection;
   attempts_.erase(found);
   RemoveConnection(id);
 }
@@ -95,8 +108,9 @@
 void connection_monitor::OnDeadline(event_context& context,
                                     attempt_id attempt) {
   const auto found = attempts_.find(attempt);
-  if (found != attempts_.end() && IsSilent(found->second)) {
-    CloseIdle(context, found->second.peer, found->second.sent);
+  if (found != attempts_.end() &&
+      found->second.state != attempt_state::kAtWork) {
+    CloseIdle(context, found->second.sent.peer, found->second.sent_at);
   }
 }
 
@@ -104,72 +118,153 @@
   RemoveConnection(id);
 }
 
-std::vector<dropped_attempt> connection_monitor::OnTimer(
-    event_context& context,
-    const std::function<bool(attempt_id)>& may_abandon) {
+void connection_monitor::OnTimer(event_context& context) {
   next_check_.reset();
-  std::vector<dropped_attempt> lost;
-  for (const auto& [attempt, open] : attempts_) {
-    if (!IsOverdue(context.now(), open)) {
+  SendQueries(context);
+  CloseUnused(context);
+  ScheduleCheck(context);
+}
+
+bool connection_monitor::IsSuspicious(instant now) const {
+  return silence_found_ && now < *silence_found_ + kSuspicionTime;
+}
+
+// The peer's own times count first: peers differ in speed.
+instant connection_monitor::FirstQueryAt(instant now,
+                                         const monitored_attempt& sent,
+                                         bool is_suspect) const {
+  if (is_suspect) {
+    return now + kMinSuspectQueryAge;
+  }
+  const auto known =
+      [&sent](const std::map<class_name, answer_times>& by_class) {
+        const auto found = by_class.find(sent.request_class);
+        return found != by_class.end() && found->second.answers >= kMinAnswers
+                   ? std::optional(kSlowestFactor * found->second.slowest)
+                   : std::nullopt;
+      };
+  std::optional<duration> age = known(peers_.at(sent.peer).times);
+  if (!age) {
+    age = known(times_);
+  }
+  const duration latest = (sent.deadline - now) / kDeadlineDivisor;
+  return now + std::max(kMinQueryAge,
+                        std::min(age.value_or(kUnknownClassQueryAge), latest));
+}
+
+instant connection_monitor::NextQueryAt(instant now, const open_attempt& open) {
+  return now + std::max(kMinQueryAge, now - open.sent_at);
+}
+
+bool connection_monitor::TryTakeCredit(instant now) {
+  if (IsSuspicious(now)) {
+    return true;
+  }
+  if (query_credit_ < 1) {
+    return false;
+  }
+  query_credit_ -= 1;
+  return true;
+}
+
+void connection_monitor::SendQueries(event_context& context) {
+  std::map<query_target, query_attempts> queries;
+  for (auto& [attempt, open] : attempts_) {
+    const bool is_due =
+        !open.is_queried && open.query_at && *open.query_at <= context.now();
+    if (!is_due) {
       continue;
     }
-    if (IsSilent(open) && may_abandon(attempt)) {
-      const answer_times times = KnownTimes(open);
-      lost.push_back({attempt, times.answers, times.slowest});
+    query_attempts& query = queries[{open.sent.peer, open.sent.peer_run}];
+    if (query.attempts.size() == kMaxAttemptsPerQuery ||
+        !TryTakeCredit(context.now())) {
+      continue;
     }
-    CloseIdle(context, open.peer, open.sent);
+    query.to = open.sent.address;
+    query.expected_run = open.sent.peer_run;
+    query.attempts.push_back(attempt);
+    open.is_queried = true;
   }
-  for (const dropped_attempt& dropped : lost) {
-    const open_attempt silent = attempts_.at(dropped.attempt);
-    context.Count(counter::kConnectionsReplaced);
-    attempts_.erase(dropped.attempt);
-    Close(context, silent.connection);
+  for (auto& [target, query] : queries) {
+    if (query.attempts.empty()) {
+      continue;
+    }
+    query.query = attempt_query_id(next_query_id_++);
+    queries_[query.query] = query.attempts;
+    context.Count(counter::kAttemptQueries);
+    context.Emit(std::move(query));
   }
-  CloseUnused(context);
-  ScheduleCheck(context);
-  return lost;
 }
 
-bool connection_monitor::HasClassTimes(const open_attempt& open) const {
-  const peer_state& peer = peers_.at(open.peer);
-  const auto times = peer.times.find(open.request_class);
-  return times != peer.times.end() && times->second.answers >= kMinAnswers;
+std::vector<attempt_report> connection_monitor::OnReports(
+    event_context& context,
+    const attempt_reports_received& received) {
+  const auto queried = queries_.extract(received.query);
+  if (!queried) {
+    return {};
+  }
+  for (const attempt_id attempt : queried.mapped()) {
+    const auto found = attempts_.find(attempt);
+    if (found != attempts_.end()) {
+      found->second.is_queried = false;
+      found->second.query_at = NextQueryAt(context.now(), found->second);
+    }
+  }
+  std::vector<attempt_report> lost;
+  if (received.reports) {
+    for (const attempt_report& report : *received.reports) {
+      OnReport(context, report, lost);
+    }
+  }
+  return lost;
 }
 
-// With too few answers of the class, the slowest of all classes counts.
-connection_monitor::answer_times connection_monitor::KnownTimes(
-    const open_attempt& open) const {
-  const peer_state& peer = peers_.at(open.peer);
-  if (HasClassTimes(open)) {
-    return peer.times.at(open.request_class);
+void connection_monitor::OnReport(event_context& context,
+                                  const attempt_report& report,
+                                  std::vector<attempt_report>& lost) {
+  const auto found = attempts_.find(report.attempt);
+  if (found == attempts_.end()) {
+    return;
+  }
+  open_attempt& open = found->second;
+  open.state = report.state;
+  const bool is_answer_on_its_way =
+      report.state == attempt_state::kAnswered &&
+      (report.is_in_transfer || report.answered_ago < kMaxAnswerTransit);
+  const bool is_lost = (report.state == attempt_state::kNeverArrived ||
+                        report.state == attempt_state::kAnswered) &&
+                       !is_answer_on_its_way;
+  if (is_answer_on_its_way) {
+    open.query_at = context.now() + kMaxAnswerTransit;
   }
-  answer_times all;
-  for (const auto& [name, times] : peer.times) {
-    all.slowest = std::max(all.slowest, times.slowest);
-    all.answers += times.answers;
+  if (is_lost) {
+    open.query_at.reset();
+    lost.push_back(report);
+    SuspectOthers(context.now());
+    ScheduleCheck(context);
   }
-  return all;
 }
 
-bool connection_monitor::IsOverdue(instant now,
-                                   const open_attempt& open) const {
-  const duration waiting = now - open.sent;
-  if (waiting < kMinOverdueTime) {
-    return false;
+void connection_monitor::SuspectOthers(instant now) {
+  silence_found_ = now;
+  for (auto& [attempt, open] : attempts_) {
+    if (open.query_at && open.state == attempt_state::kUnknown) {
+      open.query_at =
+          std::min(*open.query_at, open.sent_at + kMinSuspectQueryAge);
+    }
   }
-  const answer_times times = KnownTimes(open);
-  const int factor =
-      HasClassTimes(open) ? kOverdueFactor : kUnknownClassOverdueFactor;
-  return times.answers >= kMinAnswers && waiting > factor * times.slowest;
 }
 
-bool connection_monitor::IsSilent(const open_attempt& open) const {
-  const std::vector<instant>& send_times =
-      peers_.at(open.peer).answered_send_times;
-  const auto later =
-      std::count_if(send_times.begin(), send_times.end(),
-                    [&open](instant sent) { return sent > open.sent; });
-  return static_cast<std::size_t>(later) >= kMinLaterAnswers;
+void connection_monitor::Drop(event_context& context, attempt_id attempt) {
+  const auto found = attempts_.find(attempt);
+  if (found == attempts_.end()) {
+    return;
+  }
+  const open_attempt lost = std::move(found->second);
+  attempts_.erase(found);
+  context.Count(counter::kConnectionsReplaced);
+  Close(context, lost.sent.connection);
+  CloseIdle(context, lost.sent.peer, lost.sent_at);
 }
 
 void connection_monitor::Close(event_context& context, connection_id id) {
@@ -220,22 +315,16 @@
 }
 
 void connection_monitor::RemoveConnection(connection_id id) {
-  const auto found = connections_.find(id);
-  if (found == connections_.end()) {
-    return;
-  }
-  const auto peer = peers_.find(found->second.peer);
-  connections_.erase(found);
-  if (--peer->second.connections == 0) {
-    peer->second.answered_send_times.clear();
-  }
+  connections_.erase(id);
 }
 
 void connection_monitor::ScheduleCheck(event_context& context) {
   if (connections_.empty()) {
     return;
   }
-  const duration interval = attempts_.empty() ? kMaxIdleTime : kCheckInterval;
+  const duration busy_interval =
+      IsSuspicious(context.now()) ? kSuspiciousCheckInterval : kCheckInterval;
+  const duration interval = attempts_.empty() ? kMaxIdleTime : busy_interval;
   const instant due = context.now() + interval;
   if (!next_check_ || due < *next_check_) {
     next_check_ = due;
--- a/Libraries/LibDecision/Work/incoming_work.cc
+++ b/Libraries/LibDecision/Work/incoming_work.cc
@@ -22,6 +22,7 @@
     item.metadata.digest =
         DigestForTenant(arrived.metadata.digest, arrived.metadata.tenant);
   }
+  item.attempt = arrived.attempt;
   item.arrived = context.now();
   item.elapsed_at_arrival = context.elapsed_now();
   item.deadline = context.now() + arrived.metadata.time_left;
@@ -30,6 +31,11 @@
   if (arrived.metadata.notice) {
     OnNotice(context, item, *arrived.metadata.notice);
   }
+  if (arrived.attempt && !attempts_.OnArrived(*arrived.attempt)) {
+    context.Count(counter::kWithdrawnAttempts);
+    return Refuse(context, arrived.work, error_kind::kCallerGone,
+                  execution_state::kNotExecuted);
+  }
   // A cached answer is replayed even when no new work is accepted.
   if (arrived.metadata.key && !ClaimKey(context, arrived.work, item)) {
     return;
@@ -445,6 +451,18 @@
   return found == work_items_.end() ? nullptr : &found->second.metadata;
 }
 
+std::vector<attempt_report> incoming_work::Explain(
+    instant now,
+    const attempts_queried& query) {
+  std::vector<attempt_report> reports;
+  for (const attempt_id attempt : query.attempts) {
+    reports.push_back(attempts_.Explain(now,
+                                        {query.from, query.from_run, attempt},
+                                        query.expected_run != run_));
+  }
+  return reports;
+}
+
 void incoming_work::ApplyDecisions(
     event_context& context,
     const std::vector<admission_decision>& decisions) {
@@ -637,6 +655,9 @@
   if (running != executing_by_request_id_.end() && running->second == id) {
     executing_by_request_id_.erase(running);
   }
+  if (closed->second.attempt) {
+    attempts_.OnEnded(context.now(), *closed->second.attempt);
+  }
   work_items_.erase(closed);
   ended_.push_back(id);
 }
--- a/Libraries/LibDecision/Work/incoming_work.h
+++ b/Libraries/LibDecision/Work/incoming_work.h
@@ -20,6 +20,7 @@
 #include "LibDecision/Work/endpoint_crash_detector.h"
 #include "LibDecision/Work/local_endpoint.h"
 #include "LibDecision/Work/named_rate_limit.h"
+#include "LibDecision/Work/received_attempts.h"
 #include "LibDecision/ended_child.h"
 #include "LibDecision/event.h"
 #include "LibDecision/event_context.h"
@@ -95,6 +96,9 @@
   std::uint16_t AnsweredChildCallCountOf(work_id work) const;
   /// The metadata of `work`; null if it is not open.
   const request_metadata* MetadataOf(work_id work) const;
+  /// What this node knows about the attempts that another node asks about.
+  std::vector<attempt_report> Explain(instant now,
+                                      const attempts_queried& query);
   std::size_t open_count() const { return work_items_.size(); }
   /// What this node knows about its local endpoint.
   const local_endpoint& endpoint() const { return endpoint_; }
@@ -102,6 +106,7 @@
  private:
   struct work_item {
     request_metadata metadata;
+    std::optional<attempt_key> attempt;
     instant arrived;
     /// The same on the clock of `event_context::elapsed_now`.
     instant elapsed_at_arrival;
@@ -194,6 +199,7 @@
   admission_controller admission_;
   named_rate_limit rate_limit_;
   active_senders senders_;
+  received_attempts attempts_;
   service_retry_budgets retry_budgets_;
   idempotency_key_registry keys_;
   std::unordered_map<work_id, work_item> work_items_;
--- a/Libraries/LibDecision/counter.cc
+++ b/Libraries/LibDecision/counter.cc
@@ -50,6 +50,14 @@
       return "endpoints_ejected";
     case counter::kConnectionsReplaced:
       return "connections_replaced";
+    case counter::kAttemptQueries:
+      return "attempt_queries";
+    case counter::kRequestsNeverArrived:
+      return "requests_never_arrived";
+    case counter::kAnswersLost:
+      return "answers_lost";
+    case counter::kWithdrawnAttempts:
+      return "withdrawn_attempts";
     case counter::kKeysIssued:
       return "keys_issued";
     case counter::kKeysReplayed:
--- a/Libraries/LibDecision/counter.h
+++ b/Libraries/LibDecision/counter.h
@@ -32,6 +32,11 @@
   kLateAnswers,  ///< Answers to attempts or work that had already ended.
   kEndpointsEjected,
   kConnectionsReplaced,
+  kAttemptQueries,        ///< Questions to other nodes about slow attempts.
+  kRequestsNeverArrived,  ///< Attempts that did not reach the other node.
+  kAnswersLost,           ///< Attempts whose answer was sent, but not received.
+  kWithdrawnAttempts,     ///< Refused since the sender was told that they had
+                          ///< never arrived.
   kKeysIssued,
   kKeysReplayed,
   kKeysRefused,
--- a/Libraries/LibDecision/decision_record.cc
+++ b/Libraries/LibDecision/decision_record.cc
@@ -60,6 +60,8 @@
       return "config_field_unread";
     case decision_kind::kConnectionDropped:
       return "connection_dropped";
+    case decision_kind::kAttemptQueried:
+      return "attempt_queried";
     case decision_kind::kStoreLost:
       return "store_lost";
     case decision_kind::kStoreEraChanged:
@@ -127,6 +129,7 @@
     case decision_kind::kRoutesRejected:
     case decision_kind::kConfigFieldUnread:
     case decision_kind::kConnectionDropped:
+    case decision_kind::kAttemptQueried:
     case decision_kind::kStoreLost:
     case decision_kind::kStoreEraChanged:
     case decision_kind::kStoreRegained:
--- a/Libraries/LibDecision/decision_record.h
+++ b/Libraries/LibDecision/decision_record.h
@@ -8,6 +8,7 @@
 #include "LibDecision/Retries/retry_decision.h"
 #include "LibDecision/Routes/route.h"
 #include "LibDecision/Routes/route_reading.h"
+#include "LibDecision/attempt_report.h"
 #include "LibDecision/error_kind.h"
 #include "LibDecision/ids.h"
 #include "LibDecision/instant.h"
@@ -47,7 +48,8 @@
   kRoutesIgnored,      ///< Routes that were read are not newer.
   kRoutesRejected,     ///< Invalid routes are ignored.
   kConfigFieldUnread,  ///< A part of the routes in effect is not understood.
-  kConnectionDropped,  ///< An unresponsive connection is closed.
+  kConnectionDropped,  ///< A silent connection is closed.
+  kAttemptQueried,     ///< The receiver of an attempt was asked about it.
   kStoreLost,          ///< The key-value store is unavailable.
   kStoreEraChanged,    ///< The key-value store has lost acknowledged writes.
   kStoreRegained,      ///< The key-value store is available again.
@@ -119,10 +121,8 @@
   /// The rate limit that the local endpoint names.
   std::optional<request_rate> rate;
   std::optional<std::uint32_t> candidates;
-  /// Answers of the class, or of the peer, that made an attempt overdue, and
-  /// the time of the slowest recent one.
-  std::optional<std::uint32_t> known_answers;
-  std::optional<duration> slowest;
+  /// What the other node said about an attempt.
+  std::optional<attempt_state> evidence;
   /// The node was asked to stop before.
   bool is_stopping = false;
   /// The `endpoint_state` of the local endpoint, as a number.
--- a/Libraries/LibDecision/effect.h
+++ b/Libraries/LibDecision/effect.h
@@ -11,6 +11,7 @@
 #include "LibDecision/Routes/route_reading.h"
 #include "LibDecision/admin_call.h"
 #include "LibDecision/answer_metadata.h"
+#include "LibDecision/attempt_report.h"
 #include "LibDecision/counter.h"
 #include "LibDecision/decision_record.h"
 #include "LibDecision/error_kind.h"
@@ -170,6 +171,23 @@
   std::vector<quota_grant> grants;
 };
 
+/// Ask the node at `to` what it knows about attempts that were sent to it in
+/// its incarnation `expected_run`. Use a new connection, since all others may
+/// be silent. Report `attempt_reports_received` exactly once.
+struct query_attempts {
+  attempt_query_id query;
+  node_address to;
+  incarnation expected_run;
+  std::vector<attempt_id> attempts;
+};
+
+/// Answer another node's question about its attempts; `reports` is unset if
+/// the question is refused.
+struct send_attempt_reports {
+  attempt_query_id query;
+  std::optional<std::vector<attempt_report>> reports;
+};
+
 /// Probe the health of the local endpoint at `path`. Report `endpoint_reported`
 /// with an unset `run` if it is ready, and nothing otherwise.
 struct probe_endpoint {
@@ -245,6 +263,8 @@
                             send_view,
                             report_quota_usage,
                             send_quota_grants,
+                            query_attempts,
+                            send_attempt_reports,
                             answer_admin,
                             wake_at,
                             increment_counter,
--- a/Libraries/LibDecision/event.h
+++ b/Libraries/LibDecision/event.h
@@ -10,6 +10,7 @@
 #include "LibDecision/Routes/route.h"
 #include "LibDecision/Routes/route_reading.h"
 #include "LibDecision/admin_call.h"
+#include "LibDecision/attempt_report.h"
 #include "LibDecision/ids.h"
 #include "LibDecision/instant.h"
 #include "LibDecision/outcome.h"
@@ -111,6 +112,8 @@
   request_metadata metadata;
   /// The incarnation of this node as known to the sender.
   incarnation expected_run;
+  /// Unset if the sender does not number its attempts.
+  std::optional<attempt_key> attempt;
 };
 
 /// The forwarding node has cancelled the request.
@@ -218,6 +221,26 @@
   std::optional<std::vector<quota_grant>> grants;
 };
 
+/// Another node waits for the answers to `attempts`. Answer it with
+/// `send_attempt_reports`.
+struct attempts_queried {
+  attempt_query_id query;
+  node_id from;
+  incarnation from_run;
+  /// The address that the question came from.
+  std::string from_host;
+  /// The incarnation of this node that the attempts were sent to.
+  incarnation expected_run;
+  std::vector<attempt_id> attempts;
+};
+
+/// The answer to `query_attempts`; `reports` is unset if the other node gave
+/// none.
+struct attempt_reports_received {
+  attempt_query_id query;
+  std::optional<std::vector<attempt_report>> reports;
+};
+
 /// A request to the administration API of this node arrived.
 struct admin_requested {
   admin_call_id call;
@@ -246,6 +269,8 @@
                                    view_received,
                                    quota_reported,
                                    quota_granted,
+                                   attempts_queried,
+                                   attempt_reports_received,
                                    admin_requested>;
 
 /// An input of the reducer, with the time and the entropy that the reducer may
--- a/Libraries/LibDecision/reducer.cc
+++ b/Libraries/LibDecision/reducer.cc
@@ -396,6 +396,22 @@
     quotas.OnGranted(context, granted);
   }
 
+  // Only the sender of an attempt learns of it and may have it refused.
+  void On(event_context& context, const attempts_queried& query) {
+    const member_record* sender = members.Find(query.from);
+    const bool is_sender =
+        sender != nullptr && sender->address.host == query.from_host;
+    send_attempt_reports answer{.query = query.query};
+    if (is_sender) {
+      answer.reports = work.Explain(context.now(), query);
+    }
+    context.Emit(std::move(answer));
+  }
+
+  void On(event_context& context, const attempt_reports_received& received) {
+    calls.OnAttemptReports(context, received);
+  }
+
   void ResumeCallsWithQuota(event_context& context) {
     for (const quota_verdict& verdict : quotas.TakeVerdicts()) {
       calls.OnQuotaDecided(context, verdict);
--- a/Libraries/LibRuntime/Connections/client_connection.h
+++ b/Libraries/LibRuntime/Connections/client_connection.h
@@ -59,6 +59,11 @@
   connection_id id() const { return id_; }
   bool is_open() const { return state_ != state::kClosed; }
   bool is_idle() const { return state_ == state::kIdle; }
+  /// Whether the current request is still being written, or a part of its
+  /// response has been read.
+  bool is_in_transfer() const {
+    return state_ == state::kBusy && (!is_write_done_ || read_bytes_ > 0);
+  }
 
  private:
   enum class state : std::uint8_t { kConnecting, kIdle, kBusy, kClosed };
--- a/Libraries/LibRuntime/Control/quota_codec.cc
+++ b/Libraries/LibRuntime/Control/quota_codec.cc
@@ -3,13 +3,13 @@
 #include <algorithm>
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
-#include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 #include <chrono>
 #include <cstdint>
-#include <limits>
 #include <utility>
 
+#include "LibRuntime/Control/json_field_reader.h"
+
 namespace auburnfold {
 
 namespace json = boost::json;
@@ -18,107 +18,23 @@
 
 /// Far more than a node owns; bounds the work for one message.
 constexpr std::size_t kMaxTenants = 10'000;
-/// No owner asks for a longer delay.
-constexpr std::uint64_t kMaxDelayMs = 60'000;
-
-std::uint64_t ToMilliseconds(duration value) {
-  const auto whole =
-      std::chrono::ceil<std::chrono::milliseconds>(value).count();
-  return static_cast<std::uint64_t>(std::max<std::int64_t>(whole, 0));
-}
-
-/// Reads the fields of one JSON object, and remembers whether one was missing
-/// or of the wrong kind.
-class field_reader {
- public:
-  explicit field_reader(const json::value& value)
-      : object_(value.if_object()) {}
-
-  std::uint64_t Number(std::string_view name, std::uint64_t max) {
-    const json::value* found = Find(name);
-    json::error_code error = json::error::not_number;
-    const auto number =
-        found != nullptr ? found->to_number<std::uint64_t>(error) : 0;
-    is_valid_ = is_valid_ && !error && number <= max;
-    return is_valid_ ? number : 0;
-  }
-
-  std::uint32_t Count(std::string_view name) {
-    return static_cast<std::uint32_t>(
-        Number(name, std::numeric_limits<std::uint32_t>::max()));
-  }
-
-  duration Delay(std::string_view name) {
-    return std::chrono::milliseconds(Number(name, kMaxDelayMs));
-  }
-
-  bool Flag(std::string_view name) {
-    const json::value* found = Find(name);
-    is_valid_ = is_valid_ && found != nullptr && found->is_bool();
-    return is_valid_ && found->get_bool();
-  }
-
-  tenant_name Tenant() {
-    const json::value* found = Find("tenant");
-    is_valid_ = is_valid_ && found != nullptr && found->is_string();
-    return tenant_name(is_valid_ ? std::string(found->get_string()) : "");
-  }
 
-  const json::array* Array(std::string_view name) {
-    const json::value* found = Find(name);
-    return found != nullptr ? found->if_array() : nullptr;
-  }
-
-  bool is_valid() const { return is_valid_ && object_ != nullptr; }
-
- private:
-  const json::value* Find(std::string_view name) const {
-    return object_ != nullptr ? object_->if_contains(name) : nullptr;
-  }
-
-  const json::object* object_;
-  bool is_valid_ = true;
-};
-
-quota_usage ReadUsage(field_reader& fields) {
-  return {.tenant = fields.Tenant(),
+quota_usage ReadUsage(json_field_reader& fields) {
+  return {.tenant = tenant_name(fields.Text("tenant")),
           .admitted = fields.Count("admitted"),
           .returned = fields.Count("returned"),
           .requested = fields.Count("requested"),
           .will_report_again = fields.Flag("more")};
 }
 
-quota_grant ReadGrant(field_reader& fields) {
-  return {.tenant = fields.Tenant(),
+quota_grant ReadGrant(json_field_reader& fields) {
+  return {.tenant = tenant_name(fields.Text("tenant")),
           .granted = fields.Count("granted"),
           .is_ample = fields.Flag("ample"),
           .retry_after = fields.Delay("retryAfterMs"),
           .report_after = fields.Delay("reportAfterMs")};
 }
 
-template <class item>
-std::optional<std::vector<item>> ReadAll(const json::array* array,
-                                         item (*read)(field_reader&)) {
-  if (array == nullptr || array->size() > kMaxTenants) {
-    return std::nullopt;
-  }
-  std::vector<item> items;
-  for (const json::value& value : *array) {
-    field_reader fields(value);
-    items.push_back(read(fields));
-    if (!fields.is_valid()) {
-      return std::nullopt;
-    }
-  }
-  return items;
-}
-
-json::value Parse(std::string_view text) {
-  json::error_code error;
-  json::value parsed = json::parse(text, error);
-  return error ? json::value() : parsed;
-}
-
 }  // namespace
 
 std::string EncodeQuotaReport(const quota_report& report) {
@@ -137,22 +53,22 @@
 std::string EncodeQuotaGrants(const std::vector<quota_grant>& grants) {
   json::array granted;
   for (const quota_grant& grant : grants) {
-    granted.push_back(
-        json::object{{"tenant", grant.tenant.value()},
-                     {"granted", grant.granted},
-                     {"ample", grant.is_ample},
-                     {"retryAfterMs", ToMilliseconds(grant.retry_after)},
-                     {"reportAfterMs", ToMilliseconds(grant.report_after)}});
+    granted.push_back(json::object{
+        {"tenant", grant.tenant.value()},
+        {"granted", grant.granted},
+        {"ample", grant.is_ample},
+        {"retryAfterMs", ToMillisecondsRoundedUp(grant.retry_after)},
+        {"reportAfterMs", ToMillisecondsRoundedUp(grant.report_after)}});
   }
   return json::serialize(json::object{{"grants", std::move(granted)}});
 }
 
 std::optional<quota_report> DecodeQuotaReport(std::string_view text) {
-  const json::value parsed = Parse(text);
-  field_reader fields(parsed);
+  const json::value parsed = ParseJson(text);
+  json_field_reader fields(parsed);
   const node_id from(
       fields.Number("node", std::numeric_limits<std::uint64_t>::max()));
-  auto usage = ReadAll(fields.Array("usage"), ReadUsage);
+  auto usage = ReadAll(fields.Array("usage"), kMaxTenants, ReadUsage);
   if (!fields.is_valid() || !usage) {
     return std::nullopt;
   }
@@ -161,9 +77,9 @@
 
 std::optional<std::vector<quota_grant>> DecodeQuotaGrants(
     std::string_view text) {
-  const json::value parsed = Parse(text);
-  field_reader fields(parsed);
-  return ReadAll(fields.Array("grants"), ReadGrant);
+  const json::value parsed = ParseJson(text);
+  json_field_reader fields(parsed);
+  return ReadAll(fields.Array("grants"), kMaxTenants, ReadGrant);
 }
 
 }  // namespace auburnfold
--- a/Libraries/LibRuntime/Observability/decision_log.cc
+++ b/Libraries/LibRuntime/Observability/decision_log.cc
@@ -108,8 +108,7 @@
   fields.Add("limit", record.limit);
   fields.Add("rate", record.rate);
   fields.Add("candidates", record.candidates);
-  fields.Add("known_answers", record.known_answers);
-  fields.Add("slowest_ms", record.slowest);
+  fields.Add("evidence", record.evidence ? NameOf(*record.evidence) : "");
   if (record.is_stopping) {
     line["stopping"] = true;
   }
--- a/Libraries/LibRuntime/Requests/call_handler.cc
+++ b/Libraries/LibRuntime/Requests/call_handler.cc
@@ -167,7 +167,8 @@
   out.message.base() = request->base();
   out.message.version(kHttp11);
   out.message.body() = {request->body().data(), request->body().size()};
-  WriteForwardedHeaders(out.message, sent.metadata, self_.node,
+  WriteForwardedHeaders(out.message, sent.metadata,
+                        {self_.node, self_.run, sent.attempt},
                         sent.expected_run);
   out.message.prepare_payload();
   out.body_owner = request;
@@ -183,6 +184,15 @@
   attempt.connection = pool->Send(std::move(out));
 }
 
+bool call_handler::IsInTransfer(attempt_id attempt) const {
+  const auto found = attempts_.find(attempt);
+  if (found == attempts_.end()) {
+    return false;
+  }
+  const auto connection = found->second.connection.lock();
+  return connection && connection->is_in_transfer();
+}
+
 void call_handler::Execute(const cancel_attempt& cancelled) {
   const auto found = attempts_.find(cancelled.attempt);
   if (found == attempts_.end()) {
--- a/Libraries/LibRuntime/Requests/call_handler.h
+++ b/Libraries/LibRuntime/Requests/call_handler.h
@@ -60,6 +60,9 @@
   void Sweep();
 
   std::size_t open_count() const { return calls_.size(); }
+  /// Whether the request is still being written, or a part of the answer has
+  /// been read.
+  bool IsInTransfer(attempt_id attempt) const;
 
  private:
   struct open_call {
--- a/Libraries/LibRuntime/Requests/headers.cc
+++ b/Libraries/LibRuntime/Requests/headers.cc
@@ -368,6 +368,24 @@
   return metadata;
 }
 
+// Older nodes do not send the header.
+leaf::result<std::optional<attempt_key>> ReadAttemptKey(
+    const http::fields& headers,
+    node_id from) {
+  const std::string_view sent = HeaderValue(headers, kSentHeader);
+  if (sent.empty()) {
+    return std::nullopt;
+  }
+  const std::size_t separator = std::min(sent.find('-'), sent.size());
+  const auto run = ParseDecimal(sent.substr(0, separator));
+  const auto number =
+      ParseDecimal(sent.substr(std::min(separator + 1, sent.size())));
+  if (!run || !number) {
+    return Malformed("Auburnfold-Sent must be two numbers and a hyphen");
+  }
+  return attempt_key{from, incarnation(*run), attempt_id(*number)};
+}
+
 leaf::result<forwarded_metadata> ReadForwardedHeaders(
     const http::fields& headers) {
   forwarded_metadata read;
@@ -385,6 +403,7 @@
   }
   read.from = node_id(*from);
   read.expected_run = incarnation(*run);
+  BOOST_LEAF_ASSIGN(read.attempt, ReadAttemptKey(headers, read.from));
   return read;
 }
 
@@ -408,10 +427,12 @@
 
 void WriteForwardedHeaders(http::fields& headers,
                            const request_metadata& metadata,
-                           node_id from,
+                           const attempt_key& attempt,
                            incarnation expected_run) {
   WriteCallerHeaders(headers, metadata, metadata.time_left);
-  headers.set(kFromHeader, ToHexadecimal(from.value()));
+  headers.set(kFromHeader, ToHexadecimal(attempt.sender.value()));
+  headers.set(kSentHeader, std::to_string(attempt.sender_run.value()) + '-' +
+                               std::to_string(attempt.attempt.value()));
   Set(headers, kExpectedRunHeader, expected_run.value());
   Set(headers, kAllowanceHeader, metadata.allowance);
   Set(headers, kDepthHeader, metadata.depth);
--- a/Libraries/LibRuntime/Requests/headers.h
+++ b/Libraries/LibRuntime/Requests/headers.h
@@ -7,6 +7,7 @@
 #include <string_view>
 
 #include "LibDecision/answer_metadata.h"
+#include "LibDecision/attempt_report.h"
 #include "LibDecision/endpoint_signals.h"
 #include "LibDecision/error_kind.h"
 #include "LibDecision/outcome.h"
@@ -29,6 +30,8 @@
   request_metadata metadata;
   node_id from;
   incarnation expected_run;
+  /// Unset if the forwarding node does not number its attempts.
+  std::optional<attempt_key> attempt;
 };
 
 /// Reads the headers of a caller's request. Fails with `request_error`.
@@ -46,7 +49,7 @@
 /// Adds the headers of a request that is forwarded to another node.
 void WriteForwardedHeaders(http::fields& headers,
                            const request_metadata& metadata,
-                           node_id from,
+                           const attempt_key& attempt,
                            incarnation expected_run);
 
 /// Adds the headers of a request that is sent to an endpoint.
--- a/Libraries/LibRuntime/Requests/work_handler.cc
+++ b/Libraries/LibRuntime/Requests/work_handler.cc
@@ -49,8 +49,7 @@
   leaf::try_handle_all(
       [&]() -> leaf::result<void> {
         BOOST_LEAF_AUTO(read, ReadForwardedHeaders(request));
-        Accept(exchange, std::move(request), std::move(read.metadata),
-               read.from, read.expected_run);
+        Accept(exchange, std::move(request), std::move(read));
         return {};
       },
       [&](const request_error& error) {
@@ -64,9 +63,8 @@
 
 void work_handler::Accept(const std::shared_ptr<server_exchange>& exchange,
                           http_request request,
-                          request_metadata metadata,
-                          node_id from,
-                          incarnation expected_run) {
+                          forwarded_metadata read) {
+  request_metadata& metadata = read.metadata;
   if (exchange->HasPeerClosed()) {
     sink_(request_abandoned{std::move(metadata)});
     return exchange->CloseConnection();
@@ -83,10 +81,11 @@
   // All nodes use the same peer port.
   sink_(work_arrived{
       id,
-      from,
+      read.from,
       {.host = exchange->peer_host(), .peer_port = self_.address.peer_port},
       std::move(metadata),
-      expected_run});
+      read.expected_run,
+      read.attempt});
 }
 
 void work_handler::OnForwarderDisconnected(work_id work) {
--- a/Libraries/LibRuntime/Requests/work_handler.h
+++ b/Libraries/LibRuntime/Requests/work_handler.h
@@ -13,6 +13,7 @@
 #include "LibRuntime/Connections/http_types.h"
 #include "LibRuntime/Connections/server_exchange.h"
 #include "LibRuntime/Observability/node_metrics.h"
+#include "LibRuntime/Requests/headers.h"
 #include "LibRuntime/Requests/wire_dialect.h"
 #include "LibRuntime/event_sink.h"
 #include "LibRuntime/lazy_timer.h"
@@ -80,9 +81,7 @@
 
   void Accept(const std::shared_ptr<server_exchange>& exchange,
               http_request request,
-              request_metadata metadata,
-              node_id from,
-              incarnation expected_run);
+              forwarded_metadata read);
   void OnForwarderDisconnected(work_id work);
   void OnExecutionFinished(work_id work, client_result result);
   /// Reports the outcome of `work` once it is known whether the endpoint still
--- a/Libraries/LibRuntime/node_runtime.cc
+++ b/Libraries/LibRuntime/node_runtime.cc
@@ -16,6 +16,7 @@
 #include "LibRuntime/Connections/http_listener.h"
 #include "LibRuntime/Connections/http_responses.h"
 #include "LibRuntime/Control/admin_port_handler.h"
+#include "LibRuntime/Control/attempt_query_handler.h"
 #include "LibRuntime/Control/control_channel.h"
 #include "LibRuntime/Control/quota_handler.h"
 #include "LibRuntime/Control/view_handler.h"
@@ -115,6 +116,8 @@
   void On(const defer_call& effect) { calls.Execute(effect); }
   void On(const report_quota_usage& effect) { quotas.Execute(effect); }
   void On(const send_quota_grants& effect) { quotas.Execute(effect); }
+  void On(const query_attempts& effect) { queries.Execute(effect); }
+  void On(const send_attempt_reports& effect) { queries.Execute(effect); }
   void On(const log_message& effect);
   void On(const log_decision& effect) { decisions.Write(effect.record); }
   void On(const stop_process& effect);
@@ -151,6 +154,7 @@
   call_handler calls;
   view_handler views;
   quota_handler quotas;
+  attempt_query_handler queries;
   admin_port_handler admin;
   control_channel control;
   http_listener call_listener;
@@ -217,6 +221,12 @@
           self.node,
           [this] { return connection_id(next_connection++); },
           sink),
+      queries(
+          io,
+          self,
+          [this] { return connection_id(next_connection++); },
+          sink,
+          [this](attempt_id attempt) { return calls.IsInTransfer(attempt); }),
       admin(sink, [this] { return MetricsText(); }),
       control(
           io,
@@ -239,6 +249,9 @@
                       if (quota_handler::IsQuotaReport(request)) {
                         return quotas.OnQuotaReport(exchange, request);
                       }
+                      if (attempt_query_handler::IsQuery(request)) {
+                        return queries.OnQuery(exchange, request);
+                      }
                       last_request = std::chrono::steady_clock::now();
                       works.OnWork(exchange, std::move(request));
                     }),
@@ -491,6 +504,7 @@
   calls.Sweep();
   works.Sweep();
   quotas.Sweep();
+  queries.Sweep();
   control.Sweep();
   sweep_timer.expires_after(kSweepInterval);
   sweep_timer.async_wait([this](error_code error) {
--- a/Libraries/LibWire/header_names.h
+++ b/Libraries/LibWire/header_names.h
@@ -35,6 +35,9 @@
 /// Incarnation of the node for which the request is meant.
 inline constexpr std::string_view kExpectedRunHeader =
     "Auburnfold-Expected-Run";
+/// Incarnation of the forwarding node and its number of the attempt, separated
+/// by a hyphen.
+inline constexpr std::string_view kSentHeader = "Auburnfold-Sent";
 /// Retries that the call and its child calls may still spend.
 inline constexpr std::string_view kAllowanceHeader = "Auburnfold-Allowance";
 /// Number of hops from the entry of the call tree.
--- a/Tests/LibDecision/slow_answers_test.cc
+++ b/Tests/LibDecision/slow_answers_test.cc
@@ -77,6 +77,7 @@
   int failed() const { return failed_; }
   /// Attempts that were cancelled while they were at work.
   int cut() const { return cut_; }
+  int queries() const { return queries_; }
 
  private:
   struct scheduled {
@@ -151,6 +152,17 @@
   void On(const cancel_attempt& cancelled) {
     cut_ += static_cast<int>(at_work_.erase(cancelled.attempt));
   }
+  void On(const query_attempts& asked) {
+    attempt_reports_received answer{.query = asked.query, .reports = {{}}};
+    for (const attempt_id attempt : asked.attempts) {
+      const bool is_at_work = at_work_.contains(attempt);
+      answer.reports->push_back({attempt, is_at_work
+                                              ? attempt_state::kAtWork
+                                              : attempt_state::kAnswered});
+    }
+    queries_ += 1;
+    At(now_ + 2ms, [this, answer] { Happen(answer); });
+  }
   void On(const close_connection& closed) {
     for (auto& [node, idle] : idle_) {
       std::erase(idle, closed.connection);
@@ -183,6 +195,7 @@
   int answered_ = 0;
   int failed_ = 0;
   int cut_ = 0;
+  int queries_ = 0;
 };
 
 /// Guards against taking a slow answer for a silent connection, which cuts
@@ -214,6 +227,28 @@
   }
 }
 
+// The length of the tail, the load and the time to learn all vary.
+TEST_P(a_class_with_a_long_tail, IsNeverGivenUpWhateverItsTailAndLoad) {
+  int queries = 0;
+  int calls = 0;
+  for (const int tail : {3, 10, 100, 300}) {
+    for (const duration gap : {1ms, 5ms, 50ms}) {
+      for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+        healthy_fleet fleet({.median = 10ms, .tail = tail},
+                            {.retries = GetParam()}, seed);
+        fleet.Offer(kCalls, gap);
+        fleet.Run();
+        ASSERT_EQ(fleet.cut(), 0) << tail << " times, seed " << seed;
+        ASSERT_EQ(fleet.failed(), 0) << tail << " times, seed " << seed;
+        queries += fleet.queries();
+        calls += kCalls;
+      }
+    }
+  }
+  // Each node may ask once before it has sent a hundred attempts.
+  EXPECT_LE(queries, calls / 100 + calls / kCalls);
+}
+
 INSTANTIATE_TEST_SUITE_P(Retries,
                          a_class_with_a_long_tail,
                          testing::Values(retry_mode::kAllowance,
--- a/Tests/LibDecision/truth_explorer.cc
+++ b/Tests/LibDecision/truth_explorer.cc
@@ -31,6 +31,7 @@
   calls += other.calls;
   runs += other.runs;
   replays += other.replays;
+  denials += other.denials;
   return *this;
 }
 
@@ -191,17 +192,21 @@
       return;
     }
     const std::size_t target = std::stoul(made.to.host);
-    Later([this, target, made, flight, at] {
+    Later([this, target, made, flight, at, run] {
       const work_id work(next_id_++);
       works_[work] = {.at = target, .flight = flight};
       request_metadata metadata = made.metadata;
       if (missing_ == taken_away::kKeys) {
         metadata.key.reset();
       }
-      Happen(target, work_arrived{.work = work,
-                                  .from = node_id(at + 1),
-                                  .metadata = metadata,
-                                  .expected_run = made.expected_run});
+      work_arrived arrived{.work = work,
+                           .from = node_id(at + 1),
+                           .metadata = metadata,
+                           .expected_run = made.expected_run};
+      if (missing_ != taken_away::kWithdrawals) {
+        arrived.attempt = {node_id(at + 1), incarnation(run), made.attempt};
+      }
+      Happen(target, arrived);
     });
   });
 }
@@ -343,6 +348,34 @@
              nodes_[at].remembered.at(made.key));
 }
 
+void truth_explorer::Do(std::size_t at, const query_attempts& made) {
+  const attempt_query_id received(next_id_++);
+  queries_[received] = {at, nodes_[at].run, made.query};
+  Later([this, at, received, made, run = nodes_[at].run] {
+    Happen(std::stoul(made.to.host),
+           attempts_queried{.query = received,
+                            .from = node_id(at + 1),
+                            .from_run = incarnation(run),
+                            .from_host = std::to_string(at),
+                            .expected_run = made.expected_run,
+                            .attempts = made.attempts});
+  });
+}
+
+void truth_explorer::Do(std::size_t, const send_attempt_reports& made) {
+  Later([this, made] {
+    const open_query asked = queries_.at(made.query);
+    if (nodes_[asked.from].run != asked.from_run) {
+      return;
+    }
+    for (const attempt_report& report :
+         made.reports.value_or(std::vector<attempt_report>())) {
+      report_.denials += report.state == attempt_state::kNeverArrived ? 1 : 0;
+    }
+    Happen(asked.from, attempt_reports_received{asked.query, made.reports});
+  });
+}
+
 void truth_explorer::Do(std::size_t at, const stop_process&) {
   Later([this, at, run = nodes_[at].run] {
     if (nodes_[at].run == run) {
--- a/Tests/LibDecision/truth_explorer.h
+++ b/Tests/LibDecision/truth_explorer.h
@@ -18,9 +18,10 @@
 /// seen to fail.
 enum class taken_away : std::uint8_t {
   kNothing,
-  kKeys,        ///< Keys are lost on the way to their home.
-  kSent,        ///< Nodes are not told before bytes are written.
-  kLastCancel,  ///< Bytes are written although the node gave the work up.
+  kKeys,         ///< Keys are lost on the way to their home.
+  kSent,         ///< Nodes are not told before bytes are written.
+  kWithdrawals,  ///< A node that denies an attempt still handles it later.
+  kLastCancel,   ///< Bytes are written although the node gave the work up.
 };
 
 /// What broke in one exploration.
@@ -33,6 +34,7 @@
   int calls = 0;
   int runs = 0;
   int replays = 0;
+  int denials = 0;
 
   truth_report& operator+=(const truth_report& other);
 };
@@ -69,6 +71,11 @@
     bool is_cancelled = false;
     std::string body;
   };
+  struct open_query {
+    std::size_t from = 0;
+    std::uint64_t from_run = 0;
+    attempt_query_id query;
+  };
   struct peer_node {
     std::optional<node_state> state;
     std::uint64_t run = 1;
@@ -104,6 +111,8 @@
   void Do(std::size_t at, const cache_answer& made);
   void Do(std::size_t at, const replay_answer& made);
   void Do(std::size_t at, const evict_answer& made);
+  void Do(std::size_t at, const query_attempts& made);
+  void Do(std::size_t at, const send_attempt_reports& made);
   void Do(std::size_t at, const stop_process& made);
   template <class other>
   void Do(std::size_t, const other&) {}
@@ -117,6 +126,7 @@
   std::vector<flight> flights_;
   std::map<call_id, call_record> calls_;
   std::map<work_id, work_record> works_;
+  std::map<attempt_query_id, open_query> queries_;
   std::map<std::string, idempotency_key> keys_;
   std::map<std::string, int> runs_;
   truth_report report_;
--- a/Tests/LibDecision/truth_test.cc
+++ b/Tests/LibDecision/truth_test.cc
@@ -26,9 +26,11 @@
     // The orders reach what they are meant to reach.
     EXPECT_GT(all.runs, 10'000);
     EXPECT_GT(all.replays, 100);
+    EXPECT_GT(all.denials, 100);
     RecordProperty("calls", all.calls);
     RecordProperty("runs", all.runs);
     RecordProperty("replays", all.replays);
+    RecordProperty("denials", all.denials);
   }
 };
 
@@ -54,5 +56,11 @@
   EXPECT_GT(false_not_run, 0);
 }
 
+TEST_F(a_mechanism_taken_away, OfWithdrawnAttemptsRunsWorkTwice) {
+  const truth_report all = Explore(taken_away::kWithdrawals);
+  RecordProperty("double_runs", all.double_runs);
+  EXPECT_GT(all.double_runs + all.false_not_run, 0);
+}
+
 }  // namespace
 }  // namespace auburnfold
--- a/Tests/LibRuntime/headers_test.cc
+++ b/Tests/LibRuntime/headers_test.cc
@@ -27,7 +27,9 @@
 
 TEST(TheHeadersOfAForwardedRequest, GiveItsFactsBack) {
   http::fields headers;
-  WriteForwardedHeaders(headers, Facts(), node_id(0xab), incarnation(9));
+  WriteForwardedHeaders(headers, Facts(),
+                        {node_id(0xab), incarnation(7), attempt_id(5)},
+                        incarnation(9));
   headers.set(http::field::host, "test");
   headers.set("Idempotency-Key", "key-1");
   const auto read = ReadForwardedHeaders(headers);
@@ -56,7 +58,9 @@
                                       .run = incarnation(5),
                                       .rate_limit = request_rate(rate),
                                       .is_leaving = true};
-    WriteForwardedHeaders(headers, metadata, node_id(1), incarnation(1));
+    WriteForwardedHeaders(headers, metadata,
+                          {node_id(1), incarnation(7), attempt_id(5)},
+                          incarnation(1));
     const auto read = ReadForwardedHeaders(headers);
     ASSERT_TRUE(read);
     EXPECT_EQ(read->metadata.notice, metadata.notice);
@@ -65,7 +69,9 @@
 
 TEST(TheHeadersOfAForwardedRequest, AreNoneAboutAnEndpointWithoutNotice) {
   http::fields headers;
-  WriteForwardedHeaders(headers, Facts(), node_id(1), incarnation(1));
+  WriteForwardedHeaders(headers, Facts(),
+                        {node_id(1), incarnation(7), attempt_id(5)},
+                        incarnation(1));
   EXPECT_FALSE(ReadForwardedHeaders(headers)->metadata.notice);
   EXPECT_EQ(headers.count("Auburnfold-Endpoint-Run"), 0U);
 }
@@ -73,10 +79,14 @@
 TEST(TheHeadersBetweenNodes, TellTheVersionOfTheRoutes) {
   http::fields headers;
   request_metadata metadata = Facts();
-  WriteForwardedHeaders(headers, metadata, node_id(1), incarnation(1));
+  WriteForwardedHeaders(headers, metadata,
+                        {node_id(1), incarnation(7), attempt_id(5)},
+                        incarnation(1));
   EXPECT_FALSE(ReadForwardedHeaders(headers)->metadata.routes);
   metadata.routes = route_version(12);
-  WriteForwardedHeaders(headers, metadata, node_id(1), incarnation(1));
+  WriteForwardedHeaders(headers, metadata,
+                        {node_id(1), incarnation(7), attempt_id(5)},
+                        incarnation(1));
   EXPECT_EQ(ReadForwardedHeaders(headers)->metadata.routes, route_version(12));
   http_response response;
   response.set("Auburnfold-Result", "complete");
@@ -102,7 +112,9 @@
     http::fields headers;
     request_metadata metadata = Facts();
     metadata.tenant = tenant_name(name);
-    WriteForwardedHeaders(headers, metadata, node_id(1), incarnation(1));
+    WriteForwardedHeaders(headers, metadata,
+                          {node_id(1), incarnation(7), attempt_id(5)},
+                          incarnation(1));
     EXPECT_EQ(ReadForwardedHeaders(headers)->metadata.tenant, metadata.tenant);
   }
 }
@@ -110,11 +122,15 @@
 TEST(TheHeadersBetweenNodes, TellTheChecksumOfTheCrashes) {
   http::fields headers;
   request_metadata metadata = Facts();
-  WriteForwardedHeaders(headers, metadata, node_id(1), incarnation(1));
+  WriteForwardedHeaders(headers, metadata,
+                        {node_id(1), incarnation(7), attempt_id(5)},
+                        incarnation(1));
   EXPECT_EQ(headers.count("Auburnfold-Crashes"), 0U);
   EXPECT_EQ(ReadForwardedHeaders(headers)->metadata.crash_checksum, 0);
   metadata.crash_checksum = 0xabcdef;
-  WriteForwardedHeaders(headers, metadata, node_id(1), incarnation(1));
+  WriteForwardedHeaders(headers, metadata,
+                        {node_id(1), incarnation(7), attempt_id(5)},
+                        incarnation(1));
   EXPECT_EQ(ReadForwardedHeaders(headers)->metadata.crash_checksum, 0xabcdef);
   http_response response;
   response.set("Auburnfold-Result", "complete");
@@ -138,7 +154,9 @@
   http::fields headers;
   request_metadata metadata = Facts();
   metadata.time_left = 2ms - 1ns;
-  WriteForwardedHeaders(headers, metadata, node_id(1), incarnation(1));
+  WriteForwardedHeaders(headers, metadata,
+                        {node_id(1), incarnation(7), attempt_id(5)},
+                        incarnation(1));
   EXPECT_EQ(headers["Auburnfold-Timeout-Ms"], "1");
 }
 
--- a/Tests/Scenarios/virtual_cluster.cc
+++ b/Tests/Scenarios/virtual_cluster.cc
@@ -11,6 +11,7 @@
 
 constexpr duration kReportInterval = 1s;
 constexpr duration kStoreDelay = 3ms;
+constexpr duration kQueryTimeout = 500ms;
 constexpr duration kWarmUp = 2s;
 /// New work may reach a leaving endpoint for this long.
 constexpr duration kLeavingLimit = 3s;
@@ -592,7 +593,9 @@
                  now_ + made.metadata.time_left};
   open.travel.key = made.metadata.key;
   const duration delay = DelayBetween(from, target);
-  After(delay, [this, &target, &from, work, open, made, delay] {
+  const attempt_key key{node_id(from.index + 1), incarnation(from.run),
+                        made.attempt};
+  After(delay, [this, &target, &from, work, open, made, delay, key] {
     if (!target.is_alive) {
       After(delay, [this, &from, attempt = made.attempt] {
         const auto sent = from.attempts.find(attempt);
@@ -614,7 +617,8 @@
     Happen(target, work_arrived{.work = work,
                                 .from = node_id(from.index + 1),
                                 .metadata = metadata,
-                                .expected_run = made.expected_run});
+                                .expected_run = made.expected_run,
+                                .attempt = key});
   });
 }
 
@@ -773,6 +777,48 @@
   }
 }
 
+void virtual_cluster::Do(machine& from, const query_attempts& made) {
+  machine& target = *machines_[std::stoul(made.to.host)];
+  const attempt_query_id received(next_id_++);
+  queries_[received] = {from.index, from.run, made.query};
+  After(kQueryTimeout, [this, received] { AnswerQuery(received, {}); });
+  if (IsCut(from, target)) {
+    return;
+  }
+  attempts_queried asked{.query = received,
+                         .from = node_id(from.index + 1),
+                         .from_run = incarnation(from.run),
+                         .from_host = std::to_string(from.index),
+                         .expected_run = made.expected_run,
+                         .attempts = made.attempts};
+  After(DelayBetween(from, target),
+        [this, &target, asked = std::move(asked)] { Happen(target, asked); });
+}
+
+void virtual_cluster::Do(machine& from, const send_attempt_reports& made) {
+  const auto found = queries_.find(made.query);
+  if (found == queries_.end() ||
+      IsCut(from, *machines_[found->second.origin])) {
+    return;
+  }
+  After(DelayBetween(from, *machines_[found->second.origin]),
+        [this, made] { AnswerQuery(made.query, made.reports); });
+}
+
+void virtual_cluster::AnswerQuery(
+    attempt_query_id received,
+    std::optional<std::vector<attempt_report>> reports) {
+  const auto open = queries_.extract(received);
+  if (!open) {
+    return;
+  }
+  machine& origin = *machines_[open.mapped().origin];
+  if (origin.run == open.mapped().origin_run) {
+    Happen(origin,
+           attempt_reports_received{open.mapped().query, std::move(reports)});
+  }
+}
+
 void virtual_cluster::Do(machine& from, const send_message& made) {
   machine& target = *machines_[std::stoul(made.to.host)];
   if (IsCut(from, target)) {
--- a/Tests/Scenarios/virtual_cluster.h
+++ b/Tests/Scenarios/virtual_cluster.h
@@ -118,6 +118,12 @@
     std::map<std::size_t, std::vector<connection>> connections;
     std::map<std::string, std::string> remembered;
   };
+  /// A question about attempts, as its sender knows it.
+  struct open_query {
+    std::size_t origin = 0;
+    std::uint64_t origin_run = 0;
+    attempt_query_id query;
+  };
   struct scheduled {
     instant at;
     std::uint64_t order = 0;
@@ -154,6 +160,8 @@
   bool CallDeeper(machine& from, work_id work);
   void FinishWork(machine& at, work_id work, bool is_useful);
   void EndAttempt(work_id work, const outcome& result, std::string body);
+  void AnswerQuery(attempt_query_id received,
+                   std::optional<std::vector<attempt_report>> reports);
   connection& TakeConnection(machine& from, std::size_t target);
   void FreeConnection(machine& from, const open_attempt& used, bool is_closed);
 
@@ -170,6 +178,8 @@
   void Do(machine& from, const replay_answer& made);
   void Do(machine& from, const evict_answer& made);
   void Do(machine& from, const close_connection& made);
+  void Do(machine& from, const query_attempts& made);
+  void Do(machine& from, const send_attempt_reports& made);
   void Do(machine& from, const send_message& made);
   void Do(machine& from, const call_store& made);
   void Do(machine& from, const wake_at& made);
@@ -189,6 +199,7 @@
       schedule_;
   std::vector<std::unique_ptr<machine>> machines_;
   std::unordered_map<work_id, open_work> works_;
+  std::map<attempt_query_id, open_query> queries_;
   std::unordered_map<std::string, client_request> clients_;
   std::map<std::string, std::string> finished_bodies_;
   std::set<std::string> cut_domains_;
