--- a/Tests/LibDecision/calls_during_a_stop_test.cc
+++ b/Tests/LibDecision/calls_during_a_stop_test.cc
@@ -42,6 +42,7 @@
     Happen(message_received{{.from = node_id(2), .content = rows}});
     Exchange(100, 110);
     slow_ = *Find<send_attempt>(Call(1));
+    slow_sent_ = now_;
     Happen(attempt_sent{slow_.attempt, connection_id(7)});
     Advance(1ms);
   }
@@ -120,8 +121,21 @@
   std::uint64_t entropy_ = 0;
   effects made_;
   send_attempt slow_;
+  instant slow_sent_;
 };
 
+TEST_F(a_call_that_takes_long, IsAwaitedByAStoppingNodeWhoseOtherCallsEnd) {
+  Advance(800ms);
+  Exchange(2, 6);
+  Happen(stop_requested{});
+  for (int i = 0; i < 11 && !IsGivenUp(); ++i) {
+    Advance(100ms);
+  }
+  EXPECT_FALSE(IsGivenUp()) << "within " << (now_ - slow_sent_) / 1ms << " ms";
+  Answer(slow_.attempt);
+  EXPECT_TRUE(IsRelayed());
+}
+
 TEST_F(a_call_that_takes_long, IsNotEndedByTheStopItself) {
   Advance(1300ms);
   Happen(stop_requested{});
--- a/Tests/LibRuntime/pipelining_test.cc
+++ b/Tests/LibRuntime/pipelining_test.cc
@@ -302,5 +302,27 @@
   EXPECT_FALSE(WasRead("c2"));
 }
 
+// The answers behind the first one wait for it, and the node has nothing else
+// to wait for.
+TEST_F(a_pipeline, IsAnsweredWholeIfItsFirstAnswerIsTheLastOfAStop) {
+  client_->Write(Lookup("slow") + Lookup("fast-1") + Lookup("fast-2"));
+  WaitUntilRead("slow");
+  Allow("fast-1");
+  Allow("fast-2");
+  WaitUntilRead("fast-2");
+  while (node_.Metric("auburnfold_calls_in_flight") > 1) {
+  }
+  node_.Stop();
+  while (raw_client::Exchange(node_.peer_port(),
+                              CallText("unoffered", node_.ForwardedHeaders()))
+             .Header("Auburnfold-Result") != "node-stopping") {
+  }
+  Allow("slow");
+  ExpectAnswer("slow");
+  ExpectAnswer("fast-1");
+  ExpectLast(200);
+  EXPECT_EQ(node_.WaitUntilStopped(), 0U);
+}
+
 }  // namespace
 }  // namespace auburnfold::testing_support
