LibRuntime: End a stop only once the finished answers are written

Callers with several requests on one connection lost answers that their node already had: the answers wait for the first request's, and a node that was being stopped counted open calls only. When the first call was the last to end, the node closed the connection with the answers behind it unwritten.

A stopping node now also waits until every request that its sessions have read is answered on the wire, up to the stop's time limit.

--- a/Libraries/LibRuntime/Connections/http_listener.cc
+++ b/Libraries/LibRuntime/Connections/http_listener.cc
@@ -79,6 +79,14 @@
   EraseClosedSessions();
 }
 
+bool http_listener::IsResponding() const {
+  return std::any_of(sessions_.begin(), sessions_.end(),
+                     [](const std::weak_ptr<server_session>& weak) {
+                       const auto session = weak.lock();
+                       return session && session->is_responding();
+                     });
+}
+
 void http_listener::Close() {
   error_code ignored;
   acceptor_.close(ignored);
--- a/Libraries/LibRuntime/Connections/http_listener.h
+++ b/Libraries/LibRuntime/Connections/http_listener.h
@@ -41,6 +41,9 @@
   /// Closes the port and every session.
   void Close();
 
+  /// Whether a session has a request whose response is not written yet.
+  bool IsResponding() const;
+
   std::uint16_t port() const;
   std::size_t session_count() const { return sessions_.size(); }
 
--- a/Libraries/LibRuntime/Connections/server_session.h
+++ b/Libraries/LibRuntime/Connections/server_session.h
@@ -74,6 +74,8 @@
   clock::time_point idle_since() const { return idle_since_; }
 
   bool is_open() const { return socket_.is_open(); }
+  /// Whether the response to a request that was read is not written yet.
+  bool is_responding() const { return !exchanges_.empty(); }
 
  private:
   friend class server_exchange;
--- a/Libraries/LibRuntime/node_runtime.cc
+++ b/Libraries/LibRuntime/node_runtime.cc
@@ -456,7 +456,10 @@
 void node_runtime::impl::FinishWhenIdle() {
   const auto idle_at = last_request + settings.stop_linger;
   const bool is_idle = std::chrono::steady_clock::now() >= idle_at;
-  if (is_idle && calls.open_count() == 0 && works.open_count() == 0) {
+  const bool is_responding =
+      call_listener.IsResponding() || peer_listener.IsResponding();
+  if (is_idle && !is_responding && calls.open_count() == 0 &&
+      works.open_count() == 0) {
     return Finish();
   }
   idle_timer.expires_at(
