LibDecision, LibRuntime: Close idle connections only while they are idle

A request could end as lost within a millisecond: the runtime reports an attempt once its bytes are on their way, the timers that are due at that event run first, and one of them could close connections that the monitor believed idle, this one among them.

Connections that are unused or suspect are now closed by an effect of its own, which does nothing to a connection that carries a request.

--- a/Libraries/LibDecision/Connections/connection_monitor.cc
+++ b/Libraries/LibDecision/Connections/connection_monitor.cc
@@ -263,15 +263,11 @@
   const open_attempt lost = std::move(found->second);
   attempts_.erase(found);
   context.Count(counter::kConnectionsReplaced);
-  Close(context, lost.sent.connection);
+  context.Emit(close_connection{lost.sent.connection});
+  RemoveConnection(lost.sent.connection);
   CloseIdle(context, lost.sent.peer, lost.sent_at);
 }
 
-void connection_monitor::Close(event_context& context, connection_id id) {
-  context.Emit(close_connection{id});
-  RemoveConnection(id);
-}
-
 // Whatever silenced one connection may have silenced all that were idle at the
 // time. A new connection costs little compared to a lost request.
 void connection_monitor::CloseIdle(event_context& context,
@@ -293,7 +289,8 @@
   }
   std::sort(suspects.begin(), suspects.end());
   for (const connection_id id : suspects) {
-    Close(context, id);
+    context.Emit(close_idle_connection{id});
+    RemoveConnection(id);
   }
   if (!suspects.empty()) {
     state.idle_closed = context.now();
@@ -310,7 +307,8 @@
   }
   std::sort(expired.begin(), expired.end());
   for (const connection_id id : expired) {
-    Close(context, id);
+    context.Emit(close_idle_connection{id});
+    RemoveConnection(id);
   }
 }
 
--- a/Libraries/LibDecision/Connections/connection_monitor.h
+++ b/Libraries/LibDecision/Connections/connection_monitor.h
@@ -102,7 +102,6 @@
                 std::vector<attempt_report>& lost);
   /// One silent connection was found: others may have gone silent with it.
   void SuspectOthers(instant now);
-  void Close(event_context& context, connection_id id);
   void CloseIdle(event_context& context,
                  const node_id& peer,
                  instant used_before);
--- a/Libraries/LibDecision/effect.h
+++ b/Libraries/LibDecision/effect.h
@@ -129,6 +129,12 @@
   connection_id connection;
 };
 
+/// Close `connection` unless it carries a request: one may have been written
+/// to it that the reducer has not heard of yet.
+struct close_idle_connection {
+  connection_id connection;
+};
+
 /// Send a control message. Delivery is not guaranteed.
 struct send_message {
   node_address to;
@@ -253,6 +259,7 @@
                             replay_answer,
                             evict_answer,
                             close_connection,
+                            close_idle_connection,
                             send_message,
                             set_neighbours,
                             call_store,
--- a/Libraries/LibRuntime/Connections/connection_pool.cc
+++ b/Libraries/LibRuntime/Connections/connection_pool.cc
@@ -80,6 +80,14 @@
   return true;
 }
 
+void connection_pool::CloseIfIdle(connection_id id) {
+  const auto found = open_.find(id);
+  if (found != open_.end() && found->second->is_idle()) {
+    const std::shared_ptr<client_connection> connection = found->second;
+    connection->Close();
+  }
+}
+
 void connection_pool::Sweep() {
   const client_connection::clock::time_point now =
       client_connection::clock::now();
--- a/Libraries/LibRuntime/Connections/connection_pool.h
+++ b/Libraries/LibRuntime/Connections/connection_pool.h
@@ -39,6 +39,8 @@
                 std::function<void(bool is_refused)> done);
   /// Closes the connection; false if it is not in this pool.
   bool Close(connection_id id);
+  /// Closes the connection if it is in this pool and carries no request.
+  void CloseIfIdle(connection_id id);
   /// Closes connections that were idle for too long. Call it about once a
   /// second.
   void Sweep();
--- a/Libraries/LibRuntime/Requests/call_handler.cc
+++ b/Libraries/LibRuntime/Requests/call_handler.cc
@@ -252,6 +252,12 @@
   });
 }
 
+void call_handler::CloseIfIdle(connection_id connection) {
+  for (const auto& [address, pool] : pools_) {
+    pool->CloseIfIdle(connection);
+  }
+}
+
 void call_handler::Sweep() {
   for (const auto& [address, pool] : pools_) {
     pool->Sweep();
--- a/Libraries/LibRuntime/Requests/call_handler.h
+++ b/Libraries/LibRuntime/Requests/call_handler.h
@@ -53,6 +53,8 @@
   void DiscardAttempt(attempt_id attempt) { attempts_.erase(attempt); }
   /// Closes the connection; false if it does not lead to another node.
   bool Close(connection_id connection);
+  /// Closes the connection unless it carries a request.
+  void CloseIfIdle(connection_id connection);
   /// From now on, connections close after the responses to the calls that are
   /// open on them.
   void OnStopRequested() { is_stopping_ = true; }
--- a/Libraries/LibRuntime/node_runtime.cc
+++ b/Libraries/LibRuntime/node_runtime.cc
@@ -100,6 +100,9 @@
   void On(const replay_answer& effect) { works.Execute(effect); }
   void On(const evict_answer& effect) { works.Execute(effect); }
   void On(const close_connection& effect);
+  void On(const close_idle_connection& effect) {
+    calls.CloseIfIdle(effect.connection);
+  }
   void On(const send_message& effect) { control.Execute(effect); }
   void On(const set_neighbours& effect) { control.Execute(effect); }
   void On(const call_store& effect);
--- a/Tests/LibDecision/connections_test.cc
+++ b/Tests/LibDecision/connections_test.cc
@@ -86,6 +86,8 @@
     for (const effect& each : context.TakeEffects()) {
       if (const auto* close = std::get_if<close_connection>(&each)) {
         closed_.push_back(close->connection);
+      } else if (const auto* idle = std::get_if<close_idle_connection>(&each)) {
+        closed_.push_back(idle->connection);
       } else if (const auto* query = std::get_if<query_attempts>(&each)) {
         queries_.push_back(*query);
         asked.insert(asked.end(), query->attempts.begin(),
--- a/Tests/LibDecision/slow_answers_test.cc
+++ b/Tests/LibDecision/slow_answers_test.cc
@@ -163,7 +163,7 @@
     queries_ += 1;
     At(now_ + 2ms, [this, answer] { Happen(answer); });
   }
-  void On(const close_connection& closed) {
+  void On(const close_idle_connection& closed) {
     for (auto& [node, idle] : idle_) {
       std::erase(idle, closed.connection);
     }
--- a/Tests/Scenarios/virtual_cluster.cc
+++ b/Tests/Scenarios/virtual_cluster.cc
@@ -777,6 +777,14 @@
   }
 }
 
+void virtual_cluster::Do(machine& from, const close_idle_connection& made) {
+  for (auto& [target, links] : from.connections) {
+    std::erase_if(links, [&made](const connection& link) {
+      return link.id == made.connection && !link.is_busy;
+    });
+  }
+}
+
 void virtual_cluster::Do(machine& from, const query_attempts& made) {
   machine& target = *machines_[std::stoul(made.to.host)];
   const attempt_query_id received(next_id_++);
--- a/Tests/Scenarios/virtual_cluster.h
+++ b/Tests/Scenarios/virtual_cluster.h
@@ -178,6 +178,7 @@
   void Do(machine& from, const replay_answer& made);
   void Do(machine& from, const evict_answer& made);
   void Do(machine& from, const close_connection& made);
+  void Do(machine& from, const close_idle_connection& made);
   void Do(machine& from, const query_attempts& made);
   void Do(machine& from, const send_attempt_reports& made);
   void Do(machine& from, const send_message& made);
