Runtime: Do not take a repeated refusal for the answer to a later request

Callers saw: 503 ("not run") for a request that the endpoint was executing, and a request that may not run twice executed twice, if a faulty endpoint wrote a refusal once more on a kept connection.

Cause: an answer counted as the expected one if it named no request, or the same. X-Request-Id belongs to the client's attempt, so a request that was refused and came back over the same connection has the id of the repeated refusal. The shared connection also carries health probes, whose answers name no request; and a probe took a late refusal that names one for its own answer.

Change: a connection is kept only while a repetition of what came over it can be told from the answers to come. After an answer without an id it is closed; it carries no second request with the id of one that failed on it; and an answer that names a request is not the answer to a probe. So a refusal needs no doubt: one that may be a repetition no longer reaches a waiting request. The alternative, to call refusals without an id on used connections unknown, would lose requests that may not run twice at endpoints that name none when they refuse. Cost: one connection for each answer without an id.

--- a/Libraries/LibRuntime/Connections/client_connection.cc
+++ b/Libraries/LibRuntime/Connections/client_connection.cc
@@ -4,6 +4,7 @@
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/write.hpp>
 #include <charconv>
+#include <string_view>
 #include <utility>
 
 #include "LibRuntime/Connections/tcp_timeouts.h"
@@ -24,6 +25,13 @@
 // Enough for the largest body in the smallest chunks. Interim responses, late
 // ones and chunk extensions have no other limit.
 constexpr std::size_t kMaxReadBytes = 8 * kMaxBodyBytes;
+constexpr std::size_t kMaxFailedIds = 64;
+
+// Ids may be as long as a header. Two with the same hash only keep a request
+// from this connection.
+std::size_t HashOf(std::string_view id) {
+  return std::hash<std::string_view>()(id);
+}
 
 }  // namespace
 
@@ -221,6 +229,29 @@
   return echoed.empty() || echoed == request_.echoed_value;
 }
 
+bool client_connection::MayCarry(const client_request& request) const {
+  return std::find(failed_ids_.begin(), failed_ids_.end(),
+                   HashOf(request.echoed_value)) == failed_ids_.end();
+}
+
+// A faulty peer may write a response once more where a later one is expected.
+// That goes unnoticed if it names no request, or if a request that failed comes
+// back under the same id.
+bool client_connection::CanTellRepetitions() {
+  if (request_.echoed_header.empty()) {
+    return true;
+  }
+  if (parser_->get()[request_.echoed_header].empty()) {
+    return false;
+  }
+  if (http::to_status_class(parser_->get().result()) ==
+      http::status_class::successful) {
+    return true;
+  }
+  failed_ids_.push_back(HashOf(request_.echoed_value));
+  return failed_ids_.size() < kMaxFailedIds;
+}
+
 client_connection::clock::time_point client_connection::IdleDeadline() const {
   constexpr std::string_view kTimeoutParameter = "timeout=";
   const std::string_view stated = parser_->get()[http::field::keep_alive];
@@ -267,7 +298,8 @@
   const auto on_finished = std::move(request_.on_finished);
   client_result result;
   const bool is_reusable = parser_->keep_alive() && is_write_done_ &&
-                           buffer_.size() == 0 && !must_not_reuse_;
+                           buffer_.size() == 0 && !must_not_reuse_ &&
+                           CanTellRepetitions();
   const clock::time_point idle_deadline = IdleDeadline();
   result.response = parser_->release();
   ReleaseBodyMemory();
--- a/Libraries/LibRuntime/Connections/client_connection.h
+++ b/Libraries/LibRuntime/Connections/client_connection.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <vector>
 
 #include "LibRuntime/Connections/body_memory.h"
 #include "LibRuntime/Connections/client_request.h"
@@ -56,6 +57,10 @@
   /// Closes the connection if it has been idle for too long.
   void CloseIfStale(clock::time_point now);
 
+  /// Whether the response to `request` can be told from a repetition of an
+  /// earlier one on this connection.
+  bool MayCarry(const client_request& request) const;
+
   connection_id id() const { return id_; }
   bool is_open() const { return state_ != state::kClosed; }
   bool is_idle() const { return state_ == state::kIdle; }
@@ -79,6 +84,9 @@
   void OnDisconnected(error_code error);
   /// Whether the response that was read belongs to the current request.
   bool MatchesRequest() const;
+  /// Remembers what the response names. Returns whether a repetition of it can
+  /// be told from the responses to later requests.
+  bool CanTellRepetitions();
   /// When the connection is to be closed if it stays idle from now on.
   clock::time_point IdleDeadline() const;
   void StartConnectTimer();
@@ -95,6 +103,8 @@
   beast::flat_buffer buffer_;
   std::optional<http::response_parser<http::string_body>> parser_;
   clock::time_point idle_deadline_;
+  /// Hashes of the ids of requests that failed on this connection.
+  std::vector<std::size_t> failed_ids_;
   /// Bytes read since the request was sent, including what was discarded.
   std::size_t read_bytes_ = 0;
   std::size_t reserved_bytes_ = 0;
--- a/Libraries/LibRuntime/Connections/client_request.h
+++ b/Libraries/LibRuntime/Connections/client_request.h
@@ -28,9 +28,12 @@
 /// A request to send over a connection of a pool.
 struct client_request {
   http_request_view message;
-  /// If both are set, a response with another value in this header belongs to
-  /// another request and is discarded.
+  /// The header in which the peer's responses name their requests; empty if
+  /// they name none. A response with another value there than `echoed_value`
+  /// belongs to another request and is discarded. After a response without a
+  /// value there, the connection is not reused.
   std::string_view echoed_header;
+  /// Empty if the request has no id, so that its response names none.
   std::string echoed_value;
   /// A response without a length ends when the peer closes the connection.
   bool allows_close_delimited_response = false;
--- a/Libraries/LibRuntime/Connections/connection_pool.cc
+++ b/Libraries/LibRuntime/Connections/connection_pool.cc
@@ -1,5 +1,7 @@
 #include "LibRuntime/Connections/connection_pool.h"
 
+#include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace auburnfold {
@@ -36,12 +38,9 @@
 }
 
 std::weak_ptr<client_connection> connection_pool::Send(client_request request) {
-  if (!idle_.empty()) {
-    const std::shared_ptr<client_connection> connection =
-        std::move(idle_.back());
-    idle_.pop_back();
-    connection->Send(std::move(request));
-    return connection;
+  if (const auto idle = TakeIdle(request)) {
+    idle->Send(std::move(request));
+    return idle;
   }
   auto connection =
       std::make_shared<client_connection>(io_, next_id_(), handlers_);
@@ -50,6 +49,21 @@
   return connection;
 }
 
+std::shared_ptr<client_connection> connection_pool::TakeIdle(
+    const client_request& request) {
+  const auto found =
+      std::find_if(idle_.rbegin(), idle_.rend(),
+                   [&](const std::shared_ptr<client_connection>& connection) {
+                     return connection->MayCarry(request);
+                   });
+  if (found == idle_.rend()) {
+    return nullptr;
+  }
+  std::shared_ptr<client_connection> connection = std::move(*found);
+  idle_.erase(std::next(found).base());
+  return connection;
+}
+
 void connection_pool::TestPeer(std::chrono::milliseconds timeout,
                                std::function<void(bool is_refused)> done) {
   auto connection =
--- a/Libraries/LibRuntime/Connections/connection_pool.h
+++ b/Libraries/LibRuntime/Connections/connection_pool.h
@@ -29,8 +29,9 @@
   connection_pool(const connection_pool&) = delete;
   connection_pool& operator=(const connection_pool&) = delete;
 
-  /// Sends `request` over an idle connection, or over a new one. Returns the
-  /// connection, through which the request can be cancelled or timed out.
+  /// Sends `request` over an idle connection that may carry it, or over a new
+  /// one. Returns the connection, through which the request can be cancelled or
+  /// timed out.
   std::weak_ptr<client_connection> Send(client_request request);
   /// Opens one more connection and reports whether the peer refused it. The
   /// connection then takes requests. A peer that has not accepted it after
@@ -46,6 +47,9 @@
   std::size_t open_count() const { return open_.size(); }
 
  private:
+  /// Null if no idle connection may carry `request`.
+  std::shared_ptr<client_connection> TakeIdle(const client_request& request);
+
   asio::io_context& io_;
   tcp::endpoint to_;
   id_source next_id_;
--- a/Libraries/LibRuntime/Requests/work_handler.cc
+++ b/Libraries/LibRuntime/Requests/work_handler.cc
@@ -131,6 +131,7 @@
   out.message.set(http::field::host, endpoint_.address().to_string());
   out.allows_close_delimited_response =
       dialect_.allows_close_delimited_responses();
+  out.echoed_header = dialect_.echoed_header();
   out.on_finished = [this](const client_result& result) {
     probe_deadline_ = {};
     if (result.error) {
--- a/Tests/LibRuntime/running_node.cc
+++ b/Tests/LibRuntime/running_node.cc
@@ -8,8 +8,10 @@
 #include <future>
 #include <sstream>
 #include <thread>
+#include <utility>
 
 #include "LibRuntime/Control/nng_sender.h"
+#include "LibRuntime/Requests/own_dialect.h"
 #include "LibRuntime/node_runtime.h"
 #include "LibWire/cbor_codec.h"
 #include "raw_client.h"
@@ -26,7 +28,8 @@
 }
 
 struct running_node::parts {
-  explicit parts(const node_settings& settings) : node(io, settings) {
+  parts(const node_settings& settings, any_wire_dialect dialect)
+      : node(io, settings, std::move(dialect), node_options()) {
     node.SetStoppedHandler([this] { io.stop(); });
     is_started = leaf::try_handle_all(
         [this]() -> leaf::result<bool> {
@@ -47,7 +50,11 @@
 };
 
 running_node::running_node(const node_settings& settings)
-    : parts_(std::make_unique<parts>(settings)) {
+    : running_node(settings, any_wire_dialect(own_dialect())) {}
+
+running_node::running_node(const node_settings& settings,
+                           any_wire_dialect dialect)
+    : parts_(std::make_unique<parts>(settings, std::move(dialect))) {
   EXPECT_TRUE(parts_->is_started);
 }
 
--- a/Tests/LibRuntime/running_node.h
+++ b/Tests/LibRuntime/running_node.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "LibDecision/peer_message.h"
+#include "LibRuntime/Requests/wire_dialect.h"
 #include "LibRuntime/Settings/node_settings.h"
 
 namespace auburnfold::testing_support {
@@ -17,6 +18,7 @@
 class running_node {
  public:
   explicit running_node(const node_settings& settings = LoopbackSettings());
+  running_node(const node_settings& settings, any_wire_dialect dialect);
   ~running_node();
 
   std::uint16_t call_port() const;
