Runtime: Send no request over a connection that has something to read

Callers saw: 503 ("not run") for a request that the endpoint was executing, in the own dialect and between nodes, if a refusal written once more arrived on a kept connection while the event loop was about to send the next request over it. If the endpoint had closed the connection instead, the request was sent into it and ended as answer-lost, 502, although it could have been executed over another connection.

Cause: the pool took an idle connection by what the event loop had read of it. Bytes or a close that the kernel already held were read only after the request had been written, and then counted as its answer, or as the loss of it.

Change: the pool peeks at the socket of an idle connection right before it sends a request over it, and closes it if anything can be read. What was there before the first byte of the request left is no answer to it, and as nothing was written, the request may go over another connection. Cost: one recv for each request over a kept connection.

--- a/Libraries/LibRuntime/Connections/client_connection.cc
+++ b/Libraries/LibRuntime/Connections/client_connection.cc
@@ -101,6 +101,19 @@
   }
 }
 
+// What came before a request was sent is no answer to it, even if the event
+// loop has not got to reading it.
+bool client_connection::CloseIfReadable() {
+  char byte = 0;
+  error_code error;
+  socket_.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+  if (error == asio::error::would_block) {
+    return false;
+  }
+  CloseSocket(true);
+  return true;
+}
+
 void client_connection::StartConnectTimer() {
   connect_timer_.expires_after(kConnectTimeout);
   connect_timer_.async_wait([self = shared_from_this()](error_code error) {
@@ -121,6 +134,7 @@
   }
   socket_.set_option(tcp::no_delay(true), error);
   SetTcpTimeouts(socket_);
+  socket_.non_blocking(true, error);
   if (is_cancelled_ || request_.is_connect_only) {
     const auto on_finished = std::move(request_.on_finished);
     request_ = {};
--- a/Libraries/LibRuntime/Connections/client_connection.h
+++ b/Libraries/LibRuntime/Connections/client_connection.h
@@ -61,6 +61,10 @@
   /// earlier one on this connection.
   bool MayCarry(const client_request& request) const;
 
+  /// Closes this idle connection if the peer has closed it, or has sent bytes,
+  /// which belong to no request. Returns whether it did.
+  bool CloseIfReadable();
+
   connection_id id() const { return id_; }
   bool is_open() const { return state_ != state::kClosed; }
   bool is_idle() const { return state_ == state::kIdle; }
--- a/Libraries/LibRuntime/Connections/connection_pool.cc
+++ b/Libraries/LibRuntime/Connections/connection_pool.cc
@@ -51,17 +51,21 @@
 
 std::shared_ptr<client_connection> connection_pool::TakeIdle(
     const client_request& request) {
-  const auto found =
-      std::find_if(idle_.rbegin(), idle_.rend(),
-                   [&](const std::shared_ptr<client_connection>& connection) {
-                     return connection->MayCarry(request);
-                   });
-  if (found == idle_.rend()) {
-    return nullptr;
+  for (;;) {
+    const auto found =
+        std::find_if(idle_.rbegin(), idle_.rend(),
+                     [&](const std::shared_ptr<client_connection>& connection) {
+                       return connection->MayCarry(request);
+                     });
+    if (found == idle_.rend()) {
+      return nullptr;
+    }
+    std::shared_ptr<client_connection> connection = std::move(*found);
+    idle_.erase(std::next(found).base());
+    if (!connection->CloseIfReadable()) {
+      return connection;
+    }
   }
-  std::shared_ptr<client_connection> connection = std::move(*found);
-  idle_.erase(std::next(found).base());
-  return connection;
 }
 
 void connection_pool::TestPeer(std::chrono::milliseconds timeout,
--- a/Tests/LibRuntime/endpoint_truth_test.cc
+++ b/Tests/LibRuntime/endpoint_truth_test.cc
@@ -1,9 +1,11 @@
 #include <gtest/gtest.h>
 
 #include <atomic>
+#include <functional>
 #include <future>
 #include <mutex>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "raw_client.h"
@@ -204,6 +206,71 @@
   Expect(answer, 503, "complete", "ran");
 }
 
+// Does `then` on its first connection after a refusal, when the node has got
+// the next request but has not read what came over this connection. Executes
+// that request wherever it arrives.
+class refused_and_then : public a_call_whose_endpoint {
+ protected:
+  ~refused_and_then() override { endpoint_.reset(); }
+
+  read_answer CallAfterRefusal(
+      const std::function<void(scripted_connection&)>& then) {
+    endpoint_ = std::make_unique<scripted_server>(
+        [this, then](scripted_connection& connection) {
+          if (connection.number() == 0) {
+            connection.ReadRequest();
+            connection.Write(kRefusal);
+            is_sent_.get_future().wait();
+            then(connection);
+            is_done_.set_value();
+          }
+          while (connection.ReadRequest()) {
+            ++runs_;
+            connection.Write(AnswerText("done"));
+          }
+        });
+    node_.Announce("listings", endpoint_->port());
+    raw_client forwarder(node_.peer_port());
+    const std::string request = CallText("listings", node_.ForwardedHeaders());
+    forwarder.Write(request);
+    Expect(forwarder.Read().value(), 503, "overloaded", "not-run");
+    node_.Pause();
+    forwarder.Write(request);
+    forwarder.WaitUntilReceived();
+    is_sent_.set_value();
+    is_done_.get_future().wait();
+    node_.Resume();
+    return forwarder.Read().value();
+  }
+
+  // Between nodes a complete answer has no header for the execution.
+  void ExpectRunOnce(const read_answer& answer) const {
+    Expect(answer, 200, "complete", "");
+    EXPECT_EQ(answer.body, "done");
+    EXPECT_EQ(runs_, 1);
+  }
+
+  static constexpr std::string_view kRefusal =
+      "HTTP/1.1 503 Service Unavailable\r\nAuburnfold-Ran: not-run\r\n"
+      "Content-Length: 0\r\n\r\n";
+
+  std::atomic<int> runs_ = 0;
+  std::promise<void> is_sent_;
+  std::promise<void> is_done_;
+};
+
+TEST_F(refused_and_then, RefusedOnceMoreIsNotTakenAtItsWordForTheNext) {
+  const read_answer answer = CallAfterRefusal(
+      [](scripted_connection& connection) { connection.Write(kRefusal); });
+  ExpectRunOnce(answer);
+}
+
+TEST_F(refused_and_then, ClosedTheConnectionExecutesTheNextOverAnother) {
+  const read_answer answer = CallAfterRefusal(
+      [](scripted_connection& connection) { connection.Close(); });
+  ExpectRunOnce(answer);
+}
+
 class is_not_there : public a_call_whose_endpoint {};
 
 TEST_F(is_not_there, IsToldThatItDidNotRun) {
--- a/Tests/LibRuntime/peer_truth_test.cc
+++ b/Tests/LibRuntime/peer_truth_test.cc
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 
 #include <atomic>
+#include <future>
 #include <string>
 
 #include "raw_client.h"
@@ -81,6 +82,41 @@
   EXPECT_EQ(requests_, 1);
 }
 
+// The refusal is there once more when the next call is sent on, and the peer
+// executes that call.
+TEST_F(a_call_through_a_peer, DoesNotBelieveARefusalThatCameBeforeIt) {
+  const std::string refusal = PeerAnswer(
+      503, "Auburnfold-Result: key-memory-full\r\nAuburnfold-Ran: not-run\r\n");
+  std::promise<void> is_sent;
+  std::promise<void> is_repeated;
+  peer_ = std::make_unique<scripted_server>([&](scripted_connection& one) {
+    if (one.number() == 0) {
+      one.ReadRequest();
+      one.Write(refusal);
+      is_sent.get_future().wait();
+      one.Write(refusal);
+      is_repeated.set_value();
+    }
+    while (one.ReadRequest()) {
+      ++requests_;
+      one.Write(PeerAnswer(200, "Auburnfold-Result: complete\r\n"));
+    }
+  });
+  node_.AnnouncePeer("faults", peer_->port());
+  raw_client caller(node_.call_port());
+  caller.Write(CallText("faults"));
+  Expect(caller.Read().value(), 503, "key-memory-full", "not-run");
+  node_.Pause();
+  caller.Write(CallText("faults"));
+  caller.WaitUntilReceived();
+  is_sent.set_value();
+  is_repeated.get_future().wait();
+  node_.Resume();
+  Expect(caller.Read().value(), 200, "complete", "ran");
+  EXPECT_EQ(requests_, 1);
+  peer_.reset();
+}
+
 TEST_F(a_call_through_a_peer, IsUnknownIfWhoAnswersIsNoNode) {
   const read_answer answer = CallAnswered(AnswerText("hello"));
   Expect(answer, 500, "internal", "unknown");
--- a/Tests/LibRuntime/scripted_server.cc
+++ b/Tests/LibRuntime/scripted_server.cc
@@ -42,6 +42,11 @@
   return !error;
 }
 
+void scripted_connection::Close() {
+  error_code ignored;
+  parts_->socket.shutdown(tcp::socket::shutdown_both, ignored);
+}
+
 std::uint64_t scripted_connection::number() const {
   return parts_->number;
 }
@@ -56,21 +61,20 @@
 
   void Accept() {
     auto connection = std::make_shared<scripted_connection::parts>();
-    acceptor.async_accept(
-        connection->socket, [this, connection](error_code error) {
-          if (error) {
-            return;
-          }
-          connection->number = connections.size();
-          connections.push_back(connection);
-          threads.emplace_back([this, connection] {
-            scripted_connection view(connection);
-            run(view);
-            error_code ignored;
-            connection->socket.shutdown(tcp::socket::shutdown_both, ignored);
-          });
-          Accept();
-        });
+    acceptor.async_accept(connection->socket,
+                          [this, connection](error_code error) {
+                            if (error) {
+                              return;
+                            }
+                            connection->number = connections.size();
+                            connections.push_back(connection);
+                            threads.emplace_back([this, connection] {
+                              scripted_connection view(connection);
+                              run(view);
+                              view.Close();
+                            });
+                            Accept();
+                          });
   }
 
   script run;
--- a/Tests/LibRuntime/scripted_server.h
+++ b/Tests/LibRuntime/scripted_server.h
@@ -21,6 +21,8 @@
   std::optional<std::string> ReadRequest();
   /// Returns whether all bytes were written.
   bool Write(std::string_view bytes);
+  /// Closes the connection in both directions.
+  void Close();
   /// Counts accepted connections from 0.
   std::uint64_t number() const;
 
