Tests: Cut answers at every byte, in order and by a reset

An operator saw a 200 with an empty or short body, framed as whole, after an upstream had stopped in the head of its answer and closed.

--- a/Tests/LibRuntime/running_node.cc
+++ b/Tests/LibRuntime/running_node.cc
@@ -8,6 +8,7 @@
 #include <future>
 #include <sstream>
 #include <thread>
+#include <utility>
 
 #include "LibRuntime/Control/nng_sender.h"
 #include "LibRuntime/node_runtime.h"
@@ -26,7 +27,8 @@
 }
 
 struct running_node::parts {
-  explicit parts(const node_settings& settings) : node(io, settings) {
+  parts(const node_settings& settings, any_wire_dialect dialect)
+      : node(io, settings, std::move(dialect), {}) {
     node.SetStoppedHandler([this] { io.stop(); });
     is_started = leaf::try_handle_all(
         [this]() -> leaf::result<bool> {
@@ -47,7 +49,11 @@
 };
 
 running_node::running_node(const node_settings& settings)
-    : parts_(std::make_unique<parts>(settings)) {
+    : running_node(settings, any_wire_dialect(own_dialect())) {}
+
+running_node::running_node(const node_settings& settings,
+                           any_wire_dialect dialect)
+    : parts_(std::make_unique<parts>(settings, std::move(dialect))) {
   EXPECT_TRUE(parts_->is_started);
 }
 
--- a/Tests/LibRuntime/running_node.h
+++ b/Tests/LibRuntime/running_node.h
@@ -6,6 +6,8 @@
 #include <string>
 
 #include "LibDecision/peer_message.h"
+#include "LibRuntime/Requests/own_dialect.h"
+#include "LibRuntime/Requests/wire_dialect.h"
 #include "LibRuntime/Settings/node_settings.h"
 
 namespace auburnfold::testing_support {
@@ -13,10 +15,16 @@
 /// Settings with any free ports on loopback.
 node_settings LoopbackSettings();
 
+/// Also takes an endpoint's answers that end with their connections.
+struct dialect_of_open_ends : own_dialect {
+  bool allows_close_delimited_responses() const { return true; }
+};
+
 /// A node in this process, on a thread of its own.
 class running_node {
  public:
   explicit running_node(const node_settings& settings = LoopbackSettings());
+  running_node(const node_settings& settings, any_wire_dialect dialect);
   ~running_node();
 
   std::uint16_t call_port() const;
--- a/Tests/LibRuntime/scripted_server.cc
+++ b/Tests/LibRuntime/scripted_server.cc
@@ -1,5 +1,7 @@
 #include "scripted_server.h"
 
+#include <netinet/tcp.h>
+
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/ostream.hpp>
 #include <boost/beast/http/read.hpp>
@@ -19,6 +21,15 @@
   tcp::socket socket{io};
   beast::flat_buffer buffer;
   std::uint64_t number = 0;
+  /// Held where the socket is closed or shut down, since the server does so
+  /// from another thread than the script.
+  std::mutex ending;
+
+  void ShutDown(tcp::socket::shutdown_type what) {
+    const std::lock_guard lock(ending);
+    error_code ignored;
+    socket.shutdown(what, ignored);
+  }
 };
 
 scripted_connection::scripted_connection(std::shared_ptr<parts> connection)
@@ -36,41 +47,69 @@
   return text.str();
 }
 
+void scripted_connection::WaitForBytes() {
+  error_code ignored;
+  parts_->socket.wait(tcp::socket::wait_read, ignored);
+}
+
 bool scripted_connection::Write(std::string_view bytes) {
   error_code error;
   asio::write(parts_->socket, asio::buffer(bytes), error);
   return !error;
 }
 
+void scripted_connection::EndWrites() {
+  parts_->ShutDown(tcp::socket::shutdown_send);
+}
+
+void scripted_connection::Reset() {
+  const std::lock_guard lock(parts_->ending);
+  error_code ignored;
+  parts_->socket.set_option(tcp::socket::linger(true, 0), ignored);
+  parts_->socket.close(ignored);
+}
+
 std::uint64_t scripted_connection::number() const {
   return parts_->number;
 }
 
 struct scripted_server::parts {
-  explicit parts(script to_run)
+  parts(script to_run, receive_window window)
       : run(std::move(to_run)),
         acceptor(io, {asio::ip::address_v4::loopback(), 0}) {
+    if (window == receive_window::kSmall) {
+      UseSmallWindow();
+    }
     Accept();
     accepting = std::thread([this] { io.run(); });
   }
 
+  // Accepted connections inherit both. Small segments keep the other side's
+  // send buffer small.
+  void UseSmallWindow() {
+    constexpr int kReceiveBytes = 4096;
+    constexpr int kSegmentBytes = 536;
+    acceptor.set_option(tcp::acceptor::receive_buffer_size(kReceiveBytes));
+    setsockopt(acceptor.native_handle(), IPPROTO_TCP, TCP_MAXSEG,
+               &kSegmentBytes, sizeof(kSegmentBytes));
+  }
+
   void Accept() {
     auto connection = std::make_shared<scripted_connection::parts>();
-    acceptor.async_accept(
-        connection->socket, [this, connection](error_code error) {
-          if (error) {
-            return;
-          }
-          connection->number = connections.size();
-          connections.push_back(connection);
-          threads.emplace_back([this, connection] {
-            scripted_connection view(connection);
-            run(view);
-            error_code ignored;
-            connection->socket.shutdown(tcp::socket::shutdown_both, ignored);
-          });
-          Accept();
-        });
+    acceptor.async_accept(connection->socket,
+                          [this, connection](error_code error) {
+                            if (error) {
+                              return;
+                            }
+                            connection->number = connections.size();
+                            connections.push_back(connection);
+                            threads.emplace_back([this, connection] {
+                              scripted_connection view(connection);
+                              run(view);
+                              connection->ShutDown(tcp::socket::shutdown_both);
+                            });
+                            Accept();
+                          });
   }
 
   script run;
@@ -81,8 +120,8 @@
   std::vector<std::thread> threads;
 };
 
-scripted_server::scripted_server(script run)
-    : parts_(std::make_unique<parts>(std::move(run))) {}
+scripted_server::scripted_server(script run, receive_window window)
+    : parts_(std::make_unique<parts>(std::move(run), window)) {}
 
 scripted_server::~scripted_server() {
   parts_->io.stop();
@@ -91,8 +130,7 @@
   error_code ignored_close;
   parts_->acceptor.close(ignored_close);
   for (const auto& connection : parts_->connections) {
-    error_code ignored;
-    connection->socket.shutdown(tcp::socket::shutdown_both, ignored);
+    connection->ShutDown(tcp::socket::shutdown_both);
   }
   for (std::thread& thread : parts_->threads) {
     thread.join();
--- a/Tests/LibRuntime/scripted_server.h
+++ b/Tests/LibRuntime/scripted_server.h
@@ -19,8 +19,14 @@
   /// The next request's headers and body as text; nothing once the other side
   /// has closed.
   std::optional<std::string> ReadRequest();
+  /// Waits until bytes of a request have arrived, and leaves them unread.
+  void WaitForBytes();
   /// Returns whether all bytes were written.
   bool Write(std::string_view bytes);
+  /// Closes the direction to the other side, in order.
+  void EndWrites();
+  /// Closes the connection with a reset.
+  void Reset();
   /// Counts accepted connections from 0.
   std::uint64_t number() const;
 
@@ -28,13 +34,17 @@
   std::shared_ptr<parts> parts_;
 };
 
+/// How many bytes a scripted server's system takes that no script has read.
+enum class receive_window : std::uint8_t { kDefault, kSmall };
+
 /// A server that runs a script on each connection, in a thread of its own,
 /// and closes the connection when the script ends.
 class scripted_server {
  public:
   using script = std::function<void(scripted_connection&)>;
 
-  explicit scripted_server(script run);
+  explicit scripted_server(script run,
+                           receive_window window = receive_window::kDefault);
   ~scripted_server();
 
   std::uint16_t port() const;
