Tests: Cut the store's answers at every byte

Seven calls, each answered with a length, in chunks and without a length, are cut at every byte, in order and by a reset. A cut answer leaves the outcome of a write open and a read unavailable.

--- a/Tests/platform/store_client_test.cc
+++ b/Tests/platform/store_client_test.cc
@@ -2,10 +2,15 @@
 
 #include <gtest/gtest.h>
 
+#include <array>
 #include <boost/asio.hpp>
+#include <cstdio>
 #include <functional>
 #include <optional>
 #include <string>
+#include <vector>
+
+#include "platform/store_protocol.h"
 
 namespace auburnfold::platform {
 namespace {
@@ -13,8 +18,8 @@
 namespace asio = boost::asio;
 using asio::ip::tcp;
 
-/// Reads one request and does as told: sends `answer`, or closes, or, with
-/// `is_silent`, never answers.
+/// Reads one request and does as told: sends `answer` and ends the connection,
+/// or, with `is_silent`, never answers.
 class a_store : public testing::Test {
  protected:
   a_store() : acceptor_(context_, {asio::ip::make_address("127.0.0.1"), 0}) {}
@@ -27,12 +32,22 @@
                              "\r\n\r\n", [this](const auto&, std::size_t) {
                                if (!is_silent_) {
                                  asio::write(*socket_, asio::buffer(answer_));
-                                 socket_->close();
+                                 End();
                                }
                              });
     });
   }
 
+  // Closing the socket alone would be a reset if it held unread bytes.
+  void End() {
+    if (is_reset_) {
+      socket_->set_option(tcp::socket::linger(true, 0));
+    } else {
+      socket_->shutdown(tcp::socket::shutdown_send);
+    }
+    socket_->close();
+  }
+
   store_result Call(store_request request) {
     store_client client(
         context_.get_executor(),
@@ -64,6 +79,8 @@
   std::string received_;
   std::string answer_;
   bool is_silent_ = false;
+  /// The connection ends with a reset, else in order.
+  bool is_reset_ = false;
 };
 
 const store_compare_and_swap kWrite{"table/a b/c", "new", store_revision(4)};
@@ -249,5 +266,89 @@
             store_status::kLeaseExpired);
 }
 
+// A call and its answer, given with a length, in chunks, and without a length.
+struct answered_call {
+  store_request request;
+  std::string status;
+  std::string body;
+  store_status result = store_status::kDone;
+};
+
+std::vector<answered_call> AnsweredCalls() {
+  const std::string ok = "200 OK";
+  return {
+      {kWrite, ok, R"({"revision":512})"},
+      {kWrite, "412 Precondition Failed",
+       R"({"items":[{"key":"k","value":"bmV3","revision":91}]})",
+       store_status::kConflict},
+      {store_get{"k"}, ok,
+       R"({"key":"k","value":"bmV3","revision":91,"asOf":912})"},
+      {store_list{"k"}, ok,
+       R"({"items":[{"key":"k","value":"MQ==","revision":91}],"asOf":912})"},
+      {store_watch{"k", store_revision(6)}, ok,
+       R"({"events":[{"key":"k","value":"MQ==","revision":91}],"asOf":91})"},
+      {store_grant_lease{std::chrono::milliseconds(3000)}, ok,
+       R"({"lease":77120,"ttlS":3.5})"},
+      {store_renew_lease{store_lease(5)}, ok, R"({"ttlS":35})"},
+  };
+}
+
+class an_answer_of_the_store_that_is_cut
+    : public a_store,
+      public testing::WithParamInterface<bool> {
+ protected:
+  static std::vector<std::string> Forms(const answered_call& call) {
+    const std::string start = "HTTP/1.1 " + call.status + "\r\n";
+    std::array<char, 8> size{};
+    std::snprintf(size.data(), size.size(), "%zx", call.body.size());
+    return {
+        Answer(call.status, call.body),
+        start + "Transfer-Encoding: chunked\r\n\r\n" + size.data() + "\r\n" +
+            call.body + "\r\n0\r\n\r\n",
+        start + "\r\n" + call.body,
+    };
+  }
+
+  store_status StatusOf(const answered_call& call, std::string answer) {
+    answer_ = std::move(answer);
+    received_.clear();
+    Serve();
+    return Call(call.request).status;
+  }
+};
+
+TEST_P(an_answer_of_the_store_that_is_cut, LeavesTheOutcomeOpenAtEveryByte) {
+  is_reset_ = GetParam();
+  for (const answered_call& call : AnsweredCalls()) {
+    const store_status lost = LostResponseTo(call.request).status;
+    for (const std::string& whole : Forms(call)) {
+      for (std::size_t cut = 0; cut < whole.size(); ++cut) {
+        EXPECT_EQ(StatusOf(call, whole.substr(0, cut)), lost)
+            << whole.substr(0, cut);
+      }
+    }
+  }
+}
+
+TEST_P(an_answer_of_the_store_that_is_cut, IsTakenIfOnlyItsConnectionIs) {
+  is_reset_ = GetParam();
+  for (const answered_call& call : AnsweredCalls()) {
+    const std::vector<std::string> forms = Forms(call);
+    EXPECT_EQ(StatusOf(call, forms[0]), call.result) << forms[0];
+    EXPECT_EQ(StatusOf(call, forms[1]), call.result) << forms[1];
+    // Without a length only an orderly close says that it has ended.
+    const store_status lost = LostResponseTo(call.request).status;
+    EXPECT_EQ(StatusOf(call, forms[2]), is_reset_ ? lost : call.result)
+        << forms[2];
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(Either,
+                         an_answer_of_the_store_that_is_cut,
+                         testing::Bool(),
+                         [](const auto& is_reset) {
+                           return is_reset.param ? "by_a_reset" : "in_order";
+                         });
+
 }  // namespace
 }  // namespace auburnfold::platform
