LibRuntime: Do not take an answer that a reset cuts for a whole one

Callers saw a 200 marked complete, with a Content-Length, and only the part of the endpoint's body that came before it reset the connection. It took a dialect in which an answer may end with its connection, as on the platform, and a request that was still being written.

The failed write takes the error of the socket. The pending read then gets what is left and an end, which looks like an orderly close, and the answer without a length was finished there. By reading, a timeout of TCP that a write meets first does the same; that was not run.

A connection now remembers that its write failed, and such an end finishes no answer. A broken pipe is excepted: the system reports it only if the peer had closed its side in order before, so that the answer is whole. It is also said here, and not only in Beast, that an answer ends with its connection only after its whole header.

--- a/Libraries/LibRuntime/Connections/client_connection.cc
+++ b/Libraries/LibRuntime/Connections/client_connection.cc
@@ -146,8 +146,12 @@
   }
 }
 
+// The failed write takes the error of the connection, so that the reads after
+// it see an end, as after an orderly close. Only a peer that has closed its
+// side in order before leaves a broken pipe.
 void client_connection::OnWritten(error_code error) {
   is_write_done_ = true;
+  is_broken_ = error && error != asio::error::broken_pipe;
   // A pending read reports the error, after any response that the peer sent
   // before it closed.
   if (error && state_ == state::kBusy && !is_reading_) {
@@ -287,11 +291,12 @@
 }
 
 // A response without a length ends when the peer closes the connection, but
-// only if it closes it cleanly; otherwise the response counts as truncated.
+// only if it closes it cleanly; otherwise the response counts as truncated. So
+// does one whose header is incomplete.
 void client_connection::OnDisconnected(error_code error) {
   const bool may_be_close_delimited =
       state_ == state::kBusy && request_.allows_close_delimited_response &&
-      error == asio::error::eof && parser_->got_some();
+      error == asio::error::eof && !is_broken_ && parser_->is_header_done();
   if (may_be_close_delimited) {
     error_code ending;
     parser_->put_eof(ending);
--- a/Libraries/LibRuntime/Connections/client_connection.h
+++ b/Libraries/LibRuntime/Connections/client_connection.h
@@ -102,6 +102,9 @@
   /// The request was cancelled while the connection was still being made.
   bool is_cancelled_ = false;
   bool is_write_done_ = true;
+  /// The connection failed while the request was written, so that its end does
+  /// not tell whether a response without a length is complete.
+  bool is_broken_ = false;
   /// Set when a response to another request was read, or when the peer's close
   /// ended the response.
   bool must_not_reuse_ = false;
