LibRuntime: Do not reuse a connection whose write failed

If an endpoint answered before it had read the request and then reset the connection, the answer was passed on, but the connection counted as idle, since a failed write counted as done. A request sent on it right then ended as answer-lost with an unknown outcome, though no byte of it had left.

A write is done only if it succeeded, and a connection without a written request is not reused.

Before: when_its_answer_is_whole.LeavesAConnectionThatIsNotUsedAgain failed with "Value of: next_->error Actual: true Expected: false".

--- a/Libraries/LibRuntime/Connections/client_connection.cc
+++ b/Libraries/LibRuntime/Connections/client_connection.cc
@@ -150,7 +150,7 @@
 // it see an end, as after an orderly close. Only a peer that has closed its
 // side in order before leaves a broken pipe.
 void client_connection::OnWritten(error_code error) {
-  is_write_done_ = true;
+  is_write_done_ = !error;
   is_broken_ = error && error != asio::error::broken_pipe;
   // A pending read reports the error, after any response that the peer sent
   // before it closed.
--- a/Libraries/LibRuntime/Connections/client_connection.h
+++ b/Libraries/LibRuntime/Connections/client_connection.h
@@ -101,6 +101,7 @@
   bool is_reading_ = false;
   /// The request was cancelled while the connection was still being made.
   bool is_cancelled_ = false;
+  /// The request was written completely.
   bool is_write_done_ = true;
   /// The connection failed while the request was written, so that its end does
   /// not tell whether a response without a length is complete.
--- a/Tests/LibRuntime/early_answers_test.cc
+++ b/Tests/LibRuntime/early_answers_test.cc
@@ -111,6 +111,15 @@
   EXPECT_EQ(result.response.body(), "early");
 }
 
+TEST_F(when_its_answer_is_whole, LeavesAConnectionThatIsNotUsedAgain) {
+  ExchangeWith([](scripted_connection& one) {
+    one.Write(AnswerText("early"));
+    one.Reset();
+  });
+  EXPECT_FALSE(next_->error);
+  EXPECT_EQ(next_->response.body(), "second");
+}
+
 TEST_F(when_its_answer_is_whole, GetsItIfItEndsInOrderWithoutALength) {
   const client_result result = ExchangeWith([](scripted_connection& one) {
     one.Write("HTTP/1.1 200 OK\r\n\r\nall of it");
