LibRuntime: Finish no answer below 200 at the end of its connection

Statuses below 200 are skipped as interim ones, but a response such as "HTTP/1.1 099 Odd" without a length was finished when its connection ended. That it then goes to the caller is by reading.

Before: gets_bytes_that_are_no_final_answer.AndTakesThemForNoneAtTheEnd failed with "result.error Which is: (nullopt)".

--- a/Libraries/LibRuntime/Connections/client_connection.cc
+++ b/Libraries/LibRuntime/Connections/client_connection.cc
@@ -300,7 +300,8 @@
   if (may_be_close_delimited) {
     error_code ending;
     parser_->put_eof(ending);
-    if (!ending && parser_->is_done() && MatchesRequest()) {
+    const bool is_final = parser_->get().result_int() >= kFirstFinalStatus;
+    if (!ending && parser_->is_done() && is_final && MatchesRequest()) {
       must_not_reuse_ = true;
       return Complete();
     }
--- a/Tests/LibRuntime/cut_answers_test.cc
+++ b/Tests/LibRuntime/cut_answers_test.cc
@@ -272,6 +272,29 @@
                          testing::ValuesIn(Forms()),
                          [](const auto& form) { return form.param.name; });
 
+class gets_bytes_that_are_no_final_answer : public a_request {};
+
+TEST_F(gets_bytes_that_are_no_final_answer, AndTakesThemForNoneAtTheEnd) {
+  for (const char* bytes :
+       {"HTTP/1.1 099 Odd\r\n\r\n", "HTTP/1.1 000 Odd\r\n\r\nbody",
+        "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 099 Odd\r\n\r\n"}) {
+    SCOPED_TRACE(bytes);
+    scripted_server server([bytes](scripted_connection& connection) {
+      connection.ReadRequest();
+      connection.Write(bytes);
+    });
+    std::vector<std::unique_ptr<connection_pool>> pools;
+    pools.push_back(PoolTo(server));
+    const client_result result = Exchange(pools, [](std::size_t) {
+      client_request request = Get();
+      request.allows_close_delimited_response = true;
+      return request;
+    })[0];
+    EXPECT_EQ(result.error, error_kind::kAnswerTruncated);
+    EXPECT_EQ(result.execution, execution_state::kUnknown);
+  }
+}
+
 /// Who answers the node that the caller called.
 enum class place : std::uint8_t { kEndpoint, kOtherNode };
 
