--- a/Tests/LibRuntime/running_node.h
+++ b/Tests/LibRuntime/running_node.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "LibDecision/peer_message.h"
+#include "LibRuntime/Requests/own_dialect.h"
 #include "LibRuntime/Requests/wire_dialect.h"
 #include "LibRuntime/Settings/node_settings.h"
 
@@ -14,6 +15,11 @@
 /// Settings with any free ports on loopback.
 node_settings LoopbackSettings();
 
+/// Also takes an endpoint's answers that end with their connections.
+struct dialect_of_open_ends : own_dialect {
+  bool allows_close_delimited_responses() const { return true; }
+};
+
 /// A node in this process, on a thread of its own.
 class running_node {
  public:
