Store: Go on after an entry that cannot be read

A node whose listing held one odd item lost the whole page, and with it every other node: a value nested more than 32 levels, an exponent beyond any number, bytes that are not UTF-8 or a NUL byte made the body unreadable, and the same listing was asked for again and again. An item in another form that could be read as JSON was dropped without a line; if a watch returned nothing else, the next one began at the same revision, which the store answers at once.

Items that are not entries are reported with their key, revision and field beside the entries, count as a change for the watch and as absent for the registry, and are logged once for each revision (store_entry_ignored). The table's watch and the seeds do the same.

--- a/Libraries/LibDecision/Membership/seed_discovery.cc
+++ b/Libraries/LibDecision/Membership/seed_discovery.cc
@@ -99,6 +99,9 @@
       std::string(kSeedsPrefix) + domain_view_.domain.value();
   std::string stored;
   store_revision revision;
+  for (const unreadable_entry& entry : result.unreadable) {
+    revision = entry.key == own_key ? entry.revision : revision;
+  }
   for (const store_entry& entry : result.entries) {
     AddAddresses(entry.value);
     if (entry.key == own_key) {
--- a/Libraries/LibDecision/Registry/node_registry.cc
+++ b/Libraries/LibDecision/Registry/node_registry.cc
@@ -72,6 +72,9 @@
   for (const store_entry& entry : update->entries) {
     ApplyEntry(context, entry);
   }
+  for (const unreadable_entry& entry : update->unreadable) {
+    IgnoreEntry(context, entry);
+  }
   quarantine_.OnStoreEntries(context, update->entries, update->is_listing);
   const bool has_crashes = std::any_of(
       update->entries.begin(), update->entries.end(),
@@ -81,7 +84,7 @@
   }
   if (update->is_listing) {
     NoteFirstListing(update->entries);
-    MarkUnlistedAsLapsed(context, update->entries);
+    MarkUnlistedAsLapsed(context, *update);
     may_list_older_records_ = false;
   }
   ScheduleLapseCheck(context);
@@ -150,16 +153,15 @@
 
 void node_registry::ApplyEntry(event_context& context,
                                const store_entry& entry) {
+  if (entry.is_removed) {
+    return ApplyRemoval(context, entry.key);
+  }
+  ignored_.Remove(entry.key);
   const std::optional<node_id> node = ParseMemberKey(entry.key);
   if (!node) {
     return;
   }
-  const bool is_self = *node == members_.self().node;
-  if (entry.is_removed) {
-    return is_self ? registration_.OnKeyMissing(context)
-                   : OnKeyRemoved(context, *node);
-  }
-  if (is_self) {
+  if (*node == members_.self().node) {
     return registration_.OnValueSeen(context, entry.value, entry.revision);
   }
   if (const auto record = DecodeMember(entry.key, entry.value)) {
@@ -171,6 +173,31 @@
   }
 }
 
+void node_registry::ApplyRemoval(event_context& context,
+                                 const std::string& key) {
+  ignored_.Remove(key);
+  const std::optional<node_id> node = ParseMemberKey(key);
+  if (node == members_.self().node) {
+    return registration_.OnKeyMissing(context);
+  }
+  if (node) {
+    OnKeyRemoved(context, *node);
+  }
+}
+
+// What another writer left has no lease, so it does not end with the node.
+void node_registry::IgnoreEntry(event_context& context,
+                                const unreadable_entry& entry) {
+  ignored_.Add(context, entry);
+  const std::optional<node_id> node = ParseMemberKey(entry.key);
+  if (node == members_.self().node) {
+    return registration_.OnValueSeen(context, {}, entry.revision);
+  }
+  if (node) {
+    OnKeyRemoved(context, *node);
+  }
+}
+
 bool node_registry::IsOutdated(const member_record& record) const {
   const member_record* known = members_.Find(record.node);
   return known != nullptr && std::pair(record.run, record.version) <
@@ -189,15 +216,16 @@
   lapsed_since_.emplace(node, context.now());
 }
 
-void node_registry::MarkUnlistedAsLapsed(
-    event_context& context,
-    const std::vector<store_entry>& listed) {
+void node_registry::MarkUnlistedAsLapsed(event_context& context,
+                                         const prefix_update& update) {
   std::set<node_id> listed_nodes;
-  for (const store_entry& entry : listed) {
+  const auto add = [&listed_nodes](const auto& entry) {
     if (const auto node = ParseMemberKey(entry.key)) {
       listed_nodes.insert(*node);
     }
-  }
+  };
+  std::for_each(update.entries.begin(), update.entries.end(), add);
+  std::for_each(update.unreadable.begin(), update.unreadable.end(), add);
   std::vector<node_id> missing;
   for (const auto& [node, record] : members_.list().members()) {
     if (!listed_nodes.contains(node) && node != members_.self().node) {
--- a/Libraries/LibDecision/Registry/node_registry.h
+++ b/Libraries/LibDecision/Registry/node_registry.h
@@ -7,6 +7,7 @@
 #include "LibDecision/Membership/membership.h"
 #include "LibDecision/Quarantine/quarantine.h"
 #include "LibDecision/Registry/registration.h"
+#include "LibDecision/Store/ignored_entries.h"
 #include "LibDecision/Store/prefix_watch.h"
 #include "LibDecision/event.h"
 #include "LibDecision/event_context.h"
@@ -70,10 +71,14 @@
   bool IsOutdated(const member_record& record) const;
   static bool IsSilent(instant now, instant lapsed_at, instant answered_at);
   void ApplyEntry(event_context& context, const store_entry& entry);
+  void ApplyRemoval(event_context& context, const std::string& key);
+  /// Handles an entry that names no node: it is logged, and the node that its
+  /// key belongs to has no record.
+  void IgnoreEntry(event_context& context, const unreadable_entry& entry);
   void OnKeyRemoved(event_context& context, node_id node);
   void NoteFirstListing(const std::vector<store_entry>& listed);
   void MarkUnlistedAsLapsed(event_context& context,
-                            const std::vector<store_entry>& listed);
+                            const prefix_update& update);
   void RemoveMember(event_context& context, node_id node);
   void ScheduleLapseCheck(event_context& context);
 
@@ -81,6 +86,7 @@
   quarantine& quarantine_;
   prefix_watch watch_;
   registration registration_;
+  ignored_entries ignored_;
   member_record published_;
   std::map<node_id, instant> lapsed_since_;
   /// The next listing may contain records that the store held before.
--- a/Libraries/LibDecision/Routes/route_watcher.cc
+++ b/Libraries/LibDecision/Routes/route_watcher.cc
@@ -43,7 +43,11 @@
   if (!watch_.OnStoreAnswered(context, answer, change) || !change) {
     return;
   }
+  for (const unreadable_entry& entry : change->unreadable) {
+    ignored_.Add(context, entry);
+  }
   for (const store_entry& entry : change->entries) {
+    ignored_.Remove(entry.key);
     if (entry.key == key_ && !entry.is_removed) {
       const route_source source =
           change->is_listing ? route_source::kListing : route_source::kWatch;
--- a/Libraries/LibDecision/Routes/route_watcher.h
+++ b/Libraries/LibDecision/Routes/route_watcher.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <utility>
 
+#include "LibDecision/Store/ignored_entries.h"
 #include "LibDecision/Store/prefix_watch.h"
 #include "LibDecision/event.h"
 #include "LibDecision/event_context.h"
@@ -61,6 +62,7 @@
   /// a view.
   std::optional<peer_version> newest_at_peers_;
   prefix_watch watch_;
+  ignored_entries ignored_;
 };
 
 }  // namespace auburnfold
--- a/Libraries/LibDecision/Store/prefix_watch.cc
+++ b/Libraries/LibDecision/Store/prefix_watch.cc
@@ -14,6 +14,12 @@
 constexpr duration kSuccessiveChangeTime = std::chrono::seconds(2);
 constexpr std::uint32_t kMaxDelayDoublings = 4;
 
+// A watch from before a change that cannot be read would be answered with it
+// again at once.
+bool HasChanges(const store_result& result) {
+  return !result.entries.empty() || !result.unreadable.empty();
+}
+
 }  // namespace
 
 void prefix_watch::Refresh(event_context& context) {
@@ -54,8 +60,9 @@
     return false;
   }
   const bool is_done = answer.result.status == store_status::kDone;
-  if (is_done && (is_list || !answer.result.entries.empty())) {
-    update = prefix_update{answer.result.entries, is_list};
+  if (is_done && (is_list || HasChanges(answer.result))) {
+    update =
+        prefix_update{answer.result.entries, answer.result.unreadable, is_list};
     if (is_list) {
       update->requested_at = list_requested_at_;
     }
@@ -121,7 +128,7 @@
   if (result.status != store_status::kDone) {
     return OnFailed(context, result.status == store_status::kHistoryGone);
   }
-  const bool has_changes = !result.entries.empty();
+  const bool has_changes = HasChanges(result);
   if (has_changes) {
     revision_ = result.revision;
   }
--- a/Libraries/LibDecision/Store/prefix_watch.h
+++ b/Libraries/LibDecision/Store/prefix_watch.h
@@ -17,7 +17,8 @@
 /// The result of a watch or a listing.
 struct prefix_update {
   std::vector<store_entry> entries;
-  /// `entries` is everything under the prefix: a key that is not in it does not
+  std::vector<unreadable_entry> unreadable;
+  /// This is everything under the prefix: a key that is not in it does not
   /// exist.
   bool is_listing = false;
   /// When a listing was requested, on the clock of
--- a/Libraries/LibDecision/Table/row_watch.cc
+++ b/Libraries/LibDecision/Table/row_watch.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <string_view>
 #include <unordered_map>
 
 #include "LibDecision/Store/backoff.h"
@@ -19,6 +20,12 @@
 constexpr backoff_policy kRetryBackoff{milliseconds(500), seconds(15), 5};
 constexpr std::size_t kMaxRowsRestoredAtOnce = 64;
 
+struct stored_row {
+  store_revision revision;
+  /// Empty if it cannot be read.
+  std::string_view value;
+};
+
 }  // namespace
 
 void row_watch::Start(event_context& context) {
@@ -124,7 +131,7 @@
   failures_ = 0;
   // An empty result carries no usable revision: if the store was restored to an
   // earlier state, its revision is lower than the one watched so far.
-  if (!result.entries.empty()) {
+  if (!result.entries.empty() || !result.unreadable.empty()) {
     revision_ = result.revision;
   }
   WatchRows(context);
@@ -135,9 +142,12 @@
 void row_watch::RestoreLostRows(event_context& context,
                                 const store_result& list_result,
                                 const row_set& local_rows) {
-  std::unordered_map<std::string, const store_entry*> stored;
+  std::unordered_map<std::string, stored_row> stored;
   for (const store_entry& entry : list_result.entries) {
-    stored.emplace(entry.key, &entry);
+    stored.emplace(entry.key, stored_row{entry.revision, entry.value});
+  }
+  for (const unreadable_entry& entry : list_result.unreadable) {
+    stored.emplace(entry.key, stored_row{entry.revision, {}});
   }
   std::size_t restored_count = 0;
   for (const table_row& row : local_rows.All()) {
@@ -146,8 +156,8 @@
     row_versions versions;
     store_revision revision;
     if (found != stored.end()) {
-      revision = found->second->revision;
-      versions = DecodeRow(key, found->second->value).value_or(row_versions{});
+      revision = found->second.revision;
+      versions = DecodeRow(key, found->second.value).value_or(row_versions{});
     }
     const bool is_lost =
         versions.empty() || versions.front().row.version < row.version;
--- a/Libraries/LibDecision/decision_record.cc
+++ b/Libraries/LibDecision/decision_record.cc
@@ -66,6 +66,8 @@
       return "store_era_changed";
     case decision_kind::kStoreRegained:
       return "store_regained";
+    case decision_kind::kStoreEntryIgnored:
+      return "store_entry_ignored";
     case decision_kind::kKeysOutdated:
       return "keys_outdated";
     case decision_kind::kKeysConfirmed:
@@ -130,6 +132,7 @@
     case decision_kind::kStoreLost:
     case decision_kind::kStoreEraChanged:
     case decision_kind::kStoreRegained:
+    case decision_kind::kStoreEntryIgnored:
     case decision_kind::kKeysOutdated:
     case decision_kind::kKeysConfirmed:
     case decision_kind::kQuotaOwnerChanged:
--- a/Libraries/LibDecision/decision_record.h
+++ b/Libraries/LibDecision/decision_record.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <string_view>
 
 #include "LibDecision/Retries/retry_decision.h"
@@ -51,6 +52,7 @@
   kStoreLost,          ///< The key-value store is unavailable.
   kStoreEraChanged,    ///< The key-value store has lost acknowledged writes.
   kStoreRegained,      ///< The key-value store is available again.
+  kStoreEntryIgnored,  ///< An entry of the key-value store cannot be read.
   kKeysOutdated,       ///< API keys may have been removed too long ago.
   kKeysConfirmed,      ///< API keys are certainly in effect again.
   kQuotaOwnerChanged,  ///< Another node owns a tenant's quota.
@@ -81,6 +83,15 @@
 /// The name of `basis` in log lines.
 std::string_view NameOf(quota_basis basis);
 
+/// An entry of the key-value store, or a report of the endpoint, that another
+/// writer left and that is not used.
+struct ignored_entry {
+  /// Its key or path, printable and shortened; empty if it cannot be read.
+  std::string key;
+  /// The field that cannot be read, or what it must be; a literal.
+  std::string_view field;
+};
+
 /// A decision and the inputs that it was based on. Fields that do not apply are
 /// unset.
 struct decision_record {
@@ -123,6 +134,7 @@
   std::optional<std::uint32_t> state;
   /// The part of the configuration that is not understood.
   std::optional<unread_field> config;
+  std::optional<ignored_entry> entry;
   tenant_name tenant;
   std::optional<quota_basis> basis;
 };
--- a/Libraries/LibDecision/store_call.h
+++ b/Libraries/LibDecision/store_call.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -21,6 +22,17 @@
   bool is_removed = false;
 };
 
+/// An entry of the key-value store, left by another writer, that cannot be
+/// read.
+struct unreadable_entry {
+  /// Empty if it cannot be read either.
+  std::string key;
+  /// 0 if it cannot be read either.
+  store_revision revision;
+  /// The field that cannot be read; a literal.
+  std::string_view field;
+};
+
 /// Reads one key.
 struct store_get {
   std::string key;
@@ -85,6 +97,8 @@
 struct store_result {
   store_status status = store_status::kDone;
   std::vector<store_entry> entries;
+  /// Entries that are there but cannot be read.
+  std::vector<unreadable_entry> unreadable;
   /// The newest revision of the store when it answered.
   store_revision revision;
   /// The lease that was granted, and its time to live.
--- a/Libraries/LibRuntime/Observability/decision_log.cc
+++ b/Libraries/LibRuntime/Observability/decision_log.cc
@@ -115,6 +115,10 @@
     fields.Add("field", NameOf(record.config->field));
     fields.Add("value", record.config->value);
   }
+  if (record.entry) {
+    fields.Add("key", record.entry->key);
+    fields.Add("field", record.entry->field);
+  }
   return line;
 }
 
--- a/Tests/Scenarios/fake_store.cc
+++ b/Tests/Scenarios/fake_store.cc
@@ -52,7 +52,9 @@
   }
   const store_entry made{write.key, write.value, store_revision(++revision_)};
   entries_[write.key] = made;
-  return {store_status::kDone, {made}, store_revision(revision_)};
+  return {.status = store_status::kDone,
+          .entries = {made},
+          .revision = store_revision(revision_)};
 }
 
 void fake_store::WakeWatches() {
