Registry: Overwrite an odd entry under the node's own key

A node whose own key held an item that cannot be read took the conflict for an absent key, wrote under the condition 0 again, and met the same conflict: writes without a pause, which spend the calls of all nodes, while the node itself stayed unknown.

The conflict now names the revision of an entry that cannot be read, so the next write replaces it. If not even the revision can be read, the write is repeated with the backoff of a failure.

Failed before: all 16 of an_odd_entry_under_the_nodes_own_key.IsOverwritten whose item cannot be read ("again->expected Which is: 0", not 9).

--- a/Libraries/LibDecision/Registry/registration.cc
+++ b/Libraries/LibDecision/Registry/registration.cc
@@ -21,6 +21,15 @@
 // record is restored within two seconds after the store is available again.
 constexpr backoff_policy kRetryBackoff{milliseconds(100), milliseconds(800), 3};
 
+// The revision of the key that a write was in conflict with; 0 if it is absent.
+store_revision CurrentRevision(const store_result& conflict) {
+  if (!conflict.entries.empty()) {
+    return conflict.entries.front().revision;
+  }
+  return conflict.unreadable.empty() ? store_revision()
+                                     : conflict.unreadable.front().revision;
+}
+
 }  // namespace
 
 void registration::Publish(event_context& context,
@@ -80,7 +89,9 @@
     context.Count(counter::kStoreFailures);
     return RetryLater(context);
   }
-  failures_ = 0;
+  if (result.status == store_status::kDone) {
+    failures_ = 0;
+  }
   switch (finished) {
     case stage::kIdle:
       return;
@@ -146,7 +157,8 @@
 }
 
 // After a conflict the answer holds the current entry of the key: this very
-// record, if the answer to its first write was lost, or that of an earlier run.
+// record, if the answer to its first write was lost, that of an earlier run, or
+// what another writer left there.
 void registration::OnWritten(event_context& context,
                              const store_result& result) {
   if (result.status == store_status::kDone) {
@@ -154,9 +166,13 @@
     revision_ = result.revision;
     return StartNextCall(context);
   }
-  revision_ = result.entries.empty() ? store_revision()
-                                     : result.entries.front().revision;
+  const store_revision expected = revision_;
+  revision_ = CurrentRevision(result);
   stored_value_.clear();
+  // An entry whose revision cannot be read may stand there for long.
+  if (revision_ == expected) {
+    return RetryLater(context);
+  }
   StartNextCall(context);
 }
 
--- a/Tests/platform/odd_entry_test.cc
+++ b/Tests/platform/odd_entry_test.cc
@@ -287,6 +287,29 @@
                          testing::ValuesIn(OddItems()),
                          [](const auto& each) { return each.param.name; });
 
+class an_odd_entry_under_the_nodes_own_key : public an_odd_entry {};
+
+// The store names the entry that stands in the way of a write. A node that
+// takes it for none writes under the same condition again, without a pause.
+TEST_P(an_odd_entry_under_the_nodes_own_key, IsOverwritten) {
+  AnswerListing({});
+  Happen(endpoint_reported{
+      .service = service_name("lots"), .run = incarnation(3), .slots = 18});
+  ASSERT_TRUE(Next<store_grant_lease>());
+  Answer(200, R"({"lease":77,"ttlS":9})");
+  ASSERT_TRUE(Next<store_compare_and_swap>());
+  Answer(412,
+         R"({"items":[)" + GetParam().make(MemberKey(node_id(1)), "9") + "]}");
+  const auto again = Next<store_compare_and_swap>();
+  ASSERT_TRUE(again);
+  EXPECT_EQ(again->expected, store_revision(9));
+}
+
+INSTANTIATE_TEST_SUITE_P(Every,
+                         an_odd_entry_under_the_nodes_own_key,
+                         testing::ValuesIn(OddItems()),
+                         [](const auto& each) { return each.param.name; });
+
 /// Items without a key or revision that can be read.
 constexpr const char* kItemsWithoutARevision[] = {
     R"({"key":"auburnfold/nodes/3","revision":18446744073709551616,"value":""})",
