Store: Continue a listing after a page of odd entries

A page of which no entry could be read ended the listing as if it were the last one, and the nodes of the later pages were taken for removed. A page that named the key from which it was asked for again was followed by the same call without an end.

The next page begins after the last key that can be read, whether its entry can or not. A listing that names no further key and says that it has more is unavailable, so what is known stays in force.

Failed before: the four tests of a_listing_of_several_pages, as GoesOnAfterAPageOfOddEntries ("result.entries.size() Which is: 0").

--- a/Tests/platform/store_client_test.cc
+++ b/Tests/platform/store_client_test.cc
@@ -3,9 +3,11 @@
 #include <gtest/gtest.h>
 
 #include <boost/asio.hpp>
+#include <deque>
 #include <functional>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace auburnfold::platform {
 namespace {
@@ -27,12 +29,31 @@
                              "\r\n\r\n", [this](const auto&, std::size_t) {
                                if (!is_silent_) {
                                  asio::write(*socket_, asio::buffer(answer_));
-                                 socket_->close();
+                                 ServeFurtherPages();
                                }
                              });
     });
   }
 
+  /// Answers the requests that follow on the connection, then closes it.
+  void ServeFurtherPages() {
+    if (further_answers_.empty()) {
+      return socket_->close();
+    }
+    received_.clear();
+    asio::async_read_until(
+        *socket_, asio::dynamic_buffer(received_), "\r\n\r\n",
+        [this](const auto& error, std::size_t) {
+          if (error) {
+            return;
+          }
+          requested_.push_back(received_.substr(0, received_.find('\r')));
+          asio::write(*socket_, asio::buffer(further_answers_.front()));
+          further_answers_.pop_front();
+          ServeFurtherPages();
+        });
+  }
+
   store_result Call(store_request request) {
     store_client client(
         context_.get_executor(),
@@ -63,6 +84,9 @@
   std::optional<tcp::socket> socket_;
   std::string received_;
   std::string answer_;
+  std::deque<std::string> further_answers_;
+  /// The request lines that these answered.
+  std::vector<std::string> requested_;
   bool is_silent_ = false;
 };
 
@@ -200,6 +224,55 @@
   EXPECT_EQ(Call(store_list{"k"}).status, store_status::kUnavailable);
 }
 
+class a_listing_of_several_pages : public a_store {
+ protected:
+  static std::string Page(const std::string& items, bool has_more) {
+    return Answer("200 OK", R"({"items":[)" + items + R"(],"hasMore":)" +
+                                (has_more ? "true" : "false") +
+                                R"(,"asOf":7})");
+  }
+
+  static constexpr char kOdd[] = R"({"key":"b","value":7,"revision":1})";
+  static constexpr char kGood[] = R"({"key":"c","value":"Mg==","revision":3})";
+};
+
+// The entries of the other pages would be taken for removed.
+TEST_F(a_listing_of_several_pages, GoesOnAfterAPageOfOddEntries) {
+  answer_ = Page(kOdd, true);
+  further_answers_ = {Page(kGood, false)};
+  Serve();
+  const store_result result = Call(store_list{"table/"});
+  EXPECT_EQ(result.status, store_status::kDone);
+  ASSERT_EQ(result.entries.size(), 1U);
+  EXPECT_EQ(result.entries[0].key, "c");
+  EXPECT_EQ(requested_, std::vector<std::string>{
+                            "GET /kv-range?prefix=table%2F&after=b HTTP/1.1"});
+}
+
+TEST_F(a_listing_of_several_pages, GoesOnAfterASecondPageOfOddEntries) {
+  answer_ = Page(R"({"key":"a","value":"MQ==","revision":2})", true);
+  further_answers_ = {Page(kOdd, true), Page(kGood, false)};
+  Serve();
+  const store_result result = Call(store_list{"table/"});
+  ASSERT_EQ(result.entries.size(), 2U);
+  EXPECT_EQ(result.entries[1].key, "c");
+}
+
+TEST_F(a_listing_of_several_pages, IsUnavailableIfAPageNamesNoKeyToGoOnFrom) {
+  answer_ = Page(R"({"key":7,"value":"MQ==","revision":2})", true);
+  Serve();
+  EXPECT_EQ(Call(store_list{"table/"}).status, store_status::kUnavailable);
+}
+
+// The same page would be asked for without an end.
+TEST_F(a_listing_of_several_pages, IsUnavailableIfAPageNamesNoFurtherKey) {
+  answer_ = Page(kGood, true);
+  further_answers_ = {Page(kGood, true), Page(kGood, true)};
+  Serve();
+  EXPECT_EQ(Call(store_list{"table/"}).status, store_status::kUnavailable);
+  EXPECT_EQ(requested_.size(), 1U);
+}
+
 class a_watch : public a_store {};
 
 TEST_F(a_watch, ShowsWhatWasWrittenAndWhatWasRemoved) {
