Registry: Take a record that names no node for none

A record with port 0, a host that is no address, or a NUL byte, a line end or a megabyte in a field made a member that requests were sent to; a line end in a host also cut the views that other nodes get. A key spelled otherwise (nodes/003) changed the node of the same number. A record that could not be decoded left no line, and since it has no lease, it kept a dead node a member for as long as it stood.

Each field is read by one reader that checks its range and form. A record that cannot be read counts as absent: its node stays while it answers, and is removed if it does not. The log names the key and the field. The fleet of the tests tells its nodes apart by ports instead of hosts that are no addresses.

--- a/Libraries/LibDecision/Registry/member_codec.cc
+++ b/Libraries/LibDecision/Registry/member_codec.cc
@@ -1,7 +1,10 @@
 #include "LibDecision/Registry/member_codec.h"
 
-#include <charconv>
+#include <arpa/inet.h>
+
+#include <cstddef>
 #include <cstdint>
+#include <utility>
 
 #include "LibDecision/text_words.h"
 
@@ -11,6 +14,80 @@
 
 // Format and version of the values.
 constexpr std::string_view kFormatTag = "auburnfold-node-1";
+constexpr std::size_t kMaxHostBytes = 64;
+constexpr std::size_t kMaxNameBytes = 256;
+
+bool IsAddress(std::string_view host) {
+  // The scope of an IPv6 address follows a percent sign.
+  const std::string text(host.substr(0, host.find('%')));
+  in6_addr parsed{};
+  return host.size() <= kMaxHostBytes && IsText(host) &&
+         (inet_pton(AF_INET, text.c_str(), &parsed) == 1 ||
+          inet_pton(AF_INET6, text.c_str(), &parsed) == 1);
+}
+
+// Reads the fields of a record in their order, and remembers the first that
+// cannot be read.
+class record_reader {
+ public:
+  explicit record_reader(std::string_view value) : fields_(value) {}
+
+  void ReadFormat() {
+    if (fields_.TakeUntil(' ') != kFormatTag) {
+      Fail("format");
+    }
+  }
+
+  template <class number>
+  number ReadNumber(std::string_view field, number min = 0) {
+    number read = 0;
+    if (!fields_.TakeNumber(read) || read < min) {
+      Fail(field);
+    }
+    return read;
+  }
+
+  member_state ReadState() {
+    constexpr auto kLast = static_cast<std::uint64_t>(member_state::kGone);
+    const auto state = ReadNumber<std::uint64_t>("state");
+    if (state > kLast) {
+      Fail("state");
+      return member_state::kGone;
+    }
+    return static_cast<member_state>(state);
+  }
+
+  std::string ReadHost() {
+    const std::string_view host = fields_.TakeUntil(' ');
+    if (!IsAddress(host)) {
+      Fail("host");
+    }
+    return std::string(host);
+  }
+
+  // Names are written into headers, lines of views and the log.
+  std::string ReadName(std::string_view field) {
+    const std::string_view name = fields_.TakeUntil(' ');
+    if (name.size() > kMaxNameBytes || !IsText(name)) {
+      Fail(field);
+      return {};
+    }
+    return std::string(name);
+  }
+
+  /// Empty if all fields were read.
+  std::string_view unread_field() const { return unread_field_; }
+
+ private:
+  void Fail(std::string_view field) {
+    if (unread_field_.empty()) {
+      unread_field_ = field;
+    }
+  }
+
+  word_reader fields_;
+  std::string_view unread_field_;
+};
 
 }  // namespace
 
@@ -33,50 +110,48 @@
   return line;
 }
 
-std::optional<member_record> DecodeMember(std::string_view key,
-                                          std::string_view value) {
+member_reading ReadMember(std::string_view key, std::string_view value) {
   const std::optional<node_id> node = ParseMemberKey(key);
-  word_reader fields(value);
-  if (!node || fields.TakeUntil(' ') != kFormatTag) {
-    return std::nullopt;
+  if (!node) {
+    return {.unread_field = "key"};
   }
+  record_reader fields(value);
+  fields.ReadFormat();
   member_record record{.node = *node};
-  std::uint64_t run = 0;
-  std::uint64_t state = 0;
-  const bool has_state = fields.TakeNumber(run) &&
-                         fields.TakeNumber(record.version) &&
-                         fields.TakeNumber(state);
-  if (!has_state || state > static_cast<std::uint64_t>(member_state::kGone)) {
-    return std::nullopt;
-  }
-  record.run = incarnation(run);
-  record.state = static_cast<member_state>(state);
-  record.address.host = std::string(fields.TakeUntil(' '));
-  const bool has_ports = fields.TakeNumber(record.address.peer_port) &&
-                         fields.TakeNumber(record.address.control_port);
-  record.domain = domain_name(std::string(fields.TakeUntil(' ')));
-  record.service = service_name(std::string(fields.TakeUntil(' ')));
+  record.run = incarnation(fields.ReadNumber<std::uint64_t>("run"));
+  record.version = fields.ReadNumber<std::uint64_t>("version");
+  record.state = fields.ReadState();
+  record.address.host = fields.ReadHost();
+  record.address.peer_port = fields.ReadNumber<std::uint16_t>("peer_port", 1);
+  record.address.control_port =
+      fields.ReadNumber<std::uint16_t>("control_port");
+  record.domain = domain_name(fields.ReadName("domain"));
+  record.service = service_name(fields.ReadName("service"));
   // A later version may append fields.
-  const bool has_slots = fields.TakeNumber(record.slots);
-  if (!has_ports || !has_slots || record.address.host.empty()) {
-    return std::nullopt;
+  record.slots = fields.ReadNumber<std::uint32_t>("slots");
+  if (!fields.unread_field().empty()) {
+    return {.unread_field = fields.unread_field()};
   }
-  return record;
+  return {.record = std::move(record)};
 }
 
+std::optional<member_record> DecodeMember(std::string_view key,
+                                          std::string_view value) {
+  return ReadMember(key, value).record;
+}
+
+// Another spelling of the same number is another key, whose changes say nothing
+// about the node.
 std::optional<node_id> ParseMemberKey(std::string_view key) {
   if (!key.starts_with(kRegistryPrefix)) {
     return std::nullopt;
   }
-  const std::string_view digits = key.substr(kRegistryPrefix.size());
-  const char* digits_end = digits.data() + digits.size();
+  word_reader digits(key.substr(kRegistryPrefix.size()));
   std::uint64_t value = 0;
-  const auto [parse_end, error] =
-      std::from_chars(digits.data(), digits_end, value);
-  if (error != std::errc() || parse_end != digits_end || digits.empty()) {
-    return std::nullopt;
-  }
-  return node_id(value);
+  const bool is_number = digits.TakeNumber(value);
+  return is_number && MemberKey(node_id(value)) == key
+             ? std::optional(node_id(value))
+             : std::nullopt;
 }
 
 }  // namespace auburnfold
--- a/Libraries/LibDecision/Registry/member_codec.h
+++ b/Libraries/LibDecision/Registry/member_codec.h
@@ -18,11 +18,21 @@
 /// The value of the key of `record.node`.
 std::string EncodeMember(const member_record& record);
 
+/// A record that was read, or the field that cannot be.
+struct member_reading {
+  std::optional<member_record> record;
+  std::string_view unread_field;
+};
+
+/// Reads the record stored under `key`. Another writer may have left anything
+/// there: a record is read only if a node can be reached through it.
+member_reading ReadMember(std::string_view key, std::string_view value);
+
 /// The record stored under `key`; `nullopt` if `key` or `value` is malformed.
 std::optional<member_record> DecodeMember(std::string_view key,
                                           std::string_view value);
 
-/// The node that `key` belongs to; `nullopt` if it is not a registry key.
+/// The node that `key` belongs to; `nullopt` if `MemberKey` does not make it.
 std::optional<node_id> ParseMemberKey(std::string_view key);
 
 }  // namespace auburnfold
--- a/Libraries/LibDecision/Registry/node_registry.cc
+++ b/Libraries/LibDecision/Registry/node_registry.cc
@@ -156,21 +156,30 @@
   if (entry.is_removed) {
     return ApplyRemoval(context, entry.key);
   }
-  ignored_.Remove(entry.key);
-  const std::optional<node_id> node = ParseMemberKey(entry.key);
-  if (!node) {
-    return;
+  if (ParseCrashKey(entry.key)) {
+    return DecodeCrash(entry.key, entry.value)
+               ? ignored_.Remove(entry.key)
+               : ignored_.Add(context, {entry.key, entry.revision, "value"});
   }
-  if (*node == members_.self().node) {
+  const member_reading reading = ReadMember(entry.key, entry.value);
+  const unreadable_entry unreadable{entry.key, entry.revision,
+                                    reading.unread_field};
+  if (ParseMemberKey(entry.key) == members_.self().node) {
+    if (!reading.record) {
+      ignored_.Add(context, unreadable);
+    }
     return registration_.OnValueSeen(context, entry.value, entry.revision);
   }
-  if (const auto record = DecodeMember(entry.key, entry.value)) {
-    lapsed_since_.erase(*node);
-    if (may_list_older_records_ && IsOutdated(*record)) {
-      return;
-    }
-    members_.Replace(context, *record);
+  if (!reading.record) {
+    return IgnoreEntry(context, unreadable);
+  }
+  const member_record& record = *reading.record;
+  ignored_.Remove(entry.key);
+  lapsed_since_.erase(record.node);
+  if (may_list_older_records_ && IsOutdated(record)) {
+    return;
   }
+  members_.Replace(context, record);
 }
 
 void node_registry::ApplyRemoval(event_context& context,
--- a/Tests/LibDecision/registry_fleet.cc
+++ b/Tests/LibDecision/registry_fleet.cc
@@ -16,6 +16,7 @@
 
 constexpr char kRouteKey[] = "routes";
 constexpr char kHost[] = "shop.example";
+constexpr std::size_t kFirstPort = 1000;
 constexpr duration kHop = 1ms;
 constexpr duration kStoreDelay = 4ms;
 constexpr std::uint32_t kSlots = 18;
@@ -29,6 +30,16 @@
 constexpr duration kConnectTimeout = 400ms;
 constexpr duration kResponseTimeout = 700ms;
 
+// All nodes share an address, and the port tells them apart.
+node_address AddressOf(std::size_t index) {
+  return {.host = "10.0.0.1",
+          .peer_port = static_cast<std::uint16_t>(kFirstPort + index)};
+}
+
+std::size_t IndexOf(const node_address& address) {
+  return address.peer_port - kFirstPort;
+}
+
 std::optional<route_config> Decode(const std::string& value) {
   route_config config;
   std::uint64_t number = 0;
@@ -108,7 +119,7 @@
                    .api_key_validity = api_key_validity_});
   Happen(started, node_started{.node = node_id(index + 1),
                                .run = incarnation(started.run),
-                               .address = {.host = std::to_string(index)},
+                               .address = AddressOf(index),
                                .domain = domain_name("d1"),
                                .service = service_name("lots")});
   Report(started);
@@ -318,7 +329,7 @@
 
 void registry_fleet::Do(node& from, const send_attempt& made) {
   const work_id work(next_id_++);
-  node& target = *nodes_[std::stoul(made.to.host)];
+  node& target = *nodes_[IndexOf(made.to)];
   works_[work] = {from.index, target.index, from.run, made.attempt,
                   made.metadata.digest};
   if (const auto call = from.calls.find(made.call); call != from.calls.end()) {
@@ -331,11 +342,10 @@
     if (&from != &target && (from.is_alone || target.is_alone)) {
       return;
     }
-    Happen(target,
-           work_arrived{.work = work,
-                        .from = node_id(sender + 1),
-                        .from_address = {.host = std::to_string(sender)},
-                        .metadata = metadata});
+    Happen(target, work_arrived{.work = work,
+                                .from = node_id(sender + 1),
+                                .from_address = AddressOf(sender),
+                                .metadata = metadata});
   });
 }
 
@@ -399,7 +409,7 @@
 }
 
 void registry_fleet::Do(node& from, const request_view& made) {
-  const node& peer = *nodes_[std::stoul(made.to.host)];
+  const node& peer = *nodes_[IndexOf(made.to)];
   After(kHop, [this, &from, &peer, run = from.run] {
     if (from.is_alone || peer.is_alone) {
       return;
--- a/Tests/LibDecision/registry_test.cc
+++ b/Tests/LibDecision/registry_test.cc
@@ -435,7 +435,7 @@
 
 TEST_F(a_record, MayHaveFieldsOfALaterVersion) {
   const member_record record{.node = node_id(7),
-                             .address = {.host = "10.0.0.7"},
+                             .address = {.host = "10.0.0.7", .peer_port = 81},
                              .service = service_name("s"),
                              .slots = 12};
   EXPECT_EQ(
--- a/Tests/platform/odd_entry_test.cc
+++ b/Tests/platform/odd_entry_test.cc
@@ -21,6 +21,7 @@
 using namespace std::chrono_literals;
 
 constexpr int kNesting = 10'000;
+constexpr std::size_t kMegabyte = 1'000'000;
 
 std::string Repeat(std::string_view text, std::size_t count) {
   std::string repeated;
@@ -61,6 +62,18 @@
               Quoted(ToBase64(EncodeMember(record))));
 }
 
+/// An item whose value the store holds, but that is no record of a node.
+std::string ItemHolding(std::string_view key,
+                        std::string_view revision,
+                        std::string_view bytes) {
+  return Item(key, revision, Quoted(ToBase64(bytes)));
+}
+
+std::string RecordText(std::string_view host, std::string_view port) {
+  return "auburnfold-node-1 4 0 0 " + std::string(host) + " " +
+         std::string(port) + " 0 d2 lots 18 ";
+}
+
 struct odd_item {
   const char* name;
   /// JSON of an item with this key and revision.
@@ -78,6 +91,12 @@
           }};
 }
 
+odd_item Holding(const char* name, const std::string& bytes) {
+  return {name, [bytes](std::string_view key, std::string_view revision) {
+            return ItemHolding(key, revision, bytes);
+          }};
+}
+
 /// Each hides its value or leaves it out.
 std::vector<odd_item> OddItems() {
   return {
@@ -97,6 +116,28 @@
       WithValue("NoBase64", R"("%%%%")"),
       WithValue("NoValueAtAll", ""),
       WithValue("TwoValues", R"("","value":"%")"),
+      Holding("AnEmptyValue", ""),
+      Holding("AMegabyteOfOneField",
+              RecordText(std::string(kMegabyte, 'a'), "80")),
+      Holding("AMegabyteOfService",
+              "auburnfold-node-1 4 0 0 10.0.0.2 80 0 d2 " +
+                  std::string(kMegabyte, 'a') + " 18 "),
+      Holding("ARecordOfNestedLists", Nested("[", "]")),
+      Holding("BytesThatAreNoUtf8InARecord",
+              "auburnfold-node-1 4 0 0 10.0.0.2 80 0 d2 \xff\xfe 18 "),
+      Holding("ANulByteInARecord",
+              RecordText(std::string_view("10.0.0.2\0x", 10), "80")),
+      Holding("ALineFeedInARecord", RecordText("10.0.0.2\n\n", "80")),
+      Holding("AHostThatIsNoAddress", RecordText("elsewhere", "80")),
+      Holding("PortZero", RecordText("10.0.0.2", "0")),
+      Holding("Port65536", RecordText("10.0.0.2", "65536")),
+      Holding("PortOfTwoToThe64",
+              RecordText("10.0.0.2", "18446744073709551616")),
+      Holding("ANegativePort", RecordText("10.0.0.2", "-80")),
+      Holding("AFractionOfAPort", RecordText("10.0.0.2", "80.5")),
+      Holding("APortOf400Digits", RecordText("10.0.0.2", Repeat("9", 400))),
+      Holding("AnUnknownState",
+              "auburnfold-node-1 4 0 9 10.0.0.2 80 0 d2 lots 18 "),
   };
 }
 
@@ -345,5 +386,27 @@
                          an_item_without_a_key_or_revision,
                          testing::ValuesIn(kItemsWithoutARevision));
 
+class a_key_of_another_writer : public a_node_that_follows_a_list {};
+
+// Two keys that name one node take turns.
+TEST_F(a_key_of_another_writer, ThatIsSpelledOtherwiseNamesNobody) {
+  for (const char* key :
+       {"auburnfold/nodes/003", "auburnfold/nodes/-3", "auburnfold/nodes/+3",
+        "auburnfold/nodes/18446744073709551619", "auburnfold/nodes/3.0"}) {
+    EXPECT_FALSE(DecodeMember(key, EncodeMember(RecordOf(kOdd)))) << key;
+  }
+}
+
+TEST_F(a_key_of_another_writer, IsLoggedAsPrintableText) {
+  AnswerListing(
+      {Item(R"(auburnfold/nodes/\u0001\u00e4)" + std::string(kMegabyte, 'a'),
+            "7", R"("")")});
+  ASSERT_EQ(Ignored().size(), 1U);
+  const std::string key = Ignored()[0].entry->key;
+  EXPECT_TRUE(key.starts_with("auburnfold/nodes/???aaa")) << key;
+  EXPECT_EQ(key.size(), 200U);
+  EXPECT_EQ(Ignored()[0].entry->field, "key");
+}
+
 }  // namespace
 }  // namespace auburnfold::platform
