Quarantine: Overwrite an odd entry under the key of a crash

A node that knew of a crash whose key another writer had overwritten wrote its record under the condition that the key is absent, met the odd entry, and began anew: a lease, a write and the end of the lease, without a pause and without an end.

The revision of what stands under the key is now remembered whether it can be decoded or not, from a conflict as from a watch or listing, so the next write replaces it. A conflict that names no other revision is followed by a backoff.

Failed before: 31 of 31 of an_odd_entry_under_the_key_of_a_crash.IsOverwritten and 31 of 31 of IsOverwrittenIfAWriteMeetsIt ("ExpectedByWrite() Which is: 0" at the second write, not 9).

--- a/Libraries/LibDecision/Quarantine/crash_publisher.cc
+++ b/Libraries/LibDecision/Quarantine/crash_publisher.cc
@@ -51,12 +51,11 @@
     case store_status::kHistoryGone:
     case store_status::kLeaseExpired:
       context.Count(counter::kStoreFailures);
-      return RetryLater(context);
+      return RetryLater(context, std::exchange(pending_, std::nullopt)->crash);
     case store_status::kDone:
     case store_status::kConflict:
       break;
   }
-  failures_ = 0;
   if (!pending_->lease) {
     pending_->lease = answer.result.lease;
     return Write(context);
@@ -88,11 +87,11 @@
 void crash_publisher::Write(event_context& context) {
   pending_->written = ledger_.RecordOf(context.now(), pending_->crash);
   const auto revision = revisions_.find(pending_->crash);
-  Send(context,
-       store_compare_and_swap{
-           CrashKey(pending_->crash), EncodeCrash(pending_->written),
-           revision == revisions_.end() ? store_revision() : revision->second,
-           *pending_->lease});
+  pending_->expected =
+      revision == revisions_.end() ? store_revision() : revision->second;
+  Send(context, store_compare_and_swap{CrashKey(pending_->crash),
+                                       EncodeCrash(pending_->written),
+                                       pending_->expected, *pending_->lease});
 }
 
 void crash_publisher::Send(event_context& context, store_request request) {
@@ -102,32 +101,44 @@
 }
 
 // After a conflict the answer holds the current record. If it names fewer
-// suspects, this node needs to write nothing.
+// suspects, this node needs to write nothing. What another writer left there is
+// overwritten; if not even its revision can be read, not at once.
 void crash_publisher::OnWritten(event_context& context,
                                 const store_result& result) {
   const pending_write written = *std::exchange(pending_, std::nullopt);
   if (result.status == store_status::kDone) {
+    failures_ = 0;
     revisions_[written.crash] = result.revision;
     return StartNextCall(context);
   }
   context.Emit(call_store{call_ids_.Next(), store_end_lease{*written.lease}});
   revisions_.erase(written.crash);
+  for (const unreadable_entry& entry : result.unreadable) {
+    revisions_[written.crash] = entry.revision;
+  }
   for (const store_entry& entry : result.entries) {
+    revisions_[written.crash] = entry.revision;
     const auto stored = DecodeCrash(entry.key, entry.value);
     if (stored) {
       ledger_.Add(context.now(), *stored);
-      revisions_[written.crash] = entry.revision;
       if (ledger_.RecordOf(context.now(), written.crash).suspects ==
           stored->suspects) {
+        failures_ = 0;
         return StartNextCall(context);
       }
     }
   }
+  const auto current = revisions_.find(written.crash);
+  const bool has_moved =
+      written.expected !=
+      (current == revisions_.end() ? store_revision() : current->second);
+  if (!has_moved) {
+    return RetryLater(context, written.crash);
+  }
   Publish(context, written.crash, duration::zero());
 }
 
-void crash_publisher::RetryLater(event_context& context) {
-  const crash_id crash = std::exchange(pending_, std::nullopt)->crash;
+void crash_publisher::RetryLater(event_context& context, crash_id crash) {
   not_before_ = context.now() + BackoffDelay(context, kRetryBackoff, failures_);
   ++failures_;
   Publish(context, crash, duration::zero());
--- a/Libraries/LibDecision/Quarantine/crash_publisher.h
+++ b/Libraries/LibDecision/Quarantine/crash_publisher.h
@@ -25,6 +25,10 @@
   void OnStored(instant now,
                 const crash_record& stored,
                 store_revision revision);
+  /// The store holds something else under the key of `crash`.
+  void OnUnreadable(crash_id crash, store_revision revision) {
+    revisions_[crash] = revision;
+  }
   /// The store holds no record of `crash`.
   void OnMissing(crash_id crash) { revisions_.erase(crash); }
   /// Nothing that was read or granted before means anything to the store.
@@ -39,13 +43,15 @@
     /// Unset until it is granted.
     std::optional<store_lease> lease;
     crash_record written;
+    /// The revision that the record must have for the write; 0 if it is absent.
+    store_revision expected;
   };
 
   void StartNextCall(event_context& context);
   void Write(event_context& context);
   void Send(event_context& context, store_request request);
   void OnWritten(event_context& context, const store_result& result);
-  void RetryLater(event_context& context);
+  void RetryLater(event_context& context, crash_id crash);
 
   crash_ledger& ledger_;
   store_call_id_generator call_ids_{store_caller::kCrashRecords};
--- a/Libraries/LibDecision/Quarantine/quarantine.cc
+++ b/Libraries/LibDecision/Quarantine/quarantine.cc
@@ -77,10 +77,15 @@
 }
 
 void quarantine::OnStoreEntries(event_context& context,
-                                const std::vector<store_entry>& entries,
-                                bool is_listing) {
+                                const prefix_update& update) {
   std::set<crash_id> listed;
-  for (const store_entry& entry : entries) {
+  for (const unreadable_entry& entry : update.unreadable) {
+    if (const auto crash = ParseCrashKey(entry.key)) {
+      listed.insert(*crash);
+      OnUnreadable(context, *crash, entry.revision);
+    }
+  }
+  for (const store_entry& entry : update.entries) {
     const std::optional<crash_id> crash = ParseCrashKey(entry.key);
     if (!crash) {
       continue;
@@ -91,9 +96,12 @@
       listed.insert(*crash);
       Add(context, *record);
       publisher_.OnStored(context.now(), *record, entry.revision);
+    } else {
+      listed.insert(*crash);
+      OnUnreadable(context, *crash, entry.revision);
     }
   }
-  if (!is_listing) {
+  if (!update.is_listing) {
     return;
   }
   for (const crash_record& record : ledger_.Records(context.now())) {
@@ -106,6 +114,18 @@
 // The lease has ended with the record's lifetime, or the store has lost it.
 void quarantine::OnRemoved(event_context& context, crash_id crash) {
   publisher_.OnMissing(crash);
+  Restore(context, crash);
+}
+
+// Another writer left something else under the key.
+void quarantine::OnUnreadable(event_context& context,
+                              crash_id crash,
+                              store_revision revision) {
+  publisher_.OnUnreadable(crash, revision);
+  Restore(context, crash);
+}
+
+void quarantine::Restore(event_context& context, crash_id crash) {
   const crash_record known = ledger_.RecordOf(context.now(), crash);
   if (known.time_left >= kMinTimeLeftToPublish) {
     return PublishSoon(context, crash);
--- a/Libraries/LibDecision/Quarantine/quarantine.h
+++ b/Libraries/LibDecision/Quarantine/quarantine.h
@@ -7,6 +7,7 @@
 
 #include "LibDecision/Quarantine/crash_ledger.h"
 #include "LibDecision/Quarantine/crash_publisher.h"
+#include "LibDecision/Store/prefix_watch.h"
 #include "LibDecision/event.h"
 #include "LibDecision/event_context.h"
 #include "LibDecision/node_options.h"
@@ -35,9 +36,7 @@
   }
 
   /// Handles a watch or listing of the registry.
-  void OnStoreEntries(event_context& context,
-                      const std::vector<store_entry>& entries,
-                      bool is_listing);
+  void OnStoreEntries(event_context& context, const prefix_update& update);
   void OnStoreEraChanged() { publisher_.OnStoreEraChanged(); }
   void OnStoreAnswered(event_context& context, const store_answered& answer) {
     publisher_.OnStoreAnswered(context, answer);
@@ -70,6 +69,12 @@
   void ScheduleExpiry(event_context& context);
   void PublishSoon(event_context& context, crash_id crash);
   void OnRemoved(event_context& context, crash_id crash);
+  void OnUnreadable(event_context& context,
+                    crash_id crash,
+                    store_revision revision);
+  /// The store does not hold the record of `crash`: writes it, or forgets it if
+  /// it ends soon.
+  void Restore(event_context& context, crash_id crash);
 
   bool uses_store_;
   node_id node_;
--- a/Libraries/LibDecision/Registry/node_registry.cc
+++ b/Libraries/LibDecision/Registry/node_registry.cc
@@ -75,7 +75,7 @@
   for (const unreadable_entry& entry : update->unreadable) {
     IgnoreEntry(context, entry);
   }
-  quarantine_.OnStoreEntries(context, update->entries, update->is_listing);
+  quarantine_.OnStoreEntries(context, *update);
   const bool has_crashes = std::any_of(
       update->entries.begin(), update->entries.end(),
       [](const store_entry& entry) { return ParseCrashKey(entry.key); });
--- a/Tests/platform/odd_entry_test.cc
+++ b/Tests/platform/odd_entry_test.cc
@@ -10,6 +10,7 @@
 #include <string_view>
 #include <vector>
 
+#include "LibDecision/Quarantine/crash_codec.h"
 #include "LibDecision/Registry/member_codec.h"
 #include "LibDecision/reducer.h"
 #include "LibWire/base64.h"
@@ -351,6 +352,60 @@
                          testing::ValuesIn(OddItems()),
                          [](const auto& each) { return each.param.name; });
 
+class an_odd_entry_under_the_key_of_a_crash : public an_odd_entry {
+ protected:
+  static std::string OddCrash() {
+    return GetParam().make(CrashKey(kCrash), "9");
+  }
+
+  /// The node learns of a crash, and lists the registry once more.
+  void ListAgain(const std::vector<std::string>& items) {
+    AnswerListing({});
+    peer_view view;
+    view.crashes.push_back(
+        {.id = kCrash, .suspects = {request_digest(666)}, .time_left = 500s});
+    Happen(view_received{view});
+    Pass(61s);
+    AnswerWatch({}, kListed);
+    AnswerListing(items);
+    Pass(3s);
+  }
+
+  /// The revision that the node expects when it writes its record of the crash.
+  /// The write meets the odd entry.
+  std::optional<store_revision> ExpectedByWrite() {
+    if (!Next<store_grant_lease>()) {
+      return std::nullopt;
+    }
+    Answer(200, R"({"lease":77,"ttlS":500})");
+    const auto write = Next<store_compare_and_swap>();
+    if (!write) {
+      return std::nullopt;
+    }
+    Answer(412, R"({"items":[)" + OddCrash() + "]}");
+    return write->expected;
+  }
+
+  static inline const crash_id kCrash{5};
+};
+
+TEST_P(an_odd_entry_under_the_key_of_a_crash, IsOverwritten) {
+  ListAgain({OddCrash()});
+  EXPECT_EQ(ExpectedByWrite(), store_revision(9));
+}
+
+// Three calls of the store each time, without a pause and without an end.
+TEST_P(an_odd_entry_under_the_key_of_a_crash, IsOverwrittenIfAWriteMeetsIt) {
+  ListAgain({});
+  EXPECT_EQ(ExpectedByWrite(), store_revision());
+  EXPECT_EQ(ExpectedByWrite(), store_revision(9));
+}
+
+INSTANTIATE_TEST_SUITE_P(Every,
+                         an_odd_entry_under_the_key_of_a_crash,
+                         testing::ValuesIn(OddItems()),
+                         [](const auto& each) { return each.param.name; });
+
 /// Items without a key or revision that can be read.
 constexpr const char* kItemsWithoutARevision[] = {
     R"({"key":"auburnfold/nodes/3","revision":18446744073709551616,"value":""})",
