Platform: Read each entry of a configuration on its own

Nodes stopped following the configuration at one odd entry: a field nested more than 32 levels, an exponent beyond any number, bytes that are not UTF-8. All its routes were rejected. Nodes ended by themselves at another: the name of a route, service or tenant of more than 64 KiB throws "field value too large" when the first request is sent on with it, and a line end in a name added a header. A rate of 1e999 became an infinite quota.

The configuration is read by parts like a page of the store, so that only the field or entry that cannot be read is noted.

--- a/Tests/platform/route_reader_test.cc
+++ b/Tests/platform/route_reader_test.cc
@@ -3,10 +3,16 @@
 #include <gtest/gtest.h>
 
 #include <chrono>
+#include <cmath>
+#include <cstddef>
 #include <optional>
+#include <ostream>
 #include <string>
+#include <string_view>
 #include <vector>
 
+#include "LibRuntime/Requests/headers.h"
+
 namespace auburnfold::platform {
 namespace {
 
@@ -216,5 +222,177 @@
   EXPECT_FALSE(ReadRoutes(""));
 }
 
+std::string Nested(const std::string& open, const std::string& close) {
+  constexpr int kLevels = 10'000;
+  std::string text;
+  for (int i = 0; i < kLevels; ++i) {
+    text += open;
+  }
+  text += '1';
+  for (int i = 0; i < kLevels; ++i) {
+    text += close;
+  }
+  return text;
+}
+
+struct odd_part {
+  const char* name;
+  std::string value;
+};
+
+void PrintTo(const odd_part& part, std::ostream* out) {
+  *out << part.name;
+}
+
+std::vector<odd_part> OddParts() {
+  return {{"NestedLists", Nested("[", "]")},
+          {"NestedObjects", Nested(R"({"a":)", "}")},
+          {"ANumberOf400Digits", std::string(400, '9')},
+          {"AnInfiniteNumber", "1e999"},
+          {"ANumberBeyondAnyExponent", "1e99999999999"},
+          {"TwoToThe64", "18446744073709551616"},
+          {"ANegativeNumber", "-1"},
+          {"BytesThatAreNoUtf8", "\"\xff\xfe\""},
+          {"ANulByte", std::string("\"\0\"", 3)},
+          {"AMegabyteOfText", '"' + std::string(1'000'000, 'a') + '"'},
+          {"NotANumber", "NaN"},
+          {"Null", "null"},
+          {"Nothing", ""}};
+}
+
+// Many operators write one configuration.
+class an_odd_entry_of_a_configuration
+    : public testing::TestWithParam<odd_part> {
+ protected:
+  static std::optional<route_config> ReadWith(const std::string& entry) {
+    return ReadRoutes(Config(entry + "," + kOther));
+  }
+
+  static void ExpectOtherIn(const std::optional<route_config>& read) {
+    ASSERT_TRUE(read);
+    ASSERT_FALSE(read->routes.empty());
+    EXPECT_EQ(read->routes.back().name, class_name("r-2"));
+    EXPECT_EQ(read->routes.back().timeout, 7s);
+    ASSERT_FALSE(read->unread.empty());
+    constexpr std::size_t kLongestNote = 64;
+    for (const unread_field& unread : read->unread) {
+      EXPECT_LE(unread.entry.size(), kLongestNote);
+      EXPECT_LE(unread.value.size(), kLongestNote);
+    }
+  }
+};
+
+TEST_P(an_odd_entry_of_a_configuration, LeavesTheOthersInForce) {
+  ExpectOtherIn(ReadWith(GetParam().value));
+}
+
+TEST_P(an_odd_entry_of_a_configuration, LosesOnlyTheFieldThatCannotBeRead) {
+  const auto read =
+      ReadWith(R"({"resourceType":"routes","metadata":{"name":"r-1"},"spec":)"
+               R"({"host":"h.example","prefix":"/a/","kind":"idempotent",)"
+               R"("service":"x","timeoutS":)" +
+               GetParam().value + "}}");
+  ExpectOtherIn(read);
+  ASSERT_TRUE(read);
+  ASSERT_EQ(read->routes.size(), 2U);
+  EXPECT_EQ(read->routes[0].services.size(), 1U);
+  EXPECT_EQ(read->unread[0].field, config_field::kRouteTimeout);
+}
+
+TEST_P(an_odd_entry_of_a_configuration, MayBeItsNameOrItsContent) {
+  ExpectOtherIn(ReadWith(R"({"resourceType":"services","metadata":{"name":)" +
+                         GetParam().value + R"(},"spec":{"healthPath":7}})"));
+  ExpectOtherIn(
+      ReadWith(R"({"resourceType":"routes","metadata":{"name":"r-1"},"spec":)" +
+               GetParam().value + "}"));
+}
+
+// No request rate can be compared with an infinite one.
+TEST_P(an_odd_entry_of_a_configuration, LimitsATenantByNoInfiniteRate) {
+  const auto read =
+      ReadWith(R"({"resourceType":"tenants","metadata":{"name":"t"},"spec":)"
+               R"({"apiKeys":["k1"],"ratePerS":)" +
+               GetParam().value + R"(,"burst":)" + GetParam().value + "}}");
+  ASSERT_TRUE(read);
+  ASSERT_EQ(read->tenants.size(), 1U);
+  EXPECT_EQ(read->tenants[0].keys, std::vector{api_key("k1")});
+  EXPECT_TRUE(std::isfinite(read->tenants[0].quota.rate.value()));
+  EXPECT_TRUE(std::isfinite(read->tenants[0].quota.burst));
+}
+
+INSTANTIATE_TEST_SUITE_P(Every,
+                         an_odd_entry_of_a_configuration,
+                         testing::ValuesIn(OddParts()),
+                         [](const auto& each) { return each.param.name; });
+
+// A name that fits into no header ended the process at the first request that
+// was sent on by it.
+class a_name_of_another_writer : public testing::TestWithParam<odd_part> {
+ protected:
+  // As a node names them when it sends a request on.
+  static void SendOn(const route_config& config) {
+    for (const route& each : config.routes) {
+      for (const weighted_service& part : each.services) {
+        request_metadata metadata;
+        metadata.request_class = each.name;
+        metadata.service = part.service;
+        for (const tenant_config& tenant : config.tenants) {
+          metadata.tenant = tenant.name;
+        }
+        http::fields headers;
+        WriteForwardedHeaders(headers, metadata, node_id(1), incarnation(1));
+        for (const auto& header : headers) {
+          EXPECT_EQ(header.value().find_first_of(std::string_view("\r\n\0", 3)),
+                    std::string_view::npos);
+        }
+      }
+    }
+  }
+};
+
+TEST_P(a_name_of_another_writer, IsInNoHeader) {
+  const std::string name = '"' + GetParam().value + '"';
+  const std::string route =
+      R"({"resourceType":"routes","metadata":{"name":%N},"spec":{"host":"h",)"
+      R"("prefix":"/a/","kind":"idempotent","timeoutS":5,"service":%S}})";
+  const auto with = [&route](const std::string& route_name,
+                             const std::string& service) {
+    std::string entry = route;
+    entry.replace(entry.find("%N"), 2, route_name);
+    entry.replace(entry.find("%S"), 2, service);
+    return entry;
+  };
+  const std::string tenant =
+      R"({"resourceType":"tenants","metadata":{"name":)" + name +
+      R"(},"spec":{"apiKeys":["k"]}})";
+  for (const std::string& odd :
+       {with(name, R"("x")"), with(R"("r-1")", name), tenant}) {
+    const auto read = ReadRoutes(Config(odd + "," + kOther));
+    ASSERT_TRUE(read);
+    EXPECT_EQ(read->routes.back().name, class_name("r-2"));
+    EXPECT_FALSE(read->unread.empty());
+    SendOn(*read);
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Every,
+    a_name_of_another_writer,
+    testing::Values(odd_part{"OfAMegabyte", std::string(1'000'000, 'a')},
+                    odd_part{"WithALineEnd", R"(a\r\nX-Not-Executed: 1)"},
+                    odd_part{"WithANulByte", R"(a\u0000b)"}),
+    [](const auto& each) { return each.param.name; });
+
+class a_configuration_that_is_cut : public testing::Test {};
+
+TEST_F(a_configuration_that_is_cut, IsNotReadInPart) {
+  const std::string whole =
+      Config(R"({"resourceType":1e99999999999},)" + std::string(kOther));
+  ASSERT_TRUE(ReadRoutes(whole));
+  for (std::size_t size = 0; size < whole.size(); ++size) {
+    EXPECT_FALSE(ReadRoutes(whole.substr(0, size))) << "first " << size;
+  }
+}
+
 }  // namespace
 }  // namespace auburnfold::platform
