Platform: Say why a report names no endpoint

A report of another writer was refused without a reason and without a line, or was not refused: a heartbeat with the sequence 2^64 - 1 made all that followed stale, so the endpoint was lost until it started again; one with a `born` of another type was read as of no run, and a deregistration with one ended the endpoint that was there. A service with a line end or a space went into headers and into a record that no node could read.

Numbers that count are whole and below 2^53, a field that is there must be readable, names are one word of text, and the service is the one of the settings. The answer is 400 with the field; the log has one line until another report is read (endpoint_report_ignored).

Ports 0, 65536 and 2^64 were refused before and are now held by a test.

--- a/Libraries/LibRuntime/node_runtime.cc
+++ b/Libraries/LibRuntime/node_runtime.cc
@@ -13,6 +13,7 @@
 #include <limits>
 #include <utility>
 
+#include "LibDecision/text_words.h"
 #include "LibRuntime/Connections/http_listener.h"
 #include "LibRuntime/Connections/http_responses.h"
 #include "LibRuntime/Control/admin_port_handler.h"
@@ -123,6 +124,7 @@
                   http_request request);
   void OnEndpointReport(const std::shared_ptr<server_exchange>& exchange,
                         const http_request& request);
+  void LogUnreadReport(const http_request& request, const request_error& error);
   session_handlers MakeSessionHandlers(
       std::function<void(const std::shared_ptr<server_exchange>&, http_request)>
           on_request);
@@ -167,6 +169,8 @@
   route_decoder decode_route_config;
   std::function<void()> on_stopped;
   std::chrono::steady_clock::time_point last_request;
+  /// The last report that could not be read, and why.
+  std::string unread_report;
   std::uint64_t aborted_requests = 0;
   bool is_stopping = false;
   bool is_reducer_stopped = false;
@@ -524,6 +528,7 @@
           const auto host = asio::ip::make_address(settings.endpoint_host);
           works.SetEndpointAddress(tcp::endpoint(host, report.port));
         }
+        unread_report.clear();
         sink(std::move(report.content));
         exchange->Respond(
             MakeTextResponse(http::status::ok, "text/plain", "ok\n"));
@@ -531,12 +536,27 @@
       },
       [&](const request_error& error) {
         metrics.CountError(error.kind);
+        LogUnreadReport(request, error);
         exchange->Respond(
             dialect.MakeError({.kind = error.kind, .reason = error.reason}));
       },
       [&] { exchange->CloseConnection(); });
 }
 
+// Another writer may send the same report every second.
+void node_runtime::impl::LogUnreadReport(const http_request& request,
+                                         const request_error& error) {
+  constexpr std::size_t kMaxPathBytes = 200;
+  std::string path = ToPrintable(request.target(), kMaxPathBytes);
+  std::string description = path + ' ' + std::string(error.reason);
+  if (description == unread_report) {
+    return;
+  }
+  unread_report = std::move(description);
+  decisions.Write({.kind = decision_kind::kEndpointReportIgnored,
+                   .entry = ignored_entry{std::move(path), error.reason}});
+}
+
 node_runtime::node_runtime(asio::io_context& io, const node_settings& settings)
     : node_runtime(io,
                    settings,
--- a/Tests/platform/endpoint_reader_test.cc
+++ b/Tests/platform/endpoint_reader_test.cc
@@ -22,7 +22,7 @@
 
 class a_heartbeat : public testing::Test {
  protected:
-  static std::optional<endpoint_report> Read(
+  static leaf::result<endpoint_report> Read(
       const std::string& body,
       const std::string& target = "/instances/i-7") {
     return ReadEndpointReport(Report(http::verb::put, target, body));
@@ -65,8 +65,54 @@
   EXPECT_FALSE(Read(kBeat, "/other/i-7"));
 }
 
+// Each is a field as another writer may leave it.
+TEST_F(a_heartbeat, OfAnotherWriterHasFieldsThatNameNoEndpoint) {
+  for (const char* port : {"0", "65536", "18446744073709551616", "-1", "80.5",
+                           "8e1", "", "0x50"}) {
+    EXPECT_FALSE(Read(With(":8301", std::string(":") + port))) << port;
+  }
+  for (const std::string& number :
+       {std::string("1e999"), std::string("1e99999999999"),
+        std::string("18446744073709551616"), std::string("-1"),
+        std::string("0.5"), std::string(400, '9'), std::string("null"),
+        std::string("\"7\""), std::string("[7]"), std::string("true")}) {
+    EXPECT_FALSE(Read(With("129", number))) << "slots " << number;
+    EXPECT_FALSE(Read(With(":4,", ":" + number + ","))) << "seq " << number;
+    EXPECT_FALSE(Read(With("170000", number))) << "born " << number;
+  }
+}
+
+// The next heartbeat would be older than it.
+TEST_F(a_heartbeat, WithASequenceThatNoneCanFollowNamesNoEndpoint) {
+  EXPECT_FALSE(Read(With(":4,", ":18446744073709551615,")));
+  EXPECT_FALSE(Read(With(":4,", ":1e18,")));
+}
+
+TEST_F(a_heartbeat, ThatCannotBeReadNamesNoEndpoint) {
+  const std::string nested(10'000, '[');
+  EXPECT_FALSE(Read(""));
+  EXPECT_FALSE(Read(nested));
+  EXPECT_FALSE(Read(With("\"z\"", nested + std::string(10'000, ']'))));
+  EXPECT_FALSE(Read(With("\"z\"", "\"\xff\xfe\"")));
+  EXPECT_FALSE(Read(With("\"z\"", std::string("\"\0\"", 3))));
+  EXPECT_FALSE(Read(With("\"s\"", "\"s\\u0000\"")));
+  EXPECT_FALSE(Read(With("\"s\"", "\"s\\r\\nX-Not-Executed: 1\"")));
+  EXPECT_FALSE(Read(With("\"s\"", '"' + std::string(1'000'000, 's') + '"')));
+}
+
 class a_farewell : public testing::Test {};
 
+// It would end the endpoint that is there.
+TEST_F(a_farewell, OfAnotherWriterEndsNothing) {
+  for (const char* body :
+       {R"({"born":"then"})", R"({"born":-1})", R"({"born":1e999})",
+        R"({"seq":0.5})", "[]", "nonsense", "\xff"}) {
+    EXPECT_FALSE(
+        ReadEndpointReport(Report(http::verb::delete_, "/instances/i-7", body)))
+        << body;
+  }
+}
+
 TEST_F(a_farewell, NamesTheEndpointAndItsRunIfItSaysSo) {
   const auto with_run = ReadEndpointReport(
       Report(http::verb::delete_, "/instances/i-7", R"({"born":170000})"));
--- a/Tests/platform/platform_dialect_test.cc
+++ b/Tests/platform/platform_dialect_test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <boost/leaf/handle_errors.hpp>
 #include <chrono>
 #include <initializer_list>
 #include <string>
@@ -311,5 +312,51 @@
   EXPECT_FALSE(report->content.is_probe_result);
 }
 
+class a_report_of_another_writer : public the_dialect {
+ protected:
+  http_response AnswerTo(http::verb method,
+                         const std::string& target,
+                         const std::string& body) {
+    http_request request{method, target, kHttp11};
+    request.body() = body;
+    return leaf::try_handle_all(
+        [&]() -> leaf::result<http_response> {
+          BOOST_LEAF_CHECK(dialect_.ReadReport(request));
+          return http_response{http::status::ok, kHttp11};
+        },
+        [&](const request_error& error) {
+          return dialect_.MakeError(
+              {.kind = error.kind, .reason = error.reason});
+        },
+        [] { return http_response{}; });
+  }
+};
+
+// Its sender had nothing to go by.
+TEST_F(a_report_of_another_writer, IsAnsweredWithWhatIsWrong) {
+  const http_response answer =
+      AnswerTo(http::verb::put, "/instances/i-7",
+               R"({"service":"own","address":"10.1.0.8:8301","slots":1e999,)"
+               R"("state":"ready","seq":4})");
+  EXPECT_EQ(answer.result(), http::status::bad_request);
+  EXPECT_EQ(answer.body(),
+            "{\"error\":\"malformed-request\",\"ran\":\"not-run\","
+            "\"reason\":\"slots must be a whole number below 2^32\"}\n");
+  EXPECT_NE(AnswerTo(http::verb::put, "/instances/i-7", "[")
+                .body()
+                .find("the body must be a JSON object"),
+            std::string::npos);
+  EXPECT_NE(AnswerTo(http::verb::put, "/instances/i-7",
+                     R"({"service":"another","address":"10.1.0.8:8301",)"
+                     R"("slots":1,"state":"ready","seq":4})")
+                .body()
+                .find("service must be the one of this node's settings"),
+            std::string::npos);
+  EXPECT_NE(AnswerTo(http::verb::post, "/instances/i-7", "{}")
+                .body()
+                .find("the method must be PUT or DELETE"),
+            std::string::npos);
+}
+
 }  // namespace
 }  // namespace auburnfold::platform
