--- a/Tests/Fuzz/fuzz_targets.h
+++ b/Tests/Fuzz/fuzz_targets.h
@@ -19,6 +19,15 @@
 void Settings(input bytes);
 /// A report of an endpoint is read or refused.
 void Report(input bytes);
+/// A node's record in the registry is read only if it is written and read again
+/// unchanged.
+void Record(input bytes);
+/// So is a record of a crash.
+void Crash(input bytes);
+/// The view of another node is read or refused, and given on unchanged.
+void View(input bytes);
+/// A report of the use of quotas is read or refused, and written again.
+void Quota(input bytes);
 /// Headers of callers and nodes are read or refused; an answer that does not
 /// say how it ended is neither whole nor "not run".
 void Headers(input bytes);
--- a/Tests/Fuzz/fuzz_test.cc
+++ b/Tests/Fuzz/fuzz_test.cc
@@ -1,10 +1,15 @@
 #include <gtest/gtest.h>
 
+#include <cctype>
+#include <chrono>
 #include <random>
 #include <string>
 #include <vector>
 
 #include "LibDecision/Idempotency/issued_key.h"
+#include "LibDecision/Quarantine/crash_codec.h"
+#include "LibDecision/Registry/member_codec.h"
+#include "LibRuntime/Control/view_codec.h"
 #include "LibWire/cbor_codec.h"
 #include "fuzz_targets.h"
 
@@ -30,6 +35,40 @@
   return {bytes.begin(), bytes.end()};
 }
 
+member_record RecordSample() {
+  return {.node = node_id(7),
+          .run = incarnation(8),
+          .address = {.host = "10.0.0.7", .peer_port = 81},
+          .domain = domain_name("d"),
+          .service = service_name("listings"),
+          .slots = 12};
+}
+
+std::string Nested(const std::string& open, const std::string& close) {
+  constexpr int kLevels = 10'000;
+  std::string text;
+  for (int i = 0; i < kLevels; ++i) {
+    text.insert(0, open);
+    text += close;
+  }
+  return text;
+}
+
+/// What other writers have left in place of a whole text or of one number.
+std::vector<std::string> OddTexts() {
+  constexpr std::size_t kMegabyte = 1'000'000;
+  return {"", Nested("[", "]"), Nested(R"({"a":)", "}"),
+          // Lists of one, and maps of one.
+          std::string(10'000, '\x81'), std::string(10'000, '\xa1'),
+          // Lists, texts and bytes of 2^64 - 1 elements.
+          "\x9b\xff\xff\xff\xff\xff\xff\xff\xff",
+          "\x7b\xff\xff\xff\xff\xff\xff\xff\xff",
+          "\x5b\xff\xff\xff\xff\xff\xff\xff\xff", std::string(400, '9'),
+          "1e999", "-1e999", "1e99999999999", "-1", "0.5", "0", "65536",
+          "18446744073709551615", "18446744073709551616", "\xff\xfe",
+          std::string("\0", 1), std::string(kMegabyte, 'a'), "null"};
+}
+
 std::vector<target> Targets() {
   return {
       {"Key", Key, Format({{node_id(1), incarnation(2)}, 3, 4}).value()},
@@ -40,6 +79,16 @@
       {"Report", Report,
        R"({"service": "listings", "port": 9100, "run": 5, "state": "ready",
            "load": 0.4, "healthy": true, "connection_limit": 1100})"},
+      {"Record", Record, EncodeMember(RecordSample())},
+      {"Crash", Crash,
+       EncodeCrash({.id = crash_id(7),
+                    .suspects = {request_digest(1), request_digest(2)},
+                    .time_left = std::chrono::seconds(9)})},
+      {"View", View,
+       EncodeView({.routes = "routes", .members = {RecordSample()}})},
+      {"Quota", Quota,
+       R"({"node":1,"usage":[{"tenant":"t","admitted":1,"returned":0,)"
+       R"("requested":2,"more":true}]})"},
       {"Headers", Headers,
        "Auburnfold-Service:listings\nAuburnfold-Class:lookup\n"
        "Auburnfold-Timeout-Ms:250\nAuburnfold-From:0000000000000007\n"
@@ -92,6 +141,24 @@
   }
 }
 
+// A digit may begin a number, a port or a length.
+TEST_P(a_decoder, TakesOddTextsInPlaceOfAnyNumberOrOfAll) {
+  const std::string& sample = GetParam().sample;
+  for (const std::string& odd : OddTexts()) {
+    const auto offer = [](const std::string& text) {
+      GetParam().run(
+          {reinterpret_cast<const std::uint8_t*>(text.data()), text.size()});
+    };
+    offer(odd);
+    for (std::size_t at = 0; at < sample.size(); ++at) {
+      if (std::isdigit(static_cast<unsigned char>(sample[at])) != 0) {
+        std::string text = sample;
+        offer(text.replace(at, 1, odd));
+      }
+    }
+  }
+}
+
 INSTANTIATE_TEST_SUITE_P(Every,
                          a_decoder,
                          testing::ValuesIn(Targets()),
