LibDecision, LibRuntime: Mend what the review of the questions found

By reading, an independent review of the questions about attempts found:

- a request that is still arriving could be denied, and its sender cut a sound upload: the receiver denies nothing while a part of a request from the same address has been read;
- a denied attempt that arrives was refused as caller-gone, which ends a call whose sender did not hear the denial with 499: it is refused as endpoint-unreachable, not executed, and sent again;
- a peer could deny attempts that it was not asked about, and one reported twice ended the process: only the attempts of the question count, each once;
- forgotten denials of a later run refused all attempts of an earlier one, as after a clock that stepped back: they are kept for each run;
- a stop did not wait for sessions that linger, whose close is a reset if bytes are unread;
- a peer that ignores Connection: close leaked a connection per question.

Each of the first four has a test.

--- a/Libraries/LibDecision/Connections/connection_monitor.cc
+++ b/Libraries/LibDecision/Connections/connection_monitor.cc
@@ -196,6 +196,8 @@
   }
 }
 
+// A report on an attempt that was not asked about, or a second one, is ignored:
+// only the receiver of an attempt can deny it.
 std::vector<attempt_report> connection_monitor::OnReports(
     event_context& context,
     const attempt_reports_received& received) {
@@ -203,40 +205,43 @@
   if (!queried) {
     return {};
   }
+  std::vector<attempt_report> lost;
   for (const attempt_id attempt : queried.mapped()) {
-    const auto found = attempts_.find(attempt);
-    if (found != attempts_.end()) {
-      found->second.is_queried = false;
-      found->second.query_at = NextQueryAt(context.now(), found->second);
+    const auto open = attempts_.find(attempt);
+    if (open == attempts_.end()) {
+      continue;
     }
-  }
-  std::vector<attempt_report> lost;
-  if (received.reports) {
-    for (const attempt_report& report : *received.reports) {
-      OnReport(context, report, lost);
+    open->second.is_queried = false;
+    open->second.query_at = NextQueryAt(context.now(), open->second);
+    if (!received.reports) {
+      continue;
+    }
+    const auto report =
+        std::find_if(received.reports->begin(), received.reports->end(),
+                     [attempt](const attempt_report& each) {
+                       return each.attempt == attempt;
+                     });
+    if (report != received.reports->end()) {
+      OnReport(context, open->second, *report, lost);
     }
   }
   return lost;
 }
 
 void connection_monitor::OnReport(event_context& context,
+                                  open_attempt& open,
                                   const attempt_report& report,
                                   std::vector<attempt_report>& lost) {
-  const auto found = attempts_.find(report.attempt);
-  if (found == attempts_.end()) {
-    return;
-  }
-  open_attempt& open = found->second;
   open.state = report.state;
   const bool is_answer_on_its_way =
       report.state == attempt_state::kAnswered &&
       (report.is_in_transfer || report.answered_ago < kMaxAnswerTransit);
-  const bool is_lost = (report.state == attempt_state::kNeverArrived ||
-                        report.state == attempt_state::kAnswered) &&
-                       !is_answer_on_its_way;
   if (is_answer_on_its_way) {
     open.query_at = context.now() + kMaxAnswerTransit;
+    return;
   }
+  const bool is_lost = report.state == attempt_state::kNeverArrived ||
+                       report.state == attempt_state::kAnswered;
   if (is_lost) {
     open.query_at.reset();
     lost.push_back(report);
--- a/Libraries/LibDecision/Connections/connection_monitor.h
+++ b/Libraries/LibDecision/Connections/connection_monitor.h
@@ -98,6 +98,7 @@
   bool TryTakeCredit(instant now);
   void SendQueries(event_context& context);
   void OnReport(event_context& context,
+                open_attempt& open,
                 const attempt_report& report,
                 std::vector<attempt_report>& lost);
   /// One silent connection was found: others may have gone silent with it.
--- a/Libraries/LibDecision/Work/incoming_work.cc
+++ b/Libraries/LibDecision/Work/incoming_work.cc
@@ -32,8 +32,9 @@
     OnNotice(context, item, *arrived.metadata.notice);
   }
   if (arrived.attempt && !attempts_.OnArrived(*arrived.attempt)) {
+    // Its sender may not have heard that, and still wait.
     context.Count(counter::kWithdrawnAttempts);
-    return Refuse(context, arrived.work, error_kind::kCallerGone,
+    return Refuse(context, arrived.work, error_kind::kEndpointUnreachable,
                   execution_state::kNotExecuted);
   }
   // A cached answer is replayed even when no new work is accepted.
@@ -454,11 +455,12 @@
 std::vector<attempt_report> incoming_work::Explain(
     instant now,
     const attempts_queried& query) {
+  const bool may_have_arrived =
+      query.expected_run != run_ || query.is_receiving;
   std::vector<attempt_report> reports;
   for (const attempt_id attempt : query.attempts) {
-    reports.push_back(attempts_.Explain(now,
-                                        {query.from, query.from_run, attempt},
-                                        query.expected_run != run_));
+    reports.push_back(attempts_.Explain(
+        now, {query.from, query.from_run, attempt}, may_have_arrived));
   }
   return reports;
 }
--- a/Libraries/LibDecision/Work/received_attempts.cc
+++ b/Libraries/LibDecision/Work/received_attempts.cc
@@ -28,14 +28,21 @@
   return key.sender_run < run || (key.sender_run == run && key.attempt <= last);
 }
 
-bool received_attempts::IsCovered(const forgotten_by_sender& forgotten,
-                                  const attempt_key& key) {
-  const auto found = forgotten.find(key.sender);
-  return found != forgotten.end() && found->second.Covers(key);
+bool received_attempts::IsForgotten(const attempt_key& key) const {
+  const auto found = forgotten_.find(key.sender);
+  return found != forgotten_.end() && found->second.Covers(key);
+}
+
+// Where denials were forgotten, attempts before them that were not denied are
+// taken for denied too: they are refused as not executed and sent again.
+bool received_attempts::IsWithdrawn(const attempt_key& key) const {
+  const auto last = forgotten_withdrawn_.find({key.sender, key.sender_run});
+  return withdrawn_.contains(key) ||
+         (last != forgotten_withdrawn_.end() && key.attempt <= last->second);
 }
 
 bool received_attempts::OnArrived(const attempt_key& key) {
-  if (withdrawn_.contains(key) || IsCovered(forgotten_withdrawn_, key)) {
+  if (IsWithdrawn(key)) {
     return false;
   }
   received_.try_emplace(key);
@@ -58,7 +65,7 @@
 
 attempt_report received_attempts::Explain(instant now,
                                           const attempt_key& key,
-                                          bool may_have_gone_to_earlier_run) {
+                                          bool may_have_arrived) {
   attempt_report report{.attempt = key.attempt};
   const auto found = received_.find(key);
   if (found != received_.end()) {
@@ -67,7 +74,7 @@
     report.answered_ago = ended ? now - *ended : duration::zero();
     return report;
   }
-  if (may_have_gone_to_earlier_run || IsCovered(forgotten_, key)) {
+  if (may_have_arrived || IsForgotten(key)) {
     return report;
   }
   Withdraw(key);
@@ -82,7 +89,8 @@
   withdrawn_order_.push_back(key);
   if (withdrawn_order_.size() > kMaxWithdrawn) {
     const attempt_key& oldest = withdrawn_order_.front();
-    forgotten_withdrawn_[oldest.sender].Add(oldest);
+    attempt_id& last = forgotten_withdrawn_[{oldest.sender, oldest.sender_run}];
+    last = std::max(last, oldest.attempt);
     withdrawn_.erase(oldest);
     withdrawn_order_.pop_front();
   }
--- a/Libraries/LibDecision/Work/received_attempts.h
+++ b/Libraries/LibDecision/Work/received_attempts.h
@@ -3,9 +3,11 @@
 
 #include <cstddef>
 #include <deque>
+#include <map>
 #include <optional>
 #include <unordered_map>
 #include <unordered_set>
+#include <utility>
 
 #include "LibDecision/attempt_report.h"
 #include "LibDecision/ids.h"
@@ -28,11 +30,11 @@
   void OnEnded(instant now, const attempt_key& key);
 
   /// Reports on an attempt to its sender. An attempt that is reported as never
-  /// arrived is refused from now on. `may_have_gone_to_earlier_run` is set if
-  /// it was sent to this node as it was before a restart.
+  /// arrived is refused from now on. `may_have_arrived` is set if it may have
+  /// reached an earlier run of this node, or is just being received.
   attempt_report Explain(instant now,
                          const attempt_key& key,
-                         bool may_have_gone_to_earlier_run);
+                         bool may_have_arrived);
 
   std::size_t size() const { return received_.size() + withdrawn_.size(); }
 
@@ -47,21 +49,21 @@
     /// Whether the attempt may be one of them.
     bool Covers(const attempt_key& key) const;
   };
-  using forgotten_by_sender = std::unordered_map<node_id, forgotten_attempts>;
 
-  static bool IsCovered(const forgotten_by_sender& forgotten,
-                        const attempt_key& key);
+  bool IsForgotten(const attempt_key& key) const;
+  bool IsWithdrawn(const attempt_key& key) const;
   void Withdraw(const attempt_key& key);
 
   /// When each attempt ended; unset while it is at work.
   std::unordered_map<attempt_key, std::optional<instant>> received_;
   /// Attempts in `received_` that have ended, the oldest first.
   std::deque<attempt_key> ended_;
-  forgotten_by_sender forgotten_;
+  std::unordered_map<node_id, forgotten_attempts> forgotten_;
   /// Attempts that were reported as never arrived.
   std::unordered_set<attempt_key> withdrawn_;
   std::deque<attempt_key> withdrawn_order_;
-  forgotten_by_sender forgotten_withdrawn_;
+  /// The latest forgotten one of each run of a sender.
+  std::map<std::pair<node_id, incarnation>, attempt_id> forgotten_withdrawn_;
 };
 
 }  // namespace auburnfold
--- a/Libraries/LibDecision/event.h
+++ b/Libraries/LibDecision/event.h
@@ -232,6 +232,9 @@
   /// The incarnation of this node that the attempts were sent to.
   incarnation expected_run;
   std::vector<attempt_id> attempts;
+  /// A part of a request from `from_host` has been read, which may be one of
+  /// the attempts.
+  bool is_receiving = false;
 };
 
 /// The answer to `query_attempts`; `reports` is unset if the other node gave
--- a/Libraries/LibRuntime/Connections/http_listener.cc
+++ b/Libraries/LibRuntime/Connections/http_listener.cc
@@ -79,6 +79,15 @@
   EraseClosedSessions();
 }
 
+bool http_listener::IsReceivingFrom(const std::string& peer_host) const {
+  return std::any_of(sessions_.begin(), sessions_.end(),
+                     [&peer_host](const std::weak_ptr<server_session>& weak) {
+                       const auto session = weak.lock();
+                       return session && session->is_receiving() &&
+                              session->peer_host() == peer_host;
+                     });
+}
+
 bool http_listener::IsResponding() const {
   return std::any_of(sessions_.begin(), sessions_.end(),
                      [](const std::weak_ptr<server_session>& weak) {
--- a/Libraries/LibRuntime/Connections/http_listener.h
+++ b/Libraries/LibRuntime/Connections/http_listener.h
@@ -41,8 +41,10 @@
   /// Closes the port and every session.
   void Close();
 
-  /// Whether a session has a request whose response is not written yet.
+  /// Whether a session has a response that is not delivered yet.
   bool IsResponding() const;
+  /// Whether a part of a request from `peer_host` has been read.
+  bool IsReceivingFrom(const std::string& peer_host) const;
 
   std::uint16_t port() const;
   std::size_t session_count() const { return sessions_.size(); }
--- a/Libraries/LibRuntime/Connections/server_session.h
+++ b/Libraries/LibRuntime/Connections/server_session.h
@@ -74,8 +74,14 @@
   clock::time_point idle_since() const { return idle_since_; }
 
   bool is_open() const { return socket_.is_open(); }
-  /// Whether the response to a request that was read is not written yet.
-  bool is_responding() const { return !exchanges_.empty(); }
+  /// Whether a part of a request has been read.
+  bool is_receiving() const { return is_open() && parser_->got_some(); }
+  std::string peer_host() const;
+  /// Whether a response is not yet written, or may not have been received: a
+  /// session that ends reads on, since a close with unread bytes is a reset.
+  bool is_responding() const {
+    return is_open() && (!exchanges_.empty() || is_lingering_);
+  }
 
  private:
   friend class server_exchange;
@@ -85,7 +91,6 @@
   /// `would_block` if there is nothing.
   error_code Peek();
   bool HasPeerClosed();
-  std::string peer_host() const;
 
   void Read();
   void OnRead(error_code error, std::size_t size);
--- a/Libraries/LibRuntime/Control/attempt_query_handler.cc
+++ b/Libraries/LibRuntime/Control/attempt_query_handler.cc
@@ -42,7 +42,8 @@
 
 void attempt_query_handler::OnQuery(
     const std::shared_ptr<server_exchange>& exchange,
-    const http_request& request) {
+    const http_request& request,
+    bool is_receiving) {
   auto asked = DecodeAttemptQuery(request.body());
   if (!asked) {
     return exchange->Respond(MakeTextResponse(
@@ -52,7 +53,8 @@
   const std::string host = exchange->peer_host();
   received_.emplace(query, exchange);
   sink_(attempts_queried{query, asked->from, asked->from_run, host,
-                         asked->expected_run, std::move(asked->attempts)});
+                         asked->expected_run, std::move(asked->attempts),
+                         is_receiving});
 }
 
 void attempt_query_handler::Execute(const query_attempts& command) {
@@ -109,9 +111,8 @@
 }
 
 void attempt_query_handler::Sweep() {
-  std::erase_if(sent_, [](const auto& entry) {
-    return entry.second.is_answered && entry.second.pool->open_count() == 0;
-  });
+  std::erase_if(sent_,
+                [](const auto& entry) { return entry.second.is_answered; });
 }
 
 void attempt_query_handler::OnAnswered(attempt_query_id query,
--- a/Libraries/LibRuntime/Control/attempt_query_handler.h
+++ b/Libraries/LibRuntime/Control/attempt_query_handler.h
@@ -27,13 +27,15 @@
 
   /// Whether a request at the peer port is a question about attempts.
   static bool IsQuery(const http_request& request);
+  /// `is_receiving` sets `attempts_queried::is_receiving`.
   void OnQuery(const std::shared_ptr<server_exchange>& exchange,
-               const http_request& request);
+               const http_request& request,
+               bool is_receiving);
 
   void Execute(const query_attempts& command);
   void Execute(const send_attempt_reports& command);
 
-  /// Discards closed connections.
+  /// Closes the connections of answered questions.
   void Sweep();
 
  private:
--- a/Libraries/LibRuntime/node_runtime.cc
+++ b/Libraries/LibRuntime/node_runtime.cc
@@ -257,7 +257,9 @@
                         return quotas.OnQuotaReport(exchange, request);
                       }
                       if (attempt_query_handler::IsQuery(request)) {
-                        return queries.OnQuery(exchange, request);
+                        return queries.OnQuery(exchange, request,
+                                               peer_listener.IsReceivingFrom(
+                                                   exchange->peer_host()));
                       }
                       last_request = std::chrono::steady_clock::now();
                       works.OnWork(exchange, std::move(request));
--- a/Tests/LibDecision/connections_test.cc
+++ b/Tests/LibDecision/connections_test.cc
@@ -197,6 +197,17 @@
   EXPECT_EQ(closed_.front(), connection_id(7));
 }
 
+TEST_F(a_silent_connection, IsReplacedOnceHoweverOftenItIsReported) {
+  const attempt_report denial{attempt_id(1), attempt_state::kNeverArrived};
+  EXPECT_EQ(Report({denial, denial}), std::vector{attempt_id(1)});
+}
+
+TEST_F(a_silent_connection, IsNotFoundByTheWordOfAPeerThatWasNotAsked) {
+  Send(2, 8, 3);
+  EXPECT_TRUE(Report({{attempt_id(2), attempt_state::kNeverArrived}}).empty());
+  EXPECT_TRUE(closed_.empty());
+}
+
 TEST_F(a_silent_connection, IsReplacedIfTheAnswerWasSentLongAgo) {
   EXPECT_EQ(Report({{attempt_id(1), attempt_state::kAnswered, 1s}}),
             std::vector{attempt_id(1)});
--- a/Tests/LibDecision/received_attempts_test.cc
+++ b/Tests/LibDecision/received_attempts_test.cc
@@ -65,6 +65,15 @@
   EXPECT_LT(attempts_.size(), kMany / 2);
 }
 
+// The clock of a machine may step back between two runs of a node.
+TEST_F(a_receiver_of_attempts,
+       AcceptsAnEarlierRunAfterItDeniedMuchOfALaterOne) {
+  for (std::uint64_t attempt = 1; attempt <= kMany; ++attempt) {
+    StateOf(Key(attempt, 1, 6));
+  }
+  EXPECT_TRUE(attempts_.OnArrived(Key(1, 1, 5)));
+}
+
 TEST_F(a_receiver_of_attempts, GivesNoWordAboutAnEarlierRunOfItself) {
   EXPECT_EQ(StateOf(Key(1), kToEarlierRun), attempt_state::kUnknown);
   EXPECT_TRUE(attempts_.OnArrived(Key(1)));
--- a/Tests/LibRuntime/slow_answers_test.cc
+++ b/Tests/LibRuntime/slow_answers_test.cc
@@ -159,11 +159,29 @@
   ExpectState(AskAbout("3"), "never-arrived");
   const read_answer late = raw_client::Exchange(node_.peer_port(), Work("3"));
   EXPECT_EQ(late.Header("Auburnfold-Ran"), "not-run");
+  // Its sender may not have heard the denial, and sends it again.
+  EXPECT_EQ(late.Header("Auburnfold-Result"), "endpoint-unreachable");
   EXPECT_EQ(node_.Metric("auburnfold_work_started_total"), 0);
   EXPECT_EQ(node_.Metric("auburnfold_withdrawn_attempts_total"), 1);
   EXPECT_EQ(raw_client::Exchange(node_.peer_port(), Work("4")).body, "done");
 }
 
+TEST_F(a_node_that_is_asked, DoesNotDenyARequestThatIsStillArriving) {
+  scripted_server endpoint(AnswersWith("done"));
+  node_.Announce("listings", endpoint.port());
+  const std::string work = Work("3");
+  raw_client sender(node_.peer_port());
+  sender.Write(work.substr(0, work.size() / 2));
+  sender.WaitUntilReceived();
+  read_answer answer;
+  do {
+    answer = AskAbout("9");
+  } while (answer.body.find("unknown") == std::string::npos);
+  ExpectState(AskAbout("3"), "unknown");
+  sender.Write(work.substr(work.size() / 2));
+  EXPECT_EQ(sender.Read()->body, "done");
+}
+
 TEST_F(a_node_that_is_asked, KnowsNothingAboutWhatWentToAnEarlierRun) {
   const read_answer answer =
       Ask(R"({"node":99,"run":7,"expectedRun":1,"attempts":[{"attempt":3}]})");
--- a/Tests/platform/route_reader_test.cc
+++ b/Tests/platform/route_reader_test.cc
@@ -340,7 +340,9 @@
           metadata.tenant = tenant.name;
         }
         http::fields headers;
-        WriteForwardedHeaders(headers, metadata, node_id(1), incarnation(1));
+        WriteForwardedHeaders(headers, metadata,
+                              {node_id(1), incarnation(1), attempt_id(1)},
+                              incarnation(1));
         for (const auto& header : headers) {
           EXPECT_EQ(header.value().find_first_of(std::string_view("\r\n\0", 3)),
                     std::string_view::npos);
