--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -5,10 +5,23 @@
 set -u
 cd "$(dirname "$0")/../.."
 work=$(mktemp -d) || exit 2
-trap 'rm -rf "$work"' EXIT
+pid=
 # The nodes end with the program that started them.
-TROUBLE=${TROUBLE:-1} timeout -k 5 110 target/review/case-2 review/2/record.txt "$work"
-case $? in
+Finish() {
+  if [ -n "$pid" ]; then
+    kill "$pid" 2>/dev/null
+    wait "$pid" 2>/dev/null
+  fi
+  rm -rf "$work"
+}
+trap Finish EXIT
+trap 'exit 2' TERM INT HUP
+TROUBLE=${TROUBLE:-1} timeout -k 5 110 target/review/case-2 review/2/record.txt "$work" &
+pid=$!
+wait "$pid"
+code=$?
+pid=
+case $code in
   0) exit 0 ;;
   1) exit 1 ;;
   *) exit 2 ;;
