LibRuntime: Serve header fields of any length within the configured limit

Cause: Beast's fields hold a name or a value of less than 64 KiB. Its parser throws std::length_error at a longer one out of put(), past the header limit, which bounds the whole header only. Nothing catches it below main, so io_context::run() and the process end. A bound on the configured limit would refuse what the configuration allows, and a check after parsing comes too late.

The parsers now store fields themselves. A long value takes several fields of the same name, of which all but the first are marked, so that code which looks at names works as before; a request is written from them in one piece. The same cause elsewhere, each with a test: - trailers and chunk extensions, which the parser does not limit, of a caller or of an endpoint: one line may be as long as a header; - an answer whose header fits at the endpoint's node did not fit at the caller's with what the node adds to it; - a configured limit near 2^32 wrapped around with what nodes add, and a larger one counted as unreadable: limits beyond 1 MiB (bodies: 32 MiB) are bounded, logged and counted; - a node that knows no configuration yet refused large headers and bodies for good (431, 413) where it answers 503 otherwise; between nodes the limits no longer depend on the receiver's configuration; - a TRACE request with a body made prepare_payload() throw: 400. Long headers count as memory of requests.

--- a/Libraries/LibDecision/Routes/route.h
+++ b/Libraries/LibDecision/Routes/route.h
@@ -76,7 +76,12 @@
 
 /// Limits for the requests and connections of callers.
 struct caller_limits {
-  std::uint32_t header_bytes = 16 * 1024;
+  /// What a node can hold, and so the largest limits that can be in effect.
+  static constexpr std::uint64_t kMaxHeaderBytes = std::uint64_t{1024} * 1024;
+  static constexpr std::uint64_t kMaxBodyBytes =
+      std::uint64_t{32} * 1024 * 1024;
+
+  std::uint64_t header_bytes = std::uint64_t{16} * 1024;
   std::uint64_t body_bytes = std::uint64_t{1024} * 1024;
   /// Time limit for receiving the headers of a request.
   duration header_timeout = std::chrono::seconds(10);
--- a/Libraries/LibDecision/error_kind.cc
+++ b/Libraries/LibDecision/error_kind.cc
@@ -16,6 +16,8 @@
      retry_advice::kNever},
     {kRequestTooLarge, "request-too-large", 413, kNotExecuted, false,
      retry_advice::kNever},
+    {kHeaderTooLarge, "header-too-large", 431, kNotExecuted, false,
+     retry_advice::kNever},
     {kUnknownService, "unknown-service", 404, kNotExecuted, false,
      retry_advice::kNever},
     {kUnknownClass, "unknown-class", 404, kNotExecuted, false,
--- a/Libraries/LibDecision/error_kind.h
+++ b/Libraries/LibDecision/error_kind.h
@@ -12,6 +12,7 @@
 enum class error_kind : std::uint8_t {
   kMalformedRequest,
   kRequestTooLarge,
+  kHeaderTooLarge,
   kUnknownService,
   kUnknownClass,
   kUnknownRoute,
--- a/Libraries/LibRuntime/Connections/client_connection.cc
+++ b/Libraries/LibRuntime/Connections/client_connection.cc
@@ -1,12 +1,14 @@
 #include "LibRuntime/Connections/client_connection.h"
 
 #include <algorithm>
+#include <array>
+#include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
-#include <boost/beast/http/write.hpp>
 #include <charconv>
 #include <string_view>
 #include <utility>
 
+#include "LibRuntime/Connections/long_fields.h"
 #include "LibRuntime/Connections/tcp_timeouts.h"
 
 namespace auburnfold {
@@ -157,9 +159,12 @@
   if (request_.on_sending) {
     request_.on_sending(id_);
   }
-  serializer_.emplace(request_.message);
+  header_ = FormatHeader(request_.message);
+  const auto& body = request_.message.body();
+  const std::array<asio::const_buffer, 2> buffers{
+      asio::buffer(header_), asio::buffer(body.data(), body.size())};
   is_write_done_ = false;
-  http::async_write(socket_, *serializer_,
+  asio::async_write(socket_, buffers,
                     [self = shared_from_this()](error_code error, std::size_t) {
                       self->OnWritten(error);
                     });
@@ -213,8 +218,12 @@
   if (error == http::error::body_limit) {
     return Fail(error_kind::kAnswerTooLarge, execution_state::kExecuted, false);
   }
+  // The parser does not limit trailers and chunk extensions.
+  const bool is_line_too_long =
+      !parser_->is_done() && buffer_.size() > handlers_.max_header_bytes;
   const bool is_too_large = error == http::error::header_limit ||
-                            read_bytes_ > kMaxReadBytes || !ReserveBodyMemory();
+                            is_line_too_long || read_bytes_ > kMaxReadBytes ||
+                            !ReserveBodyMemory();
   if (is_too_large) {
     return Fail(error_kind::kAnswerTooLarge, execution_state::kUnknown, false);
   }
@@ -307,7 +316,7 @@
   ReleaseBodyMemory();
   parser_.emplace();
   parser_->eager(true);
-  parser_->header_limit(kMaxHeaderBytes);
+  parser_->header_limit(static_cast<std::uint32_t>(handlers_.max_header_bytes));
   parser_->body_limit(kMaxBodyBytes);
   parser_->skip(request_.message.method() == http::verb::head);
 }
--- a/Libraries/LibRuntime/Connections/client_connection.h
+++ b/Libraries/LibRuntime/Connections/client_connection.h
@@ -3,14 +3,17 @@
 
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string>
 #include <vector>
 
 #include "LibRuntime/Connections/body_memory.h"
 #include "LibRuntime/Connections/client_request.h"
 #include "LibRuntime/Connections/http_types.h"
+#include "LibRuntime/Connections/message_parser.h"
 
 namespace auburnfold {
 
@@ -25,6 +28,8 @@
       on_closed;
   /// Shared by all connections of the owner.
   body_memory* memory = nullptr;
+  /// Maximum size of the start line and headers of a response.
+  std::size_t max_header_bytes = kMaxHeaderBytes;
 };
 
 /// An outgoing HTTP/1.1 connection that carries at most one request at a time.
@@ -107,10 +112,10 @@
   const connection_handlers& handlers_;
   state state_ = state::kConnecting;
   client_request request_;
-  std::optional<http::request_serializer<http::span_body<const char>>>
-      serializer_;
+  /// Start line and header of the request, as they are written.
+  std::string header_;
   beast::flat_buffer buffer_;
-  std::optional<http::response_parser<http::string_body>> parser_;
+  std::optional<response_parser> parser_;
   clock::time_point idle_deadline_;
   /// Hashes of the ids of requests that failed on this connection.
   std::vector<std::size_t> failed_ids_;
--- a/Libraries/LibRuntime/Connections/connection_pool.cc
+++ b/Libraries/LibRuntime/Connections/connection_pool.cc
@@ -10,12 +10,14 @@
                                  tcp::endpoint to,
                                  id_source next_id,
                                  closed_handler on_closed_by_peer,
-                                 body_memory& memory)
+                                 body_memory& memory,
+                                 std::size_t max_header_bytes)
     : io_(io),
       to_(std::move(to)),
       next_id_(std::move(next_id)),
       on_closed_by_peer_(std::move(on_closed_by_peer)) {
   handlers_.memory = &memory;
+  handlers_.max_header_bytes = max_header_bytes;
   handlers_.on_idle = [this](const std::shared_ptr<client_connection>& idle) {
     idle_.push_back(idle);
   };
--- a/Libraries/LibRuntime/Connections/connection_pool.h
+++ b/Libraries/LibRuntime/Connections/connection_pool.h
@@ -1,6 +1,7 @@
 #ifndef LIBRUNTIME_CONNECTIONS_CONNECTION_POOL_H_
 #define LIBRUNTIME_CONNECTIONS_CONNECTION_POOL_H_
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <unordered_map>
@@ -19,12 +20,14 @@
   /// Called for each connection that the peer closed.
   using closed_handler = std::function<void(connection_id)>;
 
-  /// `memory` must outlive the pool.
+  /// `memory` must outlive the pool. `max_header_bytes` bounds the start line
+  /// and headers of each response.
   connection_pool(asio::io_context& io,
                   tcp::endpoint to,
                   id_source next_id,
                   closed_handler on_closed_by_peer,
-                  body_memory& memory);
+                  body_memory& memory,
+                  std::size_t max_header_bytes = kMaxHeaderBytes);
   ~connection_pool();
   connection_pool(const connection_pool&) = delete;
   connection_pool& operator=(const connection_pool&) = delete;
--- a/Libraries/LibRuntime/Connections/http_types.h
+++ b/Libraries/LibRuntime/Connections/http_types.h
@@ -12,6 +12,8 @@
 #include <boost/beast/http/string_body.hpp>
 #include <cstddef>
 
+#include "LibDecision/Routes/route.h"
+
 namespace auburnfold {
 
 namespace asio = boost::asio;
@@ -30,14 +32,19 @@
 /// Maximum body size of a response, and of a request while no configuration
 /// sets another.
 inline constexpr std::size_t kMaxBodyBytes = std::size_t{1024} * 1024;
-/// Maximum size of the start line and headers together.
+/// Maximum size of the start line and headers of a response, and of a request
+/// while no configuration sets another.
 inline constexpr std::size_t kMaxHeaderBytes = std::size_t{16} * 1024;
+/// Maximum size of the headers that a node adds to a message on its way to
+/// another node.
+inline constexpr std::size_t kMaxAddedHeaderBytes = std::size_t{4} * 1024;
 /// Maximum size of all response bodies that are read at once from other nodes,
 /// and from the endpoint; a part of the memory of the smallest VMs.
 inline constexpr std::size_t kMaxResponseMemoryBytes = 32 * kMaxBodyBytes;
 /// Maximum size of all request bodies that are held at once from callers, and
 /// from other nodes.
-inline constexpr std::size_t kMaxRequestMemoryBytes = 32 * kMaxBodyBytes;
+inline constexpr std::size_t kMaxRequestMemoryBytes =
+    caller_limits::kMaxBodyBytes;
 /// Buffer space offered to each read.
 inline constexpr std::size_t kReadChunkBytes = std::size_t{8} * 1024;
 
--- a/Libraries/LibRuntime/Connections/server_session.cc
+++ b/Libraries/LibRuntime/Connections/server_session.cc
@@ -33,6 +33,8 @@
 /// Smaller responses are sent even if memory is used up, as requests without a
 /// body are read.
 constexpr std::size_t kMaxUncountedBytes = kMaxHeaderBytes;
+// A buffer that has grown for a long header is given back.
+constexpr std::size_t kMaxKeptBufferBytes = 4 * kReadChunkBytes;
 constexpr std::string_view kContinueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
 
 }  // namespace
@@ -185,6 +187,18 @@
       RejectMalformed(error);
       return false;
     }
+    // The parser does not limit trailers and chunk extensions.
+    if (!parser_->is_done() &&
+        buffer_.size() > handlers_.limits->header_bytes) {
+      Reject(error_kind::kHeaderTooLarge);
+      return false;
+    }
+  }
+  // Its content has no meaning, and no next hop would be sent it.
+  if (parser_->is_done() && parser_->get().method() == http::verb::trace &&
+      !parser_->get().body().empty()) {
+    Reject(error_kind::kMalformedRequest);
+    return false;
   }
   if (!ReserveMemory()) {
     if (exchanges_.empty()) {
@@ -232,9 +246,7 @@
   }
 }
 
-// A body whose size is known is rejected before it is read. The headers of one
-// request at a time are not counted, so that it is served even if memory is
-// used up.
+// A body whose size is known is rejected before it is read.
 bool server_session::ReserveMemory() {
   std::size_t needed = 0;
   if (parser_->is_header_done()) {
@@ -243,9 +255,7 @@
     const std::string& body = parser_->get().body();
     needed = std::max(stated, body.empty() ? 0 : body.capacity());
   }
-  if (!exchanges_.empty()) {
-    needed += std::min(parsed_bytes_, handlers_.limits->header_bytes);
-  }
+  needed += CountedHeaderBytes();
   if (needed <= reserved_bytes_) {
     return true;
   }
@@ -256,16 +266,35 @@
   return true;
 }
 
+// The header of one request at a time is not counted up to its usual size, so
+// that the request is served even if memory is used up.
+std::size_t server_session::CountedHeaderBytes() const {
+  if (!exchanges_.empty()) {
+    return std::min(parsed_bytes_, handlers_.limits->header_bytes);
+  }
+  std::size_t bytes = parsed_bytes_ + buffer_.size();
+  if (bytes <= kMaxUncountedBytes) {
+    return 0;
+  }
+  if (parser_->is_header_done()) {
+    bytes = parser_->get().target().size();
+    for (const auto& field : parser_->get()) {
+      bytes += field.name_string().size() + field.value().size();
+    }
+  }
+  return bytes - std::min(bytes, kMaxUncountedBytes);
+}
+
 void server_session::ReleaseMemory() {
   memory_->Release(std::exchange(reserved_bytes_, 0));
 }
 
 void server_session::RejectMalformed(error_code error) {
-  const bool is_too_large = error == http::error::body_limit ||
-                            error == http::error::header_limit ||
-                            error == http::error::buffer_overflow;
-  Reject(is_too_large ? error_kind::kRequestTooLarge
-                      : error_kind::kMalformedRequest);
+  if (error == http::error::header_limit) {
+    return Reject(error_kind::kHeaderTooLarge);
+  }
+  Reject(error == http::error::body_limit ? error_kind::kRequestTooLarge
+                                          : error_kind::kMalformedRequest);
 }
 
 // What was read of the body is dropped, and what follows is discarded.
@@ -299,6 +328,10 @@
       static_cast<std::uint32_t>(handlers_.limits->header_bytes));
   parser_->body_limit(handlers_.limits->body_bytes);
   parsed_bytes_ = 0;
+  if (buffer_.size() == 0 && !is_reading_ &&
+      buffer_.capacity() > kMaxKeptBufferBytes) {
+    buffer_.shrink_to_fit();
+  }
   is_continue_sent_ = false;
   deadline_ = clock::now() + handlers_.limits->idle_timeout;
 }
--- a/Libraries/LibRuntime/Connections/server_session.h
+++ b/Libraries/LibRuntime/Connections/server_session.h
@@ -13,6 +13,7 @@
 #include "LibDecision/error_kind.h"
 #include "LibRuntime/Connections/body_memory.h"
 #include "LibRuntime/Connections/http_types.h"
+#include "LibRuntime/Connections/message_parser.h"
 #include "LibRuntime/Connections/server_exchange.h"
 
 namespace auburnfold {
@@ -111,6 +112,9 @@
   /// Reserves memory for the request that is being read, all of it once its
   /// size is known. Returns whether there is enough.
   bool ReserveMemory();
+  /// What the header of the request that is being read takes, as far as it is
+  /// counted.
+  std::size_t CountedHeaderBytes() const;
   void ReleaseMemory();
   void SendContinueIfExpected();
   void PrepareNext();
@@ -145,7 +149,7 @@
   const session_handlers& handlers_;
   std::shared_ptr<body_memory> memory_;
   beast::flat_buffer buffer_;
-  std::optional<http::request_parser<http::string_body>> parser_;
+  std::optional<request_parser> parser_;
   std::optional<http::response_serializer<http::string_body>> serializer_;
   /// Requests that were read and are not answered yet, in their order.
   std::deque<exchange_ptr> exchanges_;
--- a/Libraries/LibRuntime/Requests/call_handler.cc
+++ b/Libraries/LibRuntime/Requests/call_handler.cc
@@ -282,7 +282,7 @@
       [this, node](connection_id closed) {
         sink_(connection_closed{closed, node});
       },
-      memory_);
+      memory_, kMaxHeaderBytes + kMaxAddedHeaderBytes);
   return pools_.emplace(to, std::move(pool)).first->second.get();
 }
 
--- a/Libraries/LibRuntime/node_runtime.cc
+++ b/Libraries/LibRuntime/node_runtime.cc
@@ -47,11 +47,10 @@
 // A request that finds no memory for its body may be sent again after this
 // time.
 constexpr std::chrono::milliseconds kMemoryRetryDelay{200};
-// Nodes add headers of their own to the requests that they forward.
-constexpr std::size_t kForwardedHeaderBytes = std::size_t{4} * 1024;
 // What one connection may have open at once; many more would let one caller
 // take the place of others.
 constexpr std::size_t kMaxPipelinedCalls = 16;
+constexpr std::size_t kLargestHeaderBytes = caller_limits::kMaxHeaderBytes;
 constexpr std::string_view kIdempotencyKeysTarget = "/auburnfold/v1/keys";
 
 // Counts microseconds, so that a restart within the same millisecond gets a
@@ -83,6 +82,7 @@
        const node_options& selected_options);
 
   leaf::result<void> Start();
+  void SetInitialLimits();
   leaf::result<void> ListenForControlMessages();
   void Stop();
   void Execute(effect& next_effect);
@@ -312,9 +312,7 @@
 }
 
 leaf::result<void> node_runtime::impl::Start() {
-  session_limits call_limits;
-  call_limits.max_pipelined = kMaxPipelinedCalls;
-  call_listener.set_limits(call_limits);
+  SetInitialLimits();
   call_listener.LimitSessions(DescriptorLimit() / kCallerDescriptorDivisor);
   BOOST_LEAF_CHECK(ListenAt(call_listener, "call_port", settings.call_port));
   BOOST_LEAF_CHECK(ListenAt(peer_listener, "peer_port", settings.peer_port));
@@ -342,6 +340,23 @@
   return {};
 }
 
+// A node that knows no configuration yet cannot tell what callers may send, and
+// answers that it is not ready. The limits between nodes do not change: the
+// sender has enforced those of the callers, perhaps from a newer configuration.
+void node_runtime::impl::SetInitialLimits() {
+  session_limits limits;
+  limits.header_bytes = kLargestHeaderBytes + kMaxAddedHeaderBytes;
+  limits.body_bytes = kMaxRequestMemoryBytes;
+  peer_listener.set_limits(limits);
+  session_limits call_limits;
+  call_limits.max_pipelined = kMaxPipelinedCalls;
+  if (options.settings == settings_source::kRoutes) {
+    call_limits.header_bytes = kLargestHeaderBytes;
+    call_limits.body_bytes = kMaxRequestMemoryBytes;
+  }
+  call_listener.set_limits(call_limits);
+}
+
 // Nodes that discover each other through the registry exchange no control
 // messages: all that they need travels with requests.
 leaf::result<void> node_runtime::impl::ListenForControlMessages() {
@@ -436,16 +451,12 @@
 void node_runtime::impl::On(const apply_caller_limits& effect) {
   session_limits limits;
   limits.max_pipelined = kMaxPipelinedCalls;
-  limits.header_bytes =
-      std::max<std::size_t>(kMaxHeaderBytes, effect.limits.header_bytes);
+  limits.header_bytes = std::clamp<std::size_t>(
+      effect.limits.header_bytes, kMaxHeaderBytes, kLargestHeaderBytes);
   limits.body_bytes =
       std::min<std::uint64_t>(effect.limits.body_bytes, kMaxRequestMemoryBytes);
   limits.idle_timeout = effect.limits.idle_timeout;
   call_listener.set_limits(limits);
-  limits.header_bytes += kForwardedHeaderBytes;
-  limits.idle_timeout = session_limits().idle_timeout;
-  limits.max_pipelined = session_limits().max_pipelined;
-  peer_listener.set_limits(limits);
 }
 
 void node_runtime::impl::On(const log_message& effect) {
--- a/Tests/LibRuntime/raw_client.cc
+++ b/Tests/LibRuntime/raw_client.cc
@@ -18,6 +18,8 @@
   return found == headers.end() ? std::string() : found->second;
 }
 
+constexpr std::uint32_t kMaxAnswerHeaderBytes = 64 * 1024;
+
 struct raw_client::parts {
   asio::io_context io;
   tcp::socket socket{io};
@@ -38,6 +40,7 @@
 std::optional<read_answer> raw_client::Read(bool is_head) {
   http::response_parser<http::string_body> parser;
   parser.skip(is_head);
+  parser.header_limit(kMaxAnswerHeaderBytes);
   error_code error;
   http::read(parts_->socket, parts_->buffer, parser, error);
   if (error) {
--- a/Tests/LibRuntime/running_node.cc
+++ b/Tests/LibRuntime/running_node.cc
@@ -5,14 +5,18 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/leaf/handle_errors.hpp>
+#include <functional>
 #include <future>
 #include <sstream>
+#include <string_view>
 #include <thread>
 #include <utility>
+#include <variant>
 
 #include "LibRuntime/Control/nng_sender.h"
 #include "LibRuntime/Requests/own_dialect.h"
 #include "LibRuntime/node_runtime.h"
+#include "LibRuntime/store_caller.h"
 #include "LibWire/cbor_codec.h"
 #include "raw_client.h"
 
@@ -27,9 +31,31 @@
   return settings;
 }
 
+constexpr std::string_view kRouteKey = "routes";
+
+/// A store that holds one version of the routes, and nothing else.
+void AnswerWithRoutes(const store_request& request,
+                      const store_response_handler& done) {
+  store_result result{.revision = store_revision(1)};
+  if (const auto* list = std::get_if<store_list>(&request)) {
+    if (list->prefix == kRouteKey) {
+      result.entries.push_back(
+          {std::string(kRouteKey), "1", store_revision(1)});
+    }
+    return done(std::move(result));
+  }
+  if (!std::holds_alternative<store_watch>(request)) {
+    done({.status = store_status::kUnavailable});
+  }
+}
+
 struct running_node::parts {
-  parts(const node_settings& settings, any_wire_dialect dialect)
-      : node(io, settings, std::move(dialect), node_options()) {
+  parts(const node_settings& settings,
+        any_wire_dialect dialect,
+        const node_options& options,
+        const std::function<void(node_runtime&)>& prepare)
+      : node(io, settings, std::move(dialect), options) {
+    prepare(node);
     node.SetStoppedHandler([this] { io.stop(); });
     is_started = leaf::try_handle_all(
         [this]() -> leaf::result<bool> {
@@ -54,8 +80,28 @@
 
 running_node::running_node(const node_settings& settings,
                            any_wire_dialect dialect)
-    : parts_(std::make_unique<parts>(settings, std::move(dialect))) {
+    : parts_(std::make_unique<parts>(settings,
+                                     std::move(dialect),
+                                     node_options(),
+                                     [](node_runtime&) {})) {
+  EXPECT_TRUE(parts_->is_started);
+}
+
+running_node::running_node(const caller_limits& limits)
+    : parts_(std::make_unique<parts>(
+          LoopbackSettings(),
+          any_wire_dialect(own_dialect()),
+          node_options{.settings = settings_source::kRoutes,
+                       .route_key = std::string(kRouteKey)},
+          [&limits](node_runtime& node) {
+            node.SetStoreCaller(AnswerWithRoutes);
+            node.SetRouteDecoder([limits](const std::string&) {
+              return route_config{.version = route_version(1),
+                                  .limits = limits};
+            });
+          })) {
   EXPECT_TRUE(parts_->is_started);
+  WaitForMetric("auburnfold_routes_taken_total", 1);
 }
 
 running_node::~running_node() {
--- a/Tests/LibRuntime/running_node.h
+++ b/Tests/LibRuntime/running_node.h
@@ -5,6 +5,8 @@
 #include <memory>
 #include <string>
 
+#include "LibDecision/Routes/route.h"
+#include "LibDecision/node_options.h"
 #include "LibDecision/peer_message.h"
 #include "LibRuntime/Requests/own_dialect.h"
 #include "LibRuntime/Requests/wire_dialect.h"
@@ -25,6 +27,8 @@
  public:
   explicit running_node(const node_settings& settings = LoopbackSettings());
   running_node(const node_settings& settings, any_wire_dialect dialect);
+  /// With a route configuration that sets `limits`, which are in effect.
+  explicit running_node(const caller_limits& limits);
   ~running_node();
 
   std::uint16_t call_port() const;
--- a/Tests/LibRuntime/scripted_server.cc
+++ b/Tests/LibRuntime/scripted_server.cc
@@ -2,6 +2,7 @@
 
 #include <netinet/tcp.h>
 
+#include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/ostream.hpp>
 #include <boost/beast/http/read.hpp>
@@ -47,6 +48,17 @@
   return text.str();
 }
 
+std::optional<std::string> scripted_connection::ReadHeader() {
+  std::string text;
+  error_code error;
+  while (!text.ends_with("\r\n\r\n") && !error) {
+    char next = 0;
+    asio::read(parts_->socket, asio::buffer(&next, 1), error);
+    text += next;
+  }
+  return error ? std::nullopt : std::optional(std::move(text));
+}
+
 void scripted_connection::WaitForBytes() {
   error_code ignored;
   parts_->socket.wait(tcp::socket::wait_read, ignored);
--- a/Tests/LibRuntime/scripted_server.h
+++ b/Tests/LibRuntime/scripted_server.h
@@ -19,6 +19,9 @@
   /// The next request's headers and body as text; nothing once the other side
   /// has closed.
   std::optional<std::string> ReadRequest();
+  /// The next request's start line and headers, of any length; nothing once
+  /// the other side has closed.
+  std::optional<std::string> ReadHeader();
   /// Waits until bytes of a request have arrived, and leaves them unread.
   void WaitForBytes();
   /// Returns whether all bytes were written.
--- a/Tests/platform/route_reader_test.cc
+++ b/Tests/platform/route_reader_test.cc
@@ -50,6 +50,23 @@
   EXPECT_EQ(read->limits.idle_timeout, 15s);
 }
 
+// A limit of 2^32 - 1 wrapped around with what nodes add to a header, and a
+// larger one was taken for none.
+TEST_F(a_configuration, HasItsLimitsBoundedByWhatANodeCanHold) {
+  for (const char* limit : {"1048577", "4294967295", "4294967296"}) {
+    const auto read = ReadRoutes(
+        Config(R"({"resourceType":"limits","metadata":{},"spec":)"
+               R"({"maxHeaderBytes":)" +
+               std::string(limit) + R"(,"maxBodyBytes":33554433}})"));
+    ASSERT_TRUE(read);
+    EXPECT_EQ(read->limits.header_bytes, caller_limits::kMaxHeaderBytes);
+    EXPECT_EQ(read->limits.body_bytes, caller_limits::kMaxBodyBytes);
+    ASSERT_EQ(read->unread.size(), 2U);
+    EXPECT_EQ(read->unread[0].field, config_field::kLimit);
+    EXPECT_EQ(read->unread[0].value, limit);
+  }
+}
+
 TEST_F(a_configuration, HasTenantsWithKeysPriorityAndQuota) {
   const auto read = ReadRoutes(Config(
       R"({"resourceType":"tenants","metadata":{"name":"t"},"spec":)"
