LibDecision: Keep an acknowledged leave over a restart of the node

The node had been killed and started again, and a heartbeat that was sent before the farewell came seconds late.

Cause: what the endpoint had said of its leave stood in the process only. The next run took the late heartbeat for the first word of a sound endpoint, since the node's record in the registry, which outlives a restart, says that the node leaves but not which endpoint, nor by which report.

- The record of a node whose endpoint leaves names the endpoint's run, the number of the report that announced it and whether it is final.
The next run finds it in its first listing of the registry, or in the view of another node, and ignores what that endpoint said before.
- Where the store answers and shows no leave, the first report or health probe makes the endpoint ready at once, as before.
Where it does not answer, one report that is not among the endpoint's first two does not: a sound endpoint sends another within seconds, one that has left does not.
Late reports that were held up together arrive together and count once.
- A notice of another node that the endpoint leaves holds before its first report, too.

Not covered: a leave that was acknowledged while the store was unavailable, of a node that is killed before the store is back and restarted after that, unless another node has heard of the leave.

--- a/Libraries/LibDecision/Membership/membership.cc
+++ b/Libraries/LibDecision/Membership/membership.cc
@@ -47,10 +47,20 @@
       context.now() + failure_detector::kHeartbeatInterval);
 }
 
-void membership::OnEndpointReported(event_context&,
-                                    const endpoint_reported& report) {
+// The record keeps the report that announced a leave: a change with each report
+// that repeats it would cost a write.
+void membership::OnEndpointReported(
+    event_context&,
+    const endpoint_reported& report,
+    const std::optional<endpoint_leave>& leave) {
   self_.service = report.service;
   self_.slots = report.slots;
+  const bool is_repeated = leave && self_.leave &&
+                           leave->endpoint == self_.leave->endpoint &&
+                           leave->is_final == self_.leave->is_final;
+  if (!is_repeated) {
+    self_.leave = leave;
+  }
   endpoint_state_ = report.state;
   UpdateOwnRecord();
 }
@@ -229,9 +239,9 @@
   const member_state state =
       is_leaving ? member_state::kLeaving : member_state::kReady;
   const member_record* current = member_list_.Find(self_.node);
-  const bool is_unchanged = current->service == self_.service &&
-                            current->slots == self_.slots &&
-                            current->state == state;
+  const bool is_unchanged =
+      current->service == self_.service && current->slots == self_.slots &&
+      current->leave == self_.leave && current->state == state;
   if (is_unchanged) {
     return;
   }
--- a/Libraries/LibDecision/Membership/membership.h
+++ b/Libraries/LibDecision/Membership/membership.h
@@ -27,8 +27,10 @@
   membership& operator=(const membership&) = delete;
 
   void Start(event_context& context, const node_started& self);
+  /// `leave` is the leave that the endpoint has announced, if it has.
   void OnEndpointReported(event_context& context,
-                          const endpoint_reported& report);
+                          const endpoint_reported& report,
+                          const std::optional<endpoint_leave>& leave = {});
   /// Takes the local endpoint out of service, or back in.
   void SetDraining(event_context& context, bool is_draining);
   /// Fills in the known nodes, and how many peers hold the same rows as this
--- a/Libraries/LibDecision/Registry/member_codec.cc
+++ b/Libraries/LibDecision/Registry/member_codec.cc
@@ -75,6 +75,22 @@
     return std::string(name);
   }
 
+  // Unset if the record has none. One that cannot be read is of no use, but the
+  // record is.
+  std::optional<endpoint_leave> ReadLeave() {
+    endpoint_leave leave;
+    std::uint64_t run = 0;
+    const bool is_read = fields_.TakeFlag(leave.is_final) &&
+                         fields_.TakeNumber(leave.sequence) &&
+                         fields_.TakeNumber(run);
+    const std::string_view name = fields_.TakeUntil(' ');
+    if (!is_read || name.size() > kMaxNameBytes || !IsText(name)) {
+      return std::nullopt;
+    }
+    leave.endpoint = {endpoint_name(std::string(name)), incarnation(run)};
+    return leave;
+  }
+
   /// Empty if all fields were read.
   std::string_view unread_field() const { return unread_field_; }
 
@@ -107,6 +123,12 @@
   AppendWord(line, record.domain.value());
   AppendWord(line, record.service.value());
   AppendNumber(line, record.slots);
+  if (record.leave) {
+    AppendNumber(line, record.leave->is_final ? 1 : 0);
+    AppendNumber(line, record.leave->sequence);
+    AppendNumber(line, record.leave->endpoint.run.value());
+    AppendWord(line, record.leave->endpoint.name.value());
+  }
   return line;
 }
 
@@ -127,8 +149,9 @@
       fields.ReadNumber<std::uint16_t>("control_port");
   record.domain = domain_name(fields.ReadName("domain"));
   record.service = service_name(fields.ReadName("service"));
-  // A later version may append fields.
   record.slots = fields.ReadNumber<std::uint32_t>("slots");
+  // A later version may append fields.
+  record.leave = fields.ReadLeave();
   if (!fields.unread_field().empty()) {
     return {.unread_field = fields.unread_field()};
   }
--- a/Libraries/LibDecision/Registry/node_registry.cc
+++ b/Libraries/LibDecision/Registry/node_registry.cc
@@ -92,11 +92,16 @@
 
 // A node publishes its own record only after the first listing.
 void node_registry::NoteFirstListing(const std::vector<store_entry>& listed) {
-  if (std::exchange(is_first_listing_, false)) {
-    lists_earlier_run_ = std::any_of(
-        listed.begin(), listed.end(), [this](const store_entry& entry) {
-          return ParseMemberKey(entry.key) == members_.self().node;
-        });
+  if (!std::exchange(is_first_listing_, false)) {
+    return;
+  }
+  const auto own = std::find_if(
+      listed.begin(), listed.end(), [this](const store_entry& entry) {
+        return ParseMemberKey(entry.key) == members_.self().node;
+      });
+  if (own != listed.end()) {
+    lists_earlier_run_ = true;
+    earlier_record_ = DecodeMember(own->key, own->value);
   }
 }
 
@@ -137,8 +142,13 @@
     return;
   }
   for (const member_record& record : records) {
-    const bool is_other = record.node != members_.self().node;
-    if (is_other && members_.Find(record.node) == nullptr) {
+    if (record.node == members_.self().node) {
+      if (record.run < members_.self().run) {
+        earlier_record_ = record;
+      }
+      continue;
+    }
+    if (members_.Find(record.node) == nullptr) {
       members_.Replace(context, record);
     }
   }
--- a/Libraries/LibDecision/Registry/node_registry.h
+++ b/Libraries/LibDecision/Registry/node_registry.h
@@ -2,6 +2,7 @@
 #define LIBDECISION_REGISTRY_NODE_REGISTRY_H_
 
 #include <map>
+#include <optional>
 #include <vector>
 
 #include "LibDecision/Membership/membership.h"
@@ -61,6 +62,15 @@
   /// Whether the first listing held a record of an earlier run of this node. It
   /// then holds those of the other nodes, too, even if all of them restart.
   bool lists_earlier_run() const { return lists_earlier_run_; }
+  /// The record that an earlier run of this node left in the registry, or in
+  /// the view of another node; null if none is known.
+  const member_record* earlier_record() const {
+    return earlier_record_ ? &*earlier_record_ : nullptr;
+  }
+  /// Whether the registry holds this node's record as it is.
+  bool is_record_stored() const {
+    return published_ == members_.self() && registration_.is_stored();
+  }
   /// Whether this node has listed the registry.
   bool is_listed() const { return watch_.is_listed(); }
   /// Whether the last call to the key-value store failed.
@@ -88,6 +98,7 @@
   registration registration_;
   ignored_entries ignored_;
   member_record published_;
+  std::optional<member_record> earlier_record_;
   std::map<node_id, instant> lapsed_since_;
   /// The next listing may contain records that the store held before.
   bool lists_earlier_run_ = false;
--- a/Libraries/LibDecision/Registry/registration.h
+++ b/Libraries/LibDecision/Registry/registration.h
@@ -28,6 +28,13 @@
   /// Ends the lease, so that the record is removed at once.
   void Withdraw(event_context& context);
 
+  /// Whether the registry holds the record that was published last, or cannot
+  /// hold it any more.
+  bool is_stored() const {
+    return is_withdrawn_ ||
+           (!desired_value_.empty() && stored_value_ == desired_value_);
+  }
+
   void OnStoreAnswered(event_context& context, const store_answered& answer);
   /// The store has lost writes, maybe the lease and the latest record: grants a
   /// new lease and writes the record again.
--- a/Libraries/LibDecision/Timers/timer_service.h
+++ b/Libraries/LibDecision/Timers/timer_service.h
@@ -17,6 +17,7 @@
   kCalls,
   kWork,
   kEndpoint,
+  kReportAcknowledgement,
   kAdmission,
   kRouting,
   kIdempotencyKeys,
--- a/Libraries/LibDecision/Work/incoming_work.cc
+++ b/Libraries/LibDecision/Work/incoming_work.cc
@@ -8,8 +8,29 @@
 
 namespace auburnfold {
 
+namespace {
+
+decision_kind KindOf(report_result result) {
+  switch (result) {
+    case report_result::kAccepted:
+    case report_result::kChanged:
+    case report_result::kReplaced:
+      return decision_kind::kEndpointChanged;
+    case report_result::kIgnored:
+      return decision_kind::kEndpointReportIgnored;
+    case report_result::kDeferred:
+      return decision_kind::kEndpointReportDeferred;
+  }
+  return decision_kind::kEndpointReportIgnored;
+}
+
+}  // namespace
+
 void incoming_work::Start(event_context& context, const node_started& self) {
   endpoint_.Start(context.now());
+  if (awaits_earlier_run_) {
+    endpoint_.AwaitEarlierRun();
+  }
   run_ = self.run;
   keys_.Start(self.node, self.run);
 }
@@ -333,21 +354,21 @@
     const endpoint_reported& report) {
   const bool was_leaving = endpoint_.is_leaving();
   const report_result result = endpoint_.OnReported(context, report);
-  if (result != report_result::kIgnored) {
+  const bool has_effect =
+      result != report_result::kIgnored && result != report_result::kDeferred;
+  if (has_effect) {
     admission_.OnEndpointReported(context, *endpoint_.report());
   }
   if (result != report_result::kAccepted) {
-    context.Log({.kind = result == report_result::kIgnored
-                             ? decision_kind::kEndpointReportIgnored
-                             : decision_kind::kEndpointChanged,
+    context.Log({.kind = KindOf(result),
                  .service = report.service,
                  .endpoint = report.name,
                  .run = report.run,
                  .limit = report.slots,
                  .state = static_cast<std::uint32_t>(report.state)});
   }
-  const bool names_rate = result != report_result::kIgnored && report.signals &&
-                          report.signals->rate_limit;
+  const bool names_rate =
+      has_effect && report.signals && report.signals->rate_limit;
   if (names_rate &&
       rate_limit_.OnRefused(context.now(), context.now(), *report.signals)) {
     ApplyRateLimit(context,
@@ -377,6 +398,25 @@
   return result;
 }
 
+std::optional<endpoint_reported> incoming_work::OnEarlierRunKnown(
+    event_context& context,
+    const member_record* earlier) {
+  std::optional<endpoint_reported> deferred =
+      endpoint_.OnEarlierRunKnown(context, earlier);
+  if (earlier == nullptr || !earlier->leave) {
+    return deferred;
+  }
+  const endpoint_reported& report = *endpoint_.report();
+  admission_.OnEndpointReported(context, report);
+  context.Log({.kind = decision_kind::kEndpointChanged,
+               .service = report.service,
+               .endpoint = report.name,
+               .run = report.run,
+               .limit = report.slots,
+               .state = static_cast<std::uint32_t>(report.state)});
+  return deferred;
+}
+
 void incoming_work::OnStopRequested(event_context& context) {
   stopping_since_ = context.now();
 }
--- a/Libraries/LibDecision/Work/incoming_work.h
+++ b/Libraries/LibDecision/Work/incoming_work.h
@@ -48,6 +48,7 @@
         keys_validity_(keys),
         stop_grace_(options.stop_grace),
         checks_expected_run_(options.discovery == discovery_mode::kGossip),
+        awaits_earlier_run_(options.discovery == discovery_mode::kRegistry),
         counts_arrivals_(options.retries == retry_mode::kArrivals),
         names_tenants_(options.settings == settings_source::kRoutes),
         endpoint_(options.leaving_grace),
@@ -61,6 +62,10 @@
   void OnFinished(event_context& context, const work_finished& finished);
   report_result OnEndpointReported(event_context& context,
                                    const endpoint_reported& report);
+  /// See `local_endpoint::OnEarlierRunKnown`.
+  std::optional<endpoint_reported> OnEarlierRunKnown(
+      event_context& context,
+      const member_record* earlier);
   void OnStopRequested(event_context& context);
   /// Whether new work is refused because the grace period after a stop request
   /// is over.
@@ -189,6 +194,7 @@
   const key_validity& keys_validity_;
   duration stop_grace_;
   bool checks_expected_run_;
+  bool awaits_earlier_run_;
   bool counts_arrivals_;
   /// Senders determine the tenants of requests from the routes.
   bool names_tenants_;
--- a/Libraries/LibDecision/Work/local_endpoint.cc
+++ b/Libraries/LibDecision/Work/local_endpoint.cc
@@ -1,6 +1,7 @@
 #include "LibDecision/Work/local_endpoint.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace auburnfold {
 
@@ -10,6 +11,13 @@
 // queue was full accepts connections again much sooner.
 constexpr duration kUnreachableTime = std::chrono::milliseconds(200);
 
+// An endpoint that stays sends reports at intervals. Several that were held up
+// together arrive together.
+constexpr duration kMinReportInterval = std::chrono::milliseconds(500);
+
+// An endpoint that counts its first reports has only just started.
+constexpr std::uint64_t kFirstReports = 2;
+
 }  // namespace
 
 // A replaced endpoint that was paused may resume and report once more. Its run
@@ -25,6 +33,9 @@
   if (is_late_probe_result) {
     return report_result::kIgnored;
   }
+  if (MustDefer(context, report)) {
+    return report_result::kDeferred;
+  }
   if (report_ && IsFirstReportWithRun(report)) {
     if (departed_ == endpoint_run{report.name, incarnation()}) {
       departed_->run = report.run;
@@ -63,6 +74,72 @@
   return is_unchanged ? report_result::kAccepted : report_result::kChanged;
 }
 
+// The key-value store may not answer for long, and no other node may know the
+// leave. An endpoint that has left sends no more reports, though one or several
+// may be late, and its health probe may still succeed.
+bool local_endpoint::MustDefer(event_context& context,
+                               const endpoint_reported& report) {
+  const bool is_certain = !is_earlier_run_unknown_ || report_ ||
+                          report.state != endpoint_state::kReady;
+  if (is_certain) {
+    return false;
+  }
+  if (report.is_probe_result) {
+    return true;
+  }
+  if (report.sequence <= kFirstReports) {
+    return false;
+  }
+  const bool is_same_run = deferred_ && deferred_->name == report.name &&
+                           deferred_->run == report.run;
+  if (!is_same_run) {
+    deferred_ = report;
+    deferred_at_ = context.now();
+    return true;
+  }
+  return report.sequence <= deferred_->sequence ||
+         context.now() - deferred_at_ < kMinReportInterval;
+}
+
+std::optional<endpoint_reported> local_endpoint::OnEarlierRunKnown(
+    event_context& context,
+    const member_record* earlier) {
+  is_earlier_run_unknown_ = false;
+  std::optional<endpoint_reported> deferred = std::exchange(deferred_, {});
+  if (earlier == nullptr || !earlier->leave) {
+    return deferred;
+  }
+  const endpoint_leave& leave = *earlier->leave;
+  if (report_) {
+    if (leave.is_final && leave.endpoint == current_run()) {
+      Depart(leave.endpoint, context.now() - leaving_grace_);
+    }
+    return std::nullopt;
+  }
+  report_ = endpoint_reported{.service = earlier->service,
+                              .state = endpoint_state::kLeaving,
+                              .run = leave.endpoint.run,
+                              .slots = earlier->slots,
+                              .name = leave.endpoint.name,
+                              .sequence = leave.sequence};
+  leaving_since_ = context.now() - leaving_grace_;
+  if (leave.is_final) {
+    departed_ = leave.endpoint;
+  }
+  last_heard_at_ = context.now();
+  ScheduleSilenceCheck(context);
+  return deferred;
+}
+
+std::optional<endpoint_leave> local_endpoint::leave() const {
+  if (!report_ || !leaving_since_) {
+    return std::nullopt;
+  }
+  return endpoint_leave{.endpoint = current_run(),
+                        .sequence = report_->sequence,
+                        .is_final = has_departed()};
+}
+
 // Responses to health probes name no run, and deregistrations need not, so the
 // first report that does is not a replacement.
 bool local_endpoint::IsFirstReportWithRun(
@@ -106,6 +183,9 @@
 // received the answer.
 report_result local_endpoint::OnLeavingNotice(event_context& context,
                                               const endpoint_run& run) {
+  if (!report_) {
+    departed_ = run;
+  }
   const bool is_current_run =
       report_ && run.name == report_->name &&
       (run.run == report_->run || report_->run == incarnation() ||
--- a/Libraries/LibDecision/Work/local_endpoint.h
+++ b/Libraries/LibDecision/Work/local_endpoint.h
@@ -4,9 +4,11 @@
 #include <cstdint>
 #include <optional>
 
+#include "LibDecision/endpoint_leave.h"
 #include "LibDecision/error_kind.h"
 #include "LibDecision/event.h"
 #include "LibDecision/event_context.h"
+#include "LibDecision/member_record.h"
 #include "LibDecision/node_options.h"
 
 namespace auburnfold {
@@ -26,15 +28,8 @@
   kReplaced,  ///< First report of another run of the endpoint.
   kIgnored,   ///< Stale: sent by a run that was replaced, overtaken by a later
               ///< report of the same run, or a probe result that came too late.
-};
-
-/// One run of an endpoint.
-struct endpoint_run {
-  endpoint_name name;
-  /// 0 until a report has named it.
-  incarnation run;
-
-  friend bool operator==(const endpoint_run&, const endpoint_run&) = default;
+  kDeferred,  ///< It may have been sent before a leave that an earlier run of
+              ///< this node has acknowledged.
 };
 
 /// What this node knows about its local endpoint.
@@ -46,6 +41,15 @@
       : leaving_grace_(leaving_grace) {}
 
   void Start(instant now) { node_started_at_ = now; }
+  /// An earlier run of this node may have acknowledged a leave: until
+  /// `OnEarlierRunKnown`, one late report does not make the endpoint ready.
+  void AwaitEarlierRun() { is_earlier_run_unknown_ = true; }
+  /// `earlier` is the record that an earlier run of this node has published;
+  /// null if there is none. Returns a deferred report that is to be reported
+  /// once more.
+  std::optional<endpoint_reported> OnEarlierRunKnown(
+      event_context& context,
+      const member_record* earlier);
   report_result OnReported(event_context& context,
                            const endpoint_reported& report);
   /// The endpoint said in an answer that it leaves.
@@ -78,11 +82,15 @@
   bool has_departed() const { return report_ && departed_ == current_run(); }
   /// Whether the endpoint has announced that it leaves.
   bool is_leaving() const { return leaving_since_.has_value(); }
+  /// The leave that the endpoint has announced.
+  std::optional<endpoint_leave> leave() const;
   /// The last report that was not ignored.
   const std::optional<endpoint_reported>& report() const { return report_; }
 
  private:
   bool IsFirstReportWithRun(const endpoint_reported& report) const;
+  /// Whether `report` may have been sent before a leave that is not known.
+  bool MustDefer(event_context& context, const endpoint_reported& report);
   /// Marks `run`, the current one, as leaving for good since `since`.
   report_result Depart(const endpoint_run& run, instant since);
   report_result OnGone(event_context& context, const endpoint_reported& report);
@@ -101,6 +109,10 @@
   /// that it leaves.
   std::optional<endpoint_run> departed_;
   instant unreachable_until_{};
+  bool is_earlier_run_unknown_ = false;
+  /// The first report that was deferred, and when it arrived.
+  std::optional<endpoint_reported> deferred_;
+  instant deferred_at_{};
   bool is_silent_ = false;
 };
 
--- a/Libraries/LibDecision/decision_record.cc
+++ b/Libraries/LibDecision/decision_record.cc
@@ -42,6 +42,8 @@
       return "request_released";
     case decision_kind::kEndpointReportIgnored:
       return "endpoint_report_ignored";
+    case decision_kind::kEndpointReportDeferred:
+      return "endpoint_report_deferred";
     case decision_kind::kRateLimitChanged:
       return "rate_limit_changed";
     case decision_kind::kRateLimitEnded:
--- a/Libraries/LibDecision/decision_record.h
+++ b/Libraries/LibDecision/decision_record.h
@@ -41,29 +41,31 @@
   kRequestReleased,        ///< Other requests explain the crashes, or it was
                            ///< answered.
   kEndpointReportIgnored,  ///< A report about the local endpoint had no effect.
-  kRateLimitChanged,       ///< The local endpoint names another rate limit.
-  kRateLimitEnded,         ///< The local endpoint no longer names a rate limit.
-  kRateLimitUnreadable,    ///< It names one that is not a number.
-  kEndpointEjected,    ///< An endpoint is temporarily excluded from routing.
-  kRoutesTaken,        ///< New routes are in effect.
-  kRoutesIgnored,      ///< Routes that were read are not newer.
-  kRoutesRejected,     ///< Invalid routes are ignored.
-  kConfigFieldUnread,  ///< A part of the routes in effect is not understood.
-  kConnectionDropped,  ///< A silent connection is closed.
-  kAttemptQueried,     ///< The receiver of an attempt was asked about it.
-  kStoreLost,          ///< The key-value store is unavailable.
-  kStoreEraChanged,    ///< The key-value store has lost acknowledged writes.
-  kStoreRegained,      ///< The key-value store is available again.
-  kStoreEntryIgnored,  ///< An entry of the key-value store cannot be read.
-  kKeysOutdated,       ///< API keys may have been removed too long ago.
-  kKeysConfirmed,      ///< API keys are certainly in effect again.
-  kQuotaOwnerChanged,  ///< Another node owns a tenant's quota.
-  kQuotaOwnerLost,     ///< The owner of a quota does not answer, or does not
-                       ///< consider itself the owner.
-  kLoopDelayed,        ///< The node handles events late.
-  kStarted,            ///< The node has started.
-  kStopping,           ///< The node is asked to stop.
-  kStopped,            ///< All requests of the node have ended.
+  kEndpointReportDeferred,  ///< A first report that may have been sent before
+                            ///< the endpoint left does not make it ready.
+  kRateLimitChanged,        ///< The local endpoint names another rate limit.
+  kRateLimitEnded,       ///< The local endpoint no longer names a rate limit.
+  kRateLimitUnreadable,  ///< It names one that is not a number.
+  kEndpointEjected,      ///< An endpoint is temporarily excluded from routing.
+  kRoutesTaken,          ///< New routes are in effect.
+  kRoutesIgnored,        ///< Routes that were read are not newer.
+  kRoutesRejected,       ///< Invalid routes are ignored.
+  kConfigFieldUnread,    ///< A part of the routes in effect is not understood.
+  kConnectionDropped,    ///< A silent connection is closed.
+  kAttemptQueried,       ///< The receiver of an attempt was asked about it.
+  kStoreLost,            ///< The key-value store is unavailable.
+  kStoreEraChanged,      ///< The key-value store has lost acknowledged writes.
+  kStoreRegained,        ///< The key-value store is available again.
+  kStoreEntryIgnored,    ///< An entry of the key-value store cannot be read.
+  kKeysOutdated,         ///< API keys may have been removed too long ago.
+  kKeysConfirmed,        ///< API keys are certainly in effect again.
+  kQuotaOwnerChanged,    ///< Another node owns a tenant's quota.
+  kQuotaOwnerLost,       ///< The owner of a quota does not answer, or does not
+                         ///< consider itself the owner.
+  kLoopDelayed,          ///< The node handles events late.
+  kStarted,              ///< The node has started.
+  kStopping,             ///< The node is asked to stop.
+  kStopped,              ///< All requests of the node have ended.
 };
 
 inline constexpr std::size_t kDecisionKindCount =
--- a/Libraries/LibDecision/effect.h
+++ b/Libraries/LibDecision/effect.h
@@ -200,6 +200,11 @@
   std::string path;
 };
 
+/// Acknowledge a report of the local endpoint.
+struct acknowledge_report {
+  report_id report;
+};
+
 /// Decode the routes from the value of the route key. Report `routes_decoded`
 /// with the same `value` and `reading`.
 struct decode_routes {
@@ -264,6 +269,7 @@
                             set_neighbours,
                             call_store,
                             probe_endpoint,
+                            acknowledge_report,
                             decode_routes,
                             apply_caller_limits,
                             request_view,
--- a/Libraries/LibDecision/event.h
+++ b/Libraries/LibDecision/event.h
@@ -168,6 +168,9 @@
   bool is_probe_result = false;
   /// What that response says about the endpoint besides its state.
   std::optional<endpoint_signals> signals;
+  /// Set if the endpoint waits for an acknowledgement. Answer it with
+  /// `acknowledge_report`.
+  std::optional<report_id> report;
 };
 
 /// A connection to `peer`, or to the local endpoint if unset, failed or was
--- a/Libraries/LibDecision/ids.h
+++ b/Libraries/LibDecision/ids.h
@@ -25,6 +25,8 @@
 using view_call_id = strong_value<struct view_call_tag, std::uint64_t>;
 /// A report of the use of quotas, at either end; unique within the process.
 using quota_call_id = strong_value<struct quota_call_tag, std::uint64_t>;
+/// A report of the local endpoint; unique within the process.
+using report_id = strong_value<struct report_tag, std::uint64_t>;
 /// A question about attempts, at either end; unique within the process.
 using attempt_query_id = strong_value<struct attempt_query_tag, std::uint64_t>;
 /// A watch of the key-value store; unique within the process.
--- a/Libraries/LibDecision/member_record.h
+++ b/Libraries/LibDecision/member_record.h
@@ -2,7 +2,9 @@
 #define LIBDECISION_MEMBER_RECORD_H_
 
 #include <cstdint>
+#include <optional>
 
+#include "LibDecision/endpoint_leave.h"
 #include "LibDecision/ids.h"
 
 namespace auburnfold {
@@ -28,6 +30,8 @@
   service_name service;
   /// Number of requests that the endpoint runs at once; 0 if unspecified.
   std::uint32_t slots = 0;
+  /// Kept for the node's next run, which finds it in the registry.
+  std::optional<endpoint_leave> leave;
 
   friend bool operator==(const member_record&, const member_record&) = default;
 };
--- a/Libraries/LibDecision/reducer.cc
+++ b/Libraries/LibDecision/reducer.cc
@@ -22,6 +22,7 @@
 #include "LibDecision/Tenants/key_validity.h"
 #include "LibDecision/Timers/timer_service.h"
 #include "LibDecision/Work/incoming_work.h"
+#include "LibDecision/Work/report_acknowledgements.h"
 #include "LibDecision/event_context.h"
 
 namespace auburnfold {
@@ -66,6 +67,8 @@
                      pressure, keys_validity, options};
   /// Service of the local endpoint as configured at the node; may be empty.
   service_name local_service;
+  report_acknowledgements acknowledgements;
+  bool is_earlier_run_known = false;
   bool is_stopped = false;
   bool is_watching_routes = false;
   bool is_store_unavailable = false;
@@ -215,7 +218,30 @@
   // An answer, or another node, may say that the local endpoint leaves.
   void PublishEndpointChange(event_context& context) {
     if (work.TakeEndpointChange()) {
-      members.OnEndpointReported(context, *work.endpoint().report());
+      PublishEndpoint(context);
+    }
+  }
+
+  void PublishEndpoint(event_context& context) {
+    members.OnEndpointReported(context, *work.endpoint().report(),
+                               work.endpoint().leave());
+  }
+
+  // An earlier run may have acknowledged that the endpoint leaves. The view of
+  // another node shows it only if the leave was stored before.
+  void NoteEarlierRun(event_context& context) {
+    const member_record* earlier = registry.earlier_record();
+    const bool is_known =
+        registry.is_listed() || (earlier != nullptr && earlier->leave);
+    if (!is_known || std::exchange(is_earlier_run_known, true)) {
+      return;
+    }
+    const auto deferred = work.OnEarlierRunKnown(context, earlier);
+    if (work.endpoint().report()) {
+      PublishEndpoint(context);
+    }
+    if (deferred) {
+      ApplyReport(context, *deferred);
     }
   }
 
@@ -233,8 +259,19 @@
   }
 
   void On(event_context& context, const endpoint_reported& report) {
+    ApplyReport(context, report);
+    if (report.report) {
+      const bool is_stored_leave =
+          options.discovery == discovery_mode::kRegistry &&
+          work.endpoint().leave().has_value();
+      acknowledgements.OnReported(context, *report.report, is_stored_leave);
+    }
+  }
+
+  void ApplyReport(event_context& context, const endpoint_reported& report) {
     switch (work.OnEndpointReported(context, report)) {
       case report_result::kIgnored:
+      case report_result::kDeferred:
         return;
       case report_result::kAccepted:
       case report_result::kChanged:
@@ -244,7 +281,7 @@
         if (report.is_probe_result && report.state == endpoint_state::kReady) {
           return;
         }
-        return members.OnEndpointReported(context, *work.endpoint().report());
+        return PublishEndpoint(context);
     }
   }
 
@@ -281,6 +318,7 @@
     UpdateStoreAvailability(context, answer);
     members.OnStoreAnswered(context, answer);
     registry.OnStoreAnswered(context, answer);
+    NoteEarlierRun(context);
     if (registry.lists_earlier_run()) {
       quotas.OnFleetKnown();
     }
@@ -424,6 +462,7 @@
     }
     if (options.discovery == discovery_mode::kRegistry) {
       registry.OnPeerView(context, received.view.members);
+      NoteEarlierRun(context);
     }
     request_quarantine.OnPeerView(context, received.view.crashes);
   }
@@ -518,6 +557,8 @@
         return policies.OnTimer(context, due.key);
       case timer_owner::kEndpoint:
         return OnEndpointTimer(context);
+      case timer_owner::kReportAcknowledgement:
+        return acknowledgements.OnTimer(context);
       case timer_owner::kStop:
         return OnStopTimer(context, due.key);
       case timer_owner::kConnections:
@@ -634,6 +675,9 @@
   impl.members.BroadcastChanges(context);
   if (impl.options.discovery == discovery_mode::kRegistry) {
     impl.registry.PublishChanges(context);
+    if (impl.registry.is_record_stored()) {
+      impl.acknowledgements.OnRecordStored(context);
+    }
   }
   impl.StopIfIdle(context);
   impl.ScheduleWakeup(context);
--- a/Libraries/LibRuntime/node_runtime.cc
+++ b/Libraries/LibRuntime/node_runtime.cc
@@ -11,6 +11,7 @@
 #include <boost/leaf/handle_errors.hpp>
 #include <chrono>
 #include <limits>
+#include <unordered_map>
 #include <utility>
 
 #include "LibDecision/text_words.h"
@@ -115,6 +116,7 @@
   void On(const decode_routes& effect);
   void On(const apply_caller_limits& effect);
   void On(const probe_endpoint& effect) { works.ProbeEndpoint(effect.path); }
+  void On(const acknowledge_report& effect);
   void On(const request_view& effect) { views.Execute(effect); }
   void On(const send_view& effect) { views.Execute(effect); }
   void On(const defer_call& effect) { calls.Execute(effect); }
@@ -176,6 +178,9 @@
   route_decoder decode_route_config;
   std::function<void()> on_stopped;
   std::chrono::steady_clock::time_point last_request;
+  /// Reports of the endpoint that are not acknowledged yet.
+  std::unordered_map<report_id, exchange_ptr> reports;
+  std::uint64_t next_report = 1;
   /// The last report that could not be read, and why.
   std::string unread_report;
   std::uint64_t aborted_requests = 0;
@@ -476,8 +481,9 @@
 void node_runtime::impl::FinishWhenIdle() {
   const auto idle_at = last_request + settings.stop_linger;
   const bool is_idle = std::chrono::steady_clock::now() >= idle_at;
-  const bool is_responding =
-      call_listener.IsResponding() || peer_listener.IsResponding();
+  const bool is_responding = call_listener.IsResponding() ||
+                             peer_listener.IsResponding() ||
+                             report_listener.IsResponding();
   if (is_idle && !is_responding && calls.open_count() == 0 &&
       works.open_count() == 0) {
     return Finish();
@@ -562,9 +568,10 @@
           works.SetEndpointAddress(tcp::endpoint(host, report.port));
         }
         unread_report.clear();
+        const report_id id(next_report++);
+        reports.emplace(id, exchange);
+        report.content.report = id;
         sink(std::move(report.content));
-        exchange->Respond(
-            MakeTextResponse(http::status::ok, "text/plain", "ok\n"));
         return {};
       },
       [&](const request_error& error) {
@@ -576,6 +583,14 @@
       [&] { exchange->CloseConnection(); });
 }
 
+void node_runtime::impl::On(const acknowledge_report& effect) {
+  const auto reported = reports.extract(effect.report);
+  if (reported) {
+    reported.mapped()->Respond(
+        MakeTextResponse(http::status::ok, "text/plain", "ok\n"));
+  }
+}
+
 // Another writer may send the same report every second.
 void node_runtime::impl::LogUnreadReport(const http_request& request,
                                          const request_error& error) {
--- a/Tests/LibDecision/registry_test.cc
+++ b/Tests/LibDecision/registry_test.cc
@@ -150,7 +150,6 @@
     ReportEndpoint();
     Register();
     SeeEra(1);
-    calls_.clear();
   }
 
   /// An answer without changes, in this era.
@@ -450,7 +449,7 @@
 }
 
 // Replays the restart of all nodes: each endpoint runs on, and reports again
-// only after a second or more.
+// only after a second or more. The store answers and shows no leave.
 class a_node_started_beside_a_running_endpoint : public a_node {
  protected:
   a_node_started_beside_a_running_endpoint() {
@@ -459,6 +458,7 @@
                         .address = {.host = "10.0.0.1", .peer_port = 80},
                         .domain = domain_name("d1"),
                         .service = service_name("lots")});
+    AnswerLists();
     route_config config{.version = route_version(1)};
     config.services.push_back({service_name("lots"), "/health"});
     asked_ = Happen(routes_decoded{config});
