LibDecision: Send no call late in a stop that would be cut at its end

Another operator saw that requests which came late in the grace of a planned stop were passed on and cut at its end, some of which may not be repeated (LOST). Here new requests are refused from 2.4 s after the SIGTERM, and what runs is aborted at 5.2 s of 6. What was still passed on late: - calls made by work at the local endpoint, until the very end; - retries of calls that were taken before, until the very end; - work that waited for a slot, until the very end; - with a short stop limit, any request: the 2.4 s did not depend on it.

A request that is cut may have run, so its caller cannot send it again, and one that is refused as not executed can go to another node. After the grace period a call is sent only if almost all calls of its class end before the abort (mean plus four deviations, or the objective if they are unknown) or its deadline does; within it, if it usually does. Waiting work is refused at the end of the grace period. The grace period is 40 % of the stop limit, at most 2.4 s.

--- a/Libraries/LibDecision/Admission/admission_controller.h
+++ b/Libraries/LibDecision/Admission/admission_controller.h
@@ -88,6 +88,10 @@
   std::size_t queued() const { return queue_.size(); }
   /// Maximum number of concurrently active requests.
   std::uint32_t limit() const;
+  /// Time that a request usually needs at the endpoint; zero if unknown.
+  duration ExpectedTotalTime(const class_name& request_class) const {
+    return times_.ExpectedTotalTime(request_class);
+  }
 
  private:
   using limit_variant =
--- a/Libraries/LibDecision/Admission/service_times.cc
+++ b/Libraries/LibDecision/Admission/service_times.cc
@@ -68,14 +68,28 @@
 }
 
 duration service_times::MinTotalTime(const class_name& request_class) const {
+  return TotalTime(request_class, -2);
+}
+
+duration service_times::ExpectedTotalTime(
+    const class_name& request_class) const {
+  return TotalTime(request_class, 0);
+}
+
+duration service_times::MaxTotalTime(const class_name& request_class) const {
+  return TotalTime(request_class, 4);
+}
+
+duration service_times::TotalTime(const class_name& request_class,
+                                  double deviations) const {
   const auto found = classes_.find(request_class);
   if (found == classes_.end() ||
       found->second.total_samples < kInitialSamples) {
     return duration::zero();
   }
   const class_times& times = found->second;
-  const double min_total = times.total_ns - 2 * times.total_deviation_ns;
-  return duration(static_cast<duration::rep>(std::max(0.0, min_total)));
+  const double total = times.total_ns + deviations * times.total_deviation_ns;
+  return duration(static_cast<duration::rep>(std::max(0.0, total)));
 }
 
 }  // namespace auburnfold
--- a/Libraries/LibDecision/Admission/service_times.h
+++ b/Libraries/LibDecision/Admission/service_times.h
@@ -9,7 +9,7 @@
 
 namespace auburnfold {
 
-/// Measures how long requests of each class take at the local endpoint.
+/// Measures how long requests of each class take.
 class service_times {
  public:
   /// Records the time from a request's start to its first child call or its
@@ -26,6 +26,11 @@
   /// Time that most requests need at least, child calls included; zero if
   /// unknown.
   duration MinTotalTime(const class_name& request_class) const;
+  /// Time that a request usually needs, child calls included; zero if unknown.
+  duration ExpectedTotalTime(const class_name& request_class) const;
+  /// Time within which almost all requests end, child calls included; zero if
+  /// unknown.
+  duration MaxTotalTime(const class_name& request_class) const;
 
  private:
   struct class_times {
@@ -35,6 +40,9 @@
     double total_ns = 0;
     double total_deviation_ns = 0;
   };
+  /// The mean total time, plus `deviations` times its mean deviation; zero if
+  /// unknown.
+  duration TotalTime(const class_name& request_class, double deviations) const;
   class_times& FindOrCreateTimes(const class_name& request_class);
 
   std::unordered_map<class_name, class_times> classes_;
--- a/Libraries/LibDecision/Calls/outgoing_calls.cc
+++ b/Libraries/LibDecision/Calls/outgoing_calls.cc
@@ -70,10 +70,10 @@
                       ? duration::zero()
                       : kFixedRetryDelay);
   }
-  const bool is_stop_grace_over =
-      stopping_since_ &&
-      context.now() - *stopping_since_ >= options_.stop_grace;
-  if (is_stop_grace_over && !arrived.parent) {
+  const bool is_refused_by_stop =
+      (stop_.IsGraceOver(context.now()) && !arrived.parent) ||
+      !HasTimeFor(context.now(), call);
+  if (is_refused_by_stop) {
     return Refuse(context, arrived.call, error_kind::kNodeStopping,
                   kFixedRetryDelay);
   }
@@ -111,6 +111,23 @@
   }
 }
 
+// A request that is cut at its endpoint may have run, so its caller cannot send
+// it again; one that is refused can go to another node. What comes late must
+// end in time almost for certain: callers have used other nodes for a while.
+bool outgoing_calls::HasTimeFor(instant now, const call_state& call) const {
+  if (!stop_.has_begun()) {
+    return true;
+  }
+  const class_name& request_class = call.metadata.request_class;
+  duration needed = answer_times_.ExpectedTotalTime(request_class);
+  if (stop_.IsGraceOver(now)) {
+    const bool is_known = needed > duration::zero();
+    needed = is_known ? answer_times_.MaxTotalTime(request_class)
+                      : call.metadata.objective;
+  }
+  return stop_.HasTimeFor(now, std::min(needed, call.deadline - now));
+}
+
 void outgoing_calls::OnQuotaDecided(event_context& context,
                                     const quota_verdict& verdict) {
   const auto found = calls_.find(verdict.call);
@@ -120,6 +137,10 @@
   if (!verdict.is_admitted) {
     return RefuseByQuota(context, verdict.call, found->second);
   }
+  if (!HasTimeFor(context.now(), found->second)) {
+    return Refuse(context, verdict.call, error_kind::kNodeStopping,
+                  kFixedRetryDelay);
+  }
   found->second.uses_quota = true;
   Begin(context, verdict.call, found->second);
 }
@@ -284,6 +305,8 @@
   if (result.is_complete()) {
     call.has_useful_answer = !result.is_failure;
     if (call.has_useful_answer) {
+      answer_times_.OnTotalTime(call.metadata.request_class,
+                                context.now() - call.attempt_started);
       quarantine_.OnAnswered(context, call.metadata.digest);
     }
     context.Log(Describe(context, decision_kind::kCallAnswered, call));
@@ -330,6 +353,9 @@
 bool outgoing_calls::TryRetry(event_context& context,
                               call_state& call,
                               const outcome& result) {
+  if (!HasTimeFor(context.now(), call)) {
+    return false;
+  }
   call.last_retry_decision = retry_policy_.Decide(context, call, result);
   const bool is_allowed = *call.last_retry_decision == retry_decision::kAllowed;
   if (is_allowed && retry_policy_.CountsAgainstAllowance(result)) {
@@ -685,7 +711,7 @@
   record.waited = context.now() - call.arrived;
   record.attempt = static_cast<std::uint32_t>(call.history.tried_nodes.size());
   record.priority = call.metadata.priority;
-  record.is_stopping = stopping_since_.has_value();
+  record.is_stopping = stop_.has_begun();
   return record;
 }
 
--- a/Libraries/LibDecision/Calls/outgoing_calls.h
+++ b/Libraries/LibDecision/Calls/outgoing_calls.h
@@ -6,6 +6,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "LibDecision/Admission/service_times.h"
 #include "LibDecision/Calls/outgoing_call.h"
 #include "LibDecision/Connections/connection_monitor.h"
 #include "LibDecision/Idempotency/idempotency_key_registry.h"
@@ -23,6 +24,7 @@
 #include "LibDecision/event.h"
 #include "LibDecision/event_context.h"
 #include "LibDecision/node_options.h"
+#include "LibDecision/stop_schedule.h"
 
 namespace auburnfold {
 
@@ -56,6 +58,7 @@
         pressure_(pressure),
         authenticator_(authenticator),
         options_(options),
+        stop_(options),
         retry_policy_(pressure, options),
         router_(members) {}
 
@@ -80,10 +83,8 @@
   void OnAttemptReports(event_context& context,
                         const attempt_reports_received& received);
   /// Once the stop grace period is over, only calls made for work at the local
-  /// endpoint are carried out.
-  void OnStopRequested(event_context& context) {
-    stopping_since_ = context.now();
-  }
+  /// endpoint are carried out. No call is sent that would be aborted.
+  void OnStopRequested(event_context& context) { stop_.Begin(context.now()); }
   /// Refuses all open calls, since the stop has reached its time limit.
   void AbortAll(event_context& context);
   /// Refuses every open call made for `parent`, which has ended.
@@ -117,6 +118,8 @@
                                        const call_arrived& arrived,
                                        const parent_work* parent,
                                        request_metadata& metadata);
+  /// Whether an attempt that starts now ends before a stop aborts it.
+  bool HasTimeFor(instant now, const call_state& call) const;
   /// Admits a call that its tenant's quota allows.
   void Begin(event_context& context, call_id id, call_state& call);
   void RefuseByQuota(event_context& context,
@@ -189,6 +192,7 @@
   pressure_tracker& pressure_;
   caller_authenticator& authenticator_;
   const node_options& options_;
+  stop_schedule stop_;
   retry_policy retry_policy_;
   router router_;
   connection_monitor connections_;
@@ -197,7 +201,8 @@
   std::unordered_multimap<work_id, call_id> child_calls_by_parent_;
   std::vector<ended_child> ended_child_calls_;
   std::uint64_t next_attempt_id_ = 1;
-  std::optional<instant> stopping_since_;
+  /// From the start of an attempt to its complete answer.
+  service_times answer_times_;
 };
 
 }  // namespace auburnfold
--- a/Libraries/LibDecision/Work/incoming_work.cc
+++ b/Libraries/LibDecision/Work/incoming_work.cc
@@ -95,7 +95,7 @@
   if (is_run_expected && arrived.expected_run != run_) {
     return error_kind::kEndpointUnreachable;
   }
-  if (is_stop_grace_over(now)) {
+  if (is_stop_grace_over(now) || !HasTimeFor(now, arrived.metadata)) {
     return error_kind::kNodeStopping;
   }
   if (const auto refusal =
@@ -418,25 +418,43 @@
 }
 
 void incoming_work::OnStopRequested(event_context& context) {
-  stopping_since_ = context.now();
+  stop_.Begin(context.now());
 }
 
-bool incoming_work::is_stop_grace_over(instant now) const {
-  return stopping_since_ && now - *stopping_since_ >= stop_grace_;
+// They would wait at a node that is about to end, while other nodes may have
+// room for them.
+void incoming_work::RefuseQueued(event_context& context) {
+  for (const work_id id : QueuedWork()) {
+    admission_.OnCancelled(context, id);
+    Refuse(context, id, error_kind::kNodeStopping,
+           execution_state::kNotExecuted);
+  }
 }
 
-void incoming_work::AbortAll(event_context& context) {
+std::vector<work_id> incoming_work::QueuedWork() const {
   std::vector<work_id> queued;
-  std::vector<work_id> running;
   for (const auto& [id, item] : work_items_) {
-    (item.is_executing ? running : queued).push_back(id);
+    if (!item.is_executing) {
+      queued.push_back(id);
+    }
   }
+  return queued;
+}
+
+bool incoming_work::HasTimeFor(instant now,
+                               const request_metadata& metadata) const {
+  return stop_.HasTimeFor(
+      now, std::min(admission_.ExpectedTotalTime(metadata.request_class),
+                    metadata.time_left));
+}
+
+void incoming_work::AbortAll(event_context& context) {
   // Queued work ends first, so that slots freed by running work do not start
   // it.
-  for (const work_id id : queued) {
-    admission_.OnCancelled(context, id);
-    Refuse(context, id, error_kind::kNodeStopping,
-           execution_state::kNotExecuted);
+  RefuseQueued(context);
+  std::vector<work_id> running;
+  for (const auto& [id, item] : work_items_) {
+    running.push_back(id);
   }
   for (const work_id id : running) {
     Abandon(context, id, error_kind::kAnswerLost);
@@ -719,7 +737,7 @@
   record.running = admission_.running();
   record.queued = static_cast<std::uint32_t>(admission_.queued());
   record.limit = admission_.limit();
-  record.is_stopping = stopping_since_.has_value();
+  record.is_stopping = stop_.has_begun();
   return record;
 }
 
--- a/Libraries/LibDecision/Work/incoming_work.h
+++ b/Libraries/LibDecision/Work/incoming_work.h
@@ -25,6 +25,7 @@
 #include "LibDecision/event.h"
 #include "LibDecision/event_context.h"
 #include "LibDecision/node_options.h"
+#include "LibDecision/stop_schedule.h"
 
 namespace auburnfold {
 
@@ -46,7 +47,7 @@
         quarantine_(request_quarantine),
         pressure_(pressure),
         keys_validity_(keys),
-        stop_grace_(options.stop_grace),
+        stop_(options),
         checks_expected_run_(options.discovery == discovery_mode::kGossip),
         awaits_earlier_run_(options.discovery == discovery_mode::kRegistry),
         counts_arrivals_(options.retries == retry_mode::kArrivals),
@@ -69,7 +70,10 @@
   void OnStopRequested(event_context& context);
   /// Whether new work is refused because the grace period after a stop request
   /// is over.
-  bool is_stop_grace_over(instant now) const;
+  bool is_stop_grace_over(instant now) const { return stop_.IsGraceOver(now); }
+  /// The grace period after a stop request is over: work that still waits is
+  /// refused.
+  void RefuseQueued(event_context& context);
   /// Refuses or abandons all work, since the stop has reached its time limit.
   void AbortAll(event_context& context);
   void OnTimer(event_context& context, timer_id due);
@@ -140,6 +144,10 @@
   /// Claims the idempotency key of new work, or ends the work. Returns whether
   /// it may be executed.
   bool ClaimKey(event_context& context, work_id id, work_item& item);
+  /// Whether work that starts now usually ends before a stop aborts it.
+  bool HasTimeFor(instant now, const request_metadata& metadata) const;
+  /// Work that was not handed to the endpoint.
+  std::vector<work_id> QueuedWork() const;
   void ApplyDecisions(event_context& context,
                       const std::vector<admission_decision>& decisions);
   void StartWork(event_context& context, work_id id);
@@ -192,14 +200,13 @@
   quarantine& quarantine_;
   const pressure_tracker& pressure_;
   const key_validity& keys_validity_;
-  duration stop_grace_;
+  stop_schedule stop_;
   bool checks_expected_run_;
   bool awaits_earlier_run_;
   bool counts_arrivals_;
   /// Senders determine the tenants of requests from the routes.
   bool names_tenants_;
   incarnation run_;
-  std::optional<instant> stopping_since_;
   local_endpoint endpoint_;
   capacity_planning planning_;
   admission_controller admission_;
--- a/Libraries/LibDecision/reducer.cc
+++ b/Libraries/LibDecision/reducer.cc
@@ -606,12 +606,11 @@
     }
   }
 
-  // The end of the grace period only wakes up the node, which then stops if it
-  // is idle.
   void OnStopTimer(event_context& context, std::uint64_t key) {
     if (key == kStopLimitTimerKey) {
-      AbortRequests(context);
+      return AbortRequests(context);
     }
+    work.RefuseQueued(context);
   }
 
   void AbortRequests(event_context& context) {
--- a/Services/auburnfold-node/main.cc
+++ b/Services/auburnfold-node/main.cc
@@ -5,6 +5,7 @@
 #include <tclap/CmdLine.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -138,23 +139,27 @@
   // of one store call, or from a refusal by its node.
   constexpr std::chrono::milliseconds kPlatformLeavingGracePeriod{300};
   // Callers probe the readiness of the node once a second, and use another node
-  // after two probes that failed.
+  // after two probes that failed. What is accepted at the end of the grace
+  // period needs time to finish.
   constexpr std::chrono::milliseconds kPlatformStopGracePeriod{2400};
+  constexpr int kGracePercent = 40;
   // Requests that still run are aborted after this percentage of the stop
   // limit, which gives them most of the time that the platform allows for a
   // stop.
   constexpr int kAbortPercent = 87;
-  return {.limit = limit_mode::kAnnounced,
-          .retries = retry_mode::kArrivals,
-          .discovery = discovery_mode::kRegistry,
-          .settings = settings_source::kRoutes,
-          .route_key = std::string(platform::kRoutesKey),
-          .leaving_grace = kPlatformLeavingGracePeriod,
-          .stop_grace = kPlatformStopGracePeriod,
-          .stop_limit = settings.stop_limit * kAbortPercent / 100,
-          .refuses_child_calls_early = false,
-          .planning = PlanningOf(settings),
-          .api_key_validity = settings.api_key_validity};
+  return {
+      .limit = limit_mode::kAnnounced,
+      .retries = retry_mode::kArrivals,
+      .discovery = discovery_mode::kRegistry,
+      .settings = settings_source::kRoutes,
+      .route_key = std::string(platform::kRoutesKey),
+      .leaving_grace = kPlatformLeavingGracePeriod,
+      .stop_grace = std::min<duration>(
+          kPlatformStopGracePeriod, settings.stop_limit * kGracePercent / 100),
+      .stop_limit = settings.stop_limit * kAbortPercent / 100,
+      .refuses_child_calls_early = false,
+      .planning = PlanningOf(settings),
+      .api_key_validity = settings.api_key_validity};
 }
 
 std::unique_ptr<node_runtime> MakeNode(boost::asio::io_context& io,
--- a/Tests/LibDecision/calls_during_a_stop_test.cc
+++ b/Tests/LibDecision/calls_during_a_stop_test.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -156,6 +157,143 @@
   EXPECT_TRUE(IsRelayed());
 }
 
+// Guards against calls that were passed on late in a stop and cut at its end:
+// one that is cut may have run, so its caller cannot send it again (LOST).
+class a_late_call : public a_call_that_takes_long {
+ protected:
+  a_late_call() {
+    Happen(endpoint_reported{.service = service_name("coverage"),
+                             .run = incarnation(1)});
+    work_arrived parent{
+        .work = work_id(1), .from = node_id(2), .expected_run = incarnation(1)};
+    parent.metadata.service = service_name("coverage");
+    parent.metadata.request_class = class_name("lookup");
+    parent.metadata.time_left = 10s;
+    Happen(std::move(parent));
+    Happen(work_sent{work_id(1), connection_id(1)});
+    Exchange(200, 220);
+    Answer(slow_.attempt);
+    Happen(stop_requested{});
+  }
+
+  /// A call that takes about half a second, made by the work.
+  effects CallOfWork(std::uint64_t call, duration objective = {}) {
+    return CallOfClass("booking-status", call, objective);
+  }
+
+  effects CallOfClass(const std::string& request_class,
+                      std::uint64_t call,
+                      duration objective) {
+    call_arrived arrived{
+        .call = call_id(call), .parent = work_id(1), .has_parent = true};
+    arrived.metadata.service = service_name("tracking");
+    arrived.metadata.request_class = class_name(request_class);
+    arrived.metadata.time_left = 5s;
+    arrived.metadata.objective = objective;
+    return Reduce(state_, {now_, ++entropy_, std::move(arrived)});
+  }
+
+  static void ExpectRefusedAsNotRun(const effects& made) {
+    EXPECT_FALSE(Find<send_attempt>(made));
+    const auto refused = Find<refuse_call>(made);
+    ASSERT_TRUE(refused);
+    EXPECT_EQ(refused->kind, error_kind::kNodeStopping);
+    EXPECT_EQ(refused->execution, execution_state::kNotExecuted);
+  }
+};
+
+TEST_F(a_late_call, IsSentIfItEndsInTime) {
+  Advance(4s);
+  EXPECT_TRUE(Find<send_attempt>(CallOfWork(2)));
+}
+
+TEST_F(a_late_call, IsRefusedIfItWouldBeCut) {
+  Advance(4900ms);
+  ExpectRefusedAsNotRun(CallOfWork(2));
+}
+
+TEST_F(a_late_call, IsSentIfItsDeadlineEndsItFirst) {
+  Advance(4900ms);
+  call_arrived arrived{
+      .call = call_id(2), .parent = work_id(1), .has_parent = true};
+  arrived.metadata.service = service_name("tracking");
+  arrived.metadata.request_class = class_name("booking-status");
+  arrived.metadata.time_left = 300ms;
+  EXPECT_TRUE(Find<send_attempt>(
+      Reduce(state_, {now_, ++entropy_, std::move(arrived)})));
+}
+
+TEST_F(a_late_call, IsJudgedByItsObjectiveIfNothingElseIsKnown) {
+  Advance(4s);
+  EXPECT_TRUE(Find<send_attempt>(CallOfClass("unknown", 2, 1s)));
+  ExpectRefusedAsNotRun(CallOfClass("unknown", 3, 1500ms));
+}
+
+TEST_F(a_late_call, IsNotSentAgainIfItWouldBeCut) {
+  Advance(4s);
+  const auto sent = Find<send_attempt>(CallOfWork(2));
+  ASSERT_TRUE(sent);
+  Happen(attempt_sent{sent->attempt, connection_id(8)});
+  Advance(900ms);
+  outcome busy{error_kind::kEndpointBusy, execution_state::kNotExecuted};
+  busy.peer = answer_metadata{.grants_retry = true};
+  made_.clear();
+  Happen(attempt_finished{sent->attempt, busy});
+  EXPECT_FALSE(Find<send_attempt>(made_));
+  const auto refused = Find<refuse_call>(made_);
+  ASSERT_TRUE(refused);
+  EXPECT_EQ(refused->execution, execution_state::kNotExecuted);
+}
+
+TEST_F(a_late_call, FromOutsideIsRefusedEvenIfItWouldEndInTime) {
+  Advance(2400ms);
+  ExpectRefusedAsNotRun(Call(2));
+}
+
+/// Calls of a class of which most would be cut although they come early.
+class a_call_that_outlasts_the_stop : public a_call_that_takes_long {
+ protected:
+  a_call_that_outlasts_the_stop() {
+    for (std::uint64_t call = 300; call < 320; ++call) {
+      const attempt_id sent = Find<send_attempt>(CallReport(call))->attempt;
+      Happen(attempt_sent{sent, connection_id(call)});
+      for (int second = 0; second < 4; ++second) {
+        Advance(1s);
+        Announce(member_state::kReady, ++version_);
+      }
+      Answer(sent);
+    }
+    Happen(stop_requested{});
+  }
+
+  effects CallReport(std::uint64_t call) {
+    call_arrived arrived{.call = call_id(call)};
+    arrived.metadata.own_id = request_id(std::to_string(call));
+    arrived.metadata.root = arrived.metadata.own_id;
+    arrived.metadata.service = service_name("tracking");
+    arrived.metadata.request_class = class_name("report");
+    arrived.metadata.time_left = 10s;
+    return Reduce(state_, {now_, ++entropy_, std::move(arrived)});
+  }
+
+  std::uint64_t version_ = 1;
+};
+
+TEST_F(a_call_that_outlasts_the_stop, IsSentWhileItUsuallyEndsInTime) {
+  Advance(1s);
+  EXPECT_TRUE(Find<send_attempt>(CallReport(400)));
+}
+
+TEST_F(a_call_that_outlasts_the_stop, IsRefusedOnceItUsuallyDoesNot) {
+  Advance(1500ms);
+  const effects made = CallReport(400);
+  EXPECT_FALSE(Find<send_attempt>(made));
+  const auto refused = Find<refuse_call>(made);
+  ASSERT_TRUE(refused);
+  EXPECT_EQ(refused->kind, error_kind::kNodeStopping);
+  EXPECT_EQ(refused->execution, execution_state::kNotExecuted);
+}
+
 // The node beside an endpoint at which a request of another node is at work.
 class work_of_a_node_that_leaves : public testing::Test {
  protected:
@@ -250,6 +388,24 @@
   ExpectAnswered();
 }
 
+TEST_F(work_of_a_node_that_leaves, IsRefusedAtTheEndOfTheGraceIfItWaits) {
+  Happen(endpoint_reported{.service = service_name("tracking"),
+                           .run = incarnation(1),
+                           .connection_limit = 1});
+  Happen(stop_requested{});
+  Advance(2300ms);
+  Arrive(3, node_id(3));
+  ASSERT_FALSE(Find<execute_work>(made_)) << "there is no room for it";
+  Advance(90ms);
+  EXPECT_FALSE(Find<refuse_work>(made_));
+  Advance(20ms);
+  const auto refused = Find<refuse_work>(made_);
+  ASSERT_TRUE(refused);
+  EXPECT_EQ(refused->work, work_id(3));
+  EXPECT_EQ(refused->kind, error_kind::kNodeStopping);
+  EXPECT_EQ(refused->execution, execution_state::kNotExecuted);
+}
+
 TEST_F(work_of_a_node_that_leaves, GoesOnWhileItsOwnNodeStops) {
   Happen(stop_requested{});
   Advance(2490ms);
