LibRuntime: End one request, not all, if an effect throws

An exception now ends what its effect is about. The reducer gets the event that it waits for (EventInPlaceOf), so that a request that was not sent is refused as not executed and one that was sent as unknown; an answer that cannot be sent is replaced by an error that says that the request ran, or its connection closes. The log has a line with the request's id and the exception's text, and effects_failed_total counts. If the reducer itself throws, its state may be half changed, and the process ends instead of staying ready and deaf.

The new tests were not run on old code.

--- a/Libraries/LibRuntime/Observability/node_metrics.cc
+++ b/Libraries/LibRuntime/Observability/node_metrics.cc
@@ -33,6 +33,8 @@
       return "accept_failures";
     case runtime_counter::kCallsPipelined:
       return "calls_pipelined";
+    case runtime_counter::kEffectsFailed:
+      return "effects_failed";
   }
   return "unknown";
 }
--- a/Libraries/LibRuntime/Observability/node_metrics.h
+++ b/Libraries/LibRuntime/Observability/node_metrics.h
@@ -25,10 +25,11 @@
   kConnectionsAccepted,
   kAcceptFailures,  ///< Connections that could not be accepted.
   kCallsPipelined,  ///< Calls read while earlier ones were unanswered.
+  kEffectsFailed,   ///< Effects that ended with an exception.
 };
 
 inline constexpr std::size_t kRuntimeCounterCount =
-    static_cast<std::size_t>(runtime_counter::kCallsPipelined) + 1;
+    static_cast<std::size_t>(runtime_counter::kEffectsFailed) + 1;
 
 /// The metrics that a node exports at `/metrics`.
 class node_metrics {
--- a/Libraries/LibRuntime/Requests/call_handler.cc
+++ b/Libraries/LibRuntime/Requests/call_handler.cc
@@ -246,6 +246,18 @@
   exchange->Respond(std::move(response));
 }
 
+void call_handler::Fail(call_id call) {
+  const auto failed = calls_.extract(call);
+  if (failed && failed.mapped().exchange) {
+    failed.mapped().exchange->CloseConnection();
+  }
+}
+
+request_id call_handler::RequestOf(call_id call) const {
+  const auto found = calls_.find(call);
+  return found == calls_.end() ? request_id() : found->second.id;
+}
+
 bool call_handler::Close(connection_id connection) {
   return std::any_of(pools_.begin(), pools_.end(), [&](const auto& entry) {
     return entry.second->Close(connection);
--- a/Libraries/LibRuntime/Requests/call_handler.h
+++ b/Libraries/LibRuntime/Requests/call_handler.h
@@ -49,6 +49,12 @@
   void Execute(const refuse_call& refused);
   void Execute(const defer_call& deferred);
 
+  /// Ends a call whose answer could not be sent: closes its connection, which
+  /// promises nothing.
+  void Fail(call_id call);
+  /// The id of an open call's request; empty if it is not open.
+  request_id RequestOf(call_id call) const;
+
   /// Discards the response of an attempt that the reducer has handled.
   void DiscardAttempt(attempt_id attempt) { attempts_.erase(attempt); }
   /// Closes the connection; false if it does not lead to another node.
--- a/Libraries/LibRuntime/Requests/work_handler.cc
+++ b/Libraries/LibRuntime/Requests/work_handler.cc
@@ -305,6 +305,13 @@
                 });
 }
 
+void work_handler::Fail(work_id work) {
+  const auto failed = open_work_.extract(work);
+  if (failed && failed.mapped().exchange) {
+    failed.mapped().exchange->CloseConnection();
+  }
+}
+
 const request_metadata* work_handler::MetadataOf(work_id work) const {
   const auto found = open_work_.find(work);
   return found == open_work_.end() ? nullptr : &found->second.metadata;
--- a/Libraries/LibRuntime/Requests/work_handler.h
+++ b/Libraries/LibRuntime/Requests/work_handler.h
@@ -61,6 +61,9 @@
   /// Closes idle connections. Call it about once a second.
   void Sweep();
 
+  /// Ends work whose answer could not be sent: closes its connection, so that
+  /// its sender takes the outcome as unknown.
+  void Fail(work_id work);
   /// The metadata of open work; null if there is no such work.
   const request_metadata* MetadataOf(work_id work) const;
   std::size_t open_count() const { return open_work_.size(); }
--- a/Libraries/LibRuntime/decision_loop.cc
+++ b/Libraries/LibRuntime/decision_loop.cc
@@ -50,7 +50,9 @@
       std::chrono::steady_clock::now().time_since_epoch()));
 }
 
-void decision_loop::ProcessEvent(event_content content) {
+// Ends the process if the reducer or the end of an event throws: the state may
+// be half changed, and a node that goes on would be ready but handle nothing.
+void decision_loop::ProcessEvent(event_content content) noexcept {
   // Read first, so that the sum of both never exceeds the time since boot.
   const duration since_boot = TimeSinceBoot();
   const instant now = Now();
--- a/Libraries/LibRuntime/decision_loop.h
+++ b/Libraries/LibRuntime/decision_loop.h
@@ -17,7 +17,7 @@
   using event_completion_handler = std::function<void(const event_content&)>;
 
   /// `execute` is called for each effect, and `on_completed` after all effects
-  /// of an event.
+  /// of an event. An exception of either ends the process.
   decision_loop(const node_options& options,
                 effect_executor execute,
                 event_completion_handler on_completed);
@@ -30,7 +30,7 @@
   static instant Now();
 
  private:
-  void ProcessEvent(event_content content);
+  void ProcessEvent(event_content content) noexcept;
 
   node_state state_;
   effect_executor execute_;
--- a/Libraries/LibRuntime/node_runtime.cc
+++ b/Libraries/LibRuntime/node_runtime.cc
@@ -10,6 +10,7 @@
 #include <boost/leaf/error.hpp>
 #include <boost/leaf/handle_errors.hpp>
 #include <chrono>
+#include <exception>
 #include <limits>
 #include <unordered_map>
 #include <utility>
@@ -30,6 +31,7 @@
 #include "LibRuntime/Requests/own_dialect.h"
 #include "LibRuntime/Requests/work_handler.h"
 #include "LibRuntime/decision_loop.h"
+#include "LibRuntime/failed_effect.h"
 #include "LibRuntime/lazy_timer.h"
 #include "LibRuntime/node_identity.h"
 
@@ -87,6 +89,32 @@
   leaf::result<void> ListenForControlMessages();
   void Stop();
   void Execute(effect& next_effect);
+
+  /// The request that an effect is about; empty if it is about none.
+  static request_id RequestOf(const send_attempt& effect) {
+    return effect.metadata.own_id;
+  }
+  template <class effect_type>
+  request_id RequestOf(const effect_type& effect) const {
+    if constexpr (requires { effect.call = call_id(); }) {
+      return calls.RequestOf(effect.call);
+    } else if constexpr (requires { effect.work = work_id(); }) {
+      const request_metadata* metadata = works.MetadataOf(effect.work);
+      return metadata == nullptr ? request_id() : metadata->own_id;
+    }
+    return {};
+  }
+
+  /// Ends what could not be answered because carrying out the effect threw.
+  void OnFailed(const relay_answer& failed);
+  void OnFailed(const refuse_call& failed) { calls.Fail(failed.call); }
+  void OnFailed(const relay_work_answer& failed) { works.Fail(failed.work); }
+  void OnFailed(const refuse_work& failed) { works.Fail(failed.work); }
+  void OnFailed(const answer_with_key& failed) { works.Fail(failed.work); }
+  void OnFailed(const replay_answer& failed) { works.Fail(failed.work); }
+  template <class effect_type>
+  void OnFailed(const effect_type&) {}
+
   void OnEventCompleted(const event_content& content);
 
   void On(send_attempt& effect) { calls.Execute(effect); }
@@ -406,8 +434,33 @@
   sink(stop_requested{});
 }
 
+// An exception ends what the effect is about, and nothing else: the effects
+// after it and all later events concern other requests.
 void node_runtime::impl::Execute(effect& next_effect) {
-  std::visit([this](auto& content) { On(content); }, next_effect);
+  try {
+    std::visit([this](auto& content) { On(content); }, next_effect);
+  } catch (const std::exception& error) {
+    metrics.Count(runtime_counter::kEffectsFailed);
+    const request_id request =
+        std::visit([this](const auto& content) { return RequestOf(content); },
+                   next_effect);
+    LOG4CPLUS_ERROR(
+        Log(), "request " << request.value() << " failed: " << error.what());
+    std::visit([this](const auto& content) { OnFailed(content); }, next_effect);
+    if (auto ending = EventInPlaceOf(next_effect)) {
+      sink(*std::move(ending));
+    }
+  }
+}
+
+// The answer of the endpoint is replaced by an error that says that it ran.
+void node_runtime::impl::OnFailed(const relay_answer& failed) {
+  try {
+    calls.Execute(refuse_call{failed.call, error_kind::kInternal,
+                              execution_state::kExecuted});
+  } catch (const std::exception&) {
+    calls.Fail(failed.call);
+  }
 }
 
 void node_runtime::impl::OnEventCompleted(const event_content& content) {
--- /dev/null
+++ b/Tests/LibRuntime/failed_effects_test.cc
@@ -0,0 +1,127 @@
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <optional>
+#include <stdexcept>
+#include <string>
+#include <utility>
+
+#include "LibRuntime/Requests/own_dialect.h"
+#include "LibRuntime/failed_effect.h"
+#include "raw_client.h"
+#include "running_node.h"
+#include "scripted_server.h"
+
+// Guards against an exception in one effect that stopped the decision loop: the
+// node stayed ready and handled no event any more.
+
+namespace auburnfold::testing_support {
+namespace {
+
+/// What a node does for a request, of which one part throws.
+enum class failing_part : std::uint8_t {
+  kSendingWork,
+  kAnswering,
+  kRefusing,
+};
+
+/// Throws in one part for requests with the header `X-Odd`, or with an error.
+struct failing_dialect : own_dialect {
+  explicit failing_dialect(failing_part failing) : part(failing) {}
+
+  void AddEndpointHeaders(http::fields& headers,
+                          const endpoint_request& forwarded) const {
+    ThrowIf(part == failing_part::kSendingWork && IsOdd(headers));
+    own_dialect::AddEndpointHeaders(headers, forwarded);
+  }
+  void MarkComplete(http_response& response, const request_id& id) const {
+    ThrowIf(part == failing_part::kAnswering && IsOdd(response));
+    own_dialect::MarkComplete(response, id);
+  }
+  http_response MakeError(const caller_error& error) const {
+    ThrowIf(part == failing_part::kRefusing &&
+            error.kind == error_kind::kUnknownService);
+    return own_dialect::MakeError(error);
+  }
+
+  static bool IsOdd(const http::fields& headers) {
+    return headers.find("X-Odd") != headers.end();
+  }
+  static void ThrowIf(bool is_failing) {
+    if (is_failing) {
+      throw std::length_error("odd");
+    }
+  }
+
+  failing_part part;
+};
+
+class a_node_of_which_a_part_throws : public testing::Test {
+ protected:
+  void Start(failing_part part) {
+    node_ = std::make_unique<running_node>(
+        LoopbackSettings(), any_wire_dialect(failing_dialect(part)));
+    node_->Announce("listings", endpoint_.port());
+  }
+
+  read_answer CallOdd(const std::string& service = "listings") {
+    return raw_client::Exchange(node_->call_port(),
+                                CallText(service, "X-Odd: 1\r\n"));
+  }
+
+  void ExpectCountedAndOthersServed() {
+    EXPECT_EQ(node_->Metric("auburnfold_effects_failed_total"), 1);
+    EXPECT_EQ(
+        raw_client::Exchange(node_->call_port(), CallText("listings")).status,
+        200U);
+  }
+
+  scripted_server endpoint_{[](scripted_connection& connection) {
+    while (const auto request = connection.ReadHeader()) {
+      const bool is_odd = request->find("X-Odd") != std::string::npos;
+      connection.Write(AnswerText("whole", is_odd ? "X-Odd: 1\r\n" : ""));
+    }
+  }};
+  std::unique_ptr<running_node> node_;
+};
+
+TEST_F(a_node_of_which_a_part_throws, SaysThatAnUnsentRequestHasNotRun) {
+  Start(failing_part::kSendingWork);
+  const read_answer answer = CallOdd();
+  EXPECT_EQ(answer.Header("Auburnfold-Result"), "internal");
+  EXPECT_EQ(answer.Header("Auburnfold-Ran"), "not-run");
+  ExpectCountedAndOthersServed();
+}
+
+TEST_F(a_node_of_which_a_part_throws, SaysThatARequestRanWhoseAnswerItLost) {
+  Start(failing_part::kAnswering);
+  const read_answer answer = CallOdd();
+  EXPECT_EQ(answer.Header("Auburnfold-Result"), "internal");
+  EXPECT_EQ(answer.Header("Auburnfold-Ran"), "ran");
+  ExpectCountedAndOthersServed();
+}
+
+TEST_F(a_node_of_which_a_part_throws, ClosesTheConnectionItCannotAnswer) {
+  Start(failing_part::kRefusing);
+  raw_client client(node_->call_port());
+  client.Write(CallText("nobody"));
+  EXPECT_FALSE(client.Read());
+  ExpectCountedAndOthersServed();
+}
+
+class an_effect_that_failed : public testing::Test {};
+
+TEST_F(an_effect_that_failed, EndsWhatTheReducerWaitsFor) {
+  const auto store = EventInPlaceOf(call_store{store_call_id(7), {}});
+  ASSERT_TRUE(store);
+  EXPECT_EQ(std::get<store_answered>(*store).call, store_call_id(7));
+  EXPECT_EQ(std::get<store_answered>(*store).result.status,
+            store_status::kUnknown);
+  EXPECT_TRUE(EventInPlaceOf(decode_routes{}));
+  EXPECT_TRUE(EventInPlaceOf(report_quota_usage{}));
+  EXPECT_TRUE(EventInPlaceOf(query_attempts{}));
+  EXPECT_FALSE(EventInPlaceOf(wake_at{}));
+}
+
+}  // namespace
+}  // namespace auburnfold::testing_support
