LibRuntime: Read into memory that no request is taken from

Cause: a session that holds its most requests keeps a read outstanding into a prepared part of its buffer. As answers were sent, requests were taken from that buffer, which began at its front again once it was empty; the read then counted old bytes there as new ones.

The read stores into memory of its own, which is added to the buffer when it ends.

--- a/Libraries/LibRuntime/Connections/server_session.cc
+++ b/Libraries/LibRuntime/Connections/server_session.cc
@@ -116,7 +116,7 @@
 void server_session::Read() {
   is_reading_ = true;
   socket_.async_read_some(
-      buffer_.prepare(kReadChunkBytes),
+      asio::buffer(received_),
       [self = shared_from_this()](error_code error, std::size_t size) {
         self->OnRead(error, size);
       });
@@ -130,7 +130,8 @@
   if (is_lingering_) {
     return Read();
   }
-  buffer_.commit(size);
+  buffer_.commit(
+      asio::buffer_copy(buffer_.prepare(size), asio::buffer(received_, size)));
   Advance();
 }
 
@@ -328,8 +329,7 @@
       static_cast<std::uint32_t>(handlers_.limits->header_bytes));
   parser_->body_limit(handlers_.limits->body_bytes);
   parsed_bytes_ = 0;
-  if (buffer_.size() == 0 && !is_reading_ &&
-      buffer_.capacity() > kMaxKeptBufferBytes) {
+  if (buffer_.size() == 0 && buffer_.capacity() > kMaxKeptBufferBytes) {
     buffer_.shrink_to_fit();
   }
   is_continue_sent_ = false;
--- a/Libraries/LibRuntime/Connections/server_session.h
+++ b/Libraries/LibRuntime/Connections/server_session.h
@@ -1,6 +1,7 @@
 #ifndef LIBRUNTIME_CONNECTIONS_SERVER_SESSION_H_
 #define LIBRUNTIME_CONNECTIONS_SERVER_SESSION_H_
 
+#include <array>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -148,6 +149,9 @@
   tcp::socket socket_;
   const session_handlers& handlers_;
   std::shared_ptr<body_memory> memory_;
+  /// Where the outstanding read stores bytes. Requests are taken from `buffer_`
+  /// meanwhile, which moves its contents.
+  std::array<char, kReadChunkBytes> received_;
   beast::flat_buffer buffer_;
   std::optional<request_parser> parser_;
   std::optional<http::response_serializer<http::string_body>> serializer_;
--- a/Tests/LibRuntime/pipelining_test.cc
+++ b/Tests/LibRuntime/pipelining_test.cc
@@ -134,6 +134,28 @@
   }
 }
 
+// Guards against requests that were read once more in place of later ones
+// (TWICE, MIXED): the outstanding read stored into the buffer that requests
+// were taken from meanwhile.
+TEST_F(a_pipeline, IsReadAsItWasSentIfMoreArrivesBehindWhatWaits) {
+  std::string first;
+  std::string second;
+  for (int i = 10; i < 30; ++i) {
+    first += Lookup("n-" + std::to_string(i));
+    second += Lookup("n-" + std::to_string(i + 20));
+  }
+  client_->Write(first);
+  node_.WaitForMetric("auburnfold_calls_in_flight", 16);
+  AllowAll();
+  for (int i = 10; i < 30; ++i) {
+    ExpectAnswer("n-" + std::to_string(i));
+  }
+  client_->Write(second);
+  for (int i = 30; i < 50; ++i) {
+    ExpectAnswer("n-" + std::to_string(i));
+  }
+}
+
 TEST_F(a_pipeline, OfAHundredRunsSideBySideUpToABound) {
   std::string requests;
   for (int i = 0; i < 100; ++i) {
