LibRuntime: Name the request of a failed effect in the log

The search for the id of a const effect's call or work matched no effect, so the line named none. Found by reading the diff; no test reads this line yet.

--- a/Libraries/LibRuntime/node_runtime.cc
+++ b/Libraries/LibRuntime/node_runtime.cc
@@ -91,14 +91,11 @@
   void Execute(effect& next_effect);
 
   /// The request that an effect is about; empty if it is about none.
-  static request_id RequestOf(const send_attempt& effect) {
-    return effect.metadata.own_id;
-  }
   template <class effect_type>
   request_id RequestOf(const effect_type& effect) const {
-    if constexpr (requires { effect.call = call_id(); }) {
+    if constexpr (requires { calls.RequestOf(effect.call); }) {
       return calls.RequestOf(effect.call);
-    } else if constexpr (requires { effect.work = work_id(); }) {
+    } else if constexpr (requires { works.MetadataOf(effect.work); }) {
       const request_metadata* metadata = works.MetadataOf(effect.work);
       return metadata == nullptr ? request_id() : metadata->own_id;
     }
