--- a/Libraries/LibDecision/Calls/outgoing_calls.h
+++ b/Libraries/LibDecision/Calls/outgoing_calls.h
@@ -118,7 +118,8 @@
                                        const call_arrived& arrived,
                                        const parent_work* parent,
                                        request_metadata& metadata);
-  /// Whether an attempt that starts now ends before a stop aborts it.
+  /// Whether an attempt that starts now is expected to end before a stop aborts
+  /// it.
   bool HasTimeFor(instant now, const call_state& call) const;
   /// Admits a call that its tenant's quota allows.
   void Begin(event_context& context, call_id id, call_state& call);
--- a/Libraries/LibDecision/Work/local_endpoint.cc
+++ b/Libraries/LibDecision/Work/local_endpoint.cc
@@ -11,11 +11,11 @@
 // queue was full accepts connections again much sooner.
 constexpr duration kUnreachableTime = std::chrono::milliseconds(200);
 
-// An endpoint that stays sends reports at intervals. Several that were held up
-// together arrive together.
+// A running endpoint reports periodically. Reports that were delayed by the
+// same partition arrive in a burst and do not confirm each other.
 constexpr duration kMinReportInterval = std::chrono::milliseconds(500);
 
-// An endpoint that counts its first reports has only just started.
+// A low sequence number shows that the endpoint has only just started.
 constexpr std::uint64_t kFirstReports = 2;
 
 }  // namespace
