LibRuntime: Reject messages whose end is not certain

Cause: Beast ignores a Transfer-Encoding whose last coding isn't chunked, takes the message for one without a body, and what follows for the next one.

The parser of both sides of a node now fails at such a message, as RFC 9112, sections 5.2 and 6.3, asks: requests get 400, not run, and the connection closes; answers end their call.

--- a/Libraries/LibRuntime/Connections/client_connection.cc
+++ b/Libraries/LibRuntime/Connections/client_connection.cc
@@ -214,7 +214,7 @@
 
 void client_connection::Parse() {
   error_code error;
-  buffer_.consume(parser_->put(buffer_.data(), error));
+  buffer_.consume(parser_->Parse(buffer_.data(), error));
   if (error == http::error::body_limit) {
     return Fail(error_kind::kAnswerTooLarge, execution_state::kExecuted, false);
   }
--- a/Libraries/LibRuntime/Connections/message_parser.h
+++ b/Libraries/LibRuntime/Connections/message_parser.h
@@ -1,24 +1,70 @@
 #ifndef LIBRUNTIME_CONNECTIONS_MESSAGE_PARSER_H_
 #define LIBRUNTIME_CONNECTIONS_MESSAGE_PARSER_H_
 
+#include <cstddef>
+
 #include "LibRuntime/Connections/http_types.h"
 #include "LibRuntime/Connections/long_fields.h"
+#include "LibRuntime/Connections/message_framing.h"
 
 namespace auburnfold {
 
-/// Parses a message whose fields may be longer than Beast's, whose own parser
-/// throws at them.
+/// Parses a message as Beast's own parser does, but
+/// - keeps fields that are longer than Beast's, whose parser throws at them;
+/// - fails if the end of the message cannot be told with certainty (RFC 9112,
+///   sections 5.2 and 6.3), where Beast takes what follows for a message of its
+///   own;
+/// - discards trailers, which Beast adds to the header.
 template <bool is_request>
 class message_parser : public http::parser<is_request, http::string_body> {
+ public:
+  /// Parses `data` as far as it goes. Returns how many bytes are used.
+  std::size_t Parse(asio::const_buffer data, error_code& error) {
+    const std::size_t used = this->put(data, error);
+    folding_.Scan({static_cast<const char*>(data.data()), used});
+    if (folding_.has_folding()) {
+      error = http::error::bad_value;
+    }
+    return used;
+  }
+
  private:
+  void on_header_impl(error_code& error) override {
+    is_header_parsed_ = true;
+    if (!IsLengthKnown()) {
+      error = http::error::bad_transfer_encoding;
+    }
+  }
+
   void on_field_impl(http::field field,
                      beast::string_view name,
                      beast::string_view value,
                      error_code& error) override {
+    if (is_header_parsed_) {
+      return;
+    }
     if (!InsertField(this->get(), field, name, value)) {
       error = http::error::header_limit;
     }
   }
+
+  // Other codings than chunked are not decoded, and the next hop would not be
+  // told of them.
+  bool IsLengthKnown() const {
+    const auto& message = this->get();
+    if (message.find(http::field::transfer_encoding) == message.end()) {
+      return true;
+    }
+    if constexpr (!is_request) {
+      if (this->skip() || HasNoBody(message.result_int())) {
+        return true;
+      }
+    }
+    return message.version() == kHttp11 && IsChunkedOnly(message);
+  }
+
+  folding_detector folding_;
+  bool is_header_parsed_ = false;
 };
 
 using request_parser = message_parser<true>;
--- a/Libraries/LibRuntime/Connections/server_session.cc
+++ b/Libraries/LibRuntime/Connections/server_session.cc
@@ -181,7 +181,7 @@
       return false;
     }
     error_code error;
-    const std::size_t used = parser_->put(buffer_.data(), error);
+    const std::size_t used = parser_->Parse(buffer_.data(), error);
     buffer_.consume(used);
     parsed_bytes_ += used;
     if (error && error != http::error::need_more) {
