LibDecision, LibRuntime: Pass on only what can be answered

Cause: up to 16 requests of a connection were passed on before anything was known of the size of their answers, and answers that waited were dropped from 4 MiB on.

A request behind others now runs beside them only if room for its answer could be reserved, by the size of the last answers of its class, 1 MiB until one was seen. Expected answers take half of the memory for bodies at most.

--- a/Libraries/LibDecision/Calls/outgoing_calls.cc
+++ b/Libraries/LibDecision/Calls/outgoing_calls.cc
@@ -303,6 +303,7 @@
     return Send(context, id, call);
   }
   if (result.is_complete()) {
+    answer_sizes_.OnAnswer(call.metadata.request_class, result.body_size);
     call.has_useful_answer = !result.is_failure;
     if (call.has_useful_answer) {
       answer_times_.OnTotalTime(call.metadata.request_class,
--- a/Libraries/LibDecision/Calls/outgoing_calls.h
+++ b/Libraries/LibDecision/Calls/outgoing_calls.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "LibDecision/Admission/service_times.h"
+#include "LibDecision/Calls/answer_sizes.h"
 #include "LibDecision/Calls/outgoing_call.h"
 #include "LibDecision/Connections/connection_monitor.h"
 #include "LibDecision/Idempotency/idempotency_key_registry.h"
@@ -97,6 +98,11 @@
   std::size_t open_count() const { return calls_.size(); }
   /// Whether `call` is open and may be executed once at most.
   bool MustRunOnce(call_id call) const;
+  /// A size in bytes that few answers to the class exceed; the maximum if it is
+  /// not known.
+  std::uint64_t ExpectedAnswerSize(const class_name& request_class) const {
+    return answer_sizes_.ExpectedSize(request_class);
+  }
   /// The node that `attempt` was sent to; unset if it is not open.
   std::optional<node_id> NodeOf(attempt_id attempt) const;
   /// When `attempt` was started, on the clock of `event_context::elapsed_now`;
@@ -204,6 +210,7 @@
   std::uint64_t next_attempt_id_ = 1;
   /// From the start of an attempt to its complete answer.
   service_times answer_times_;
+  answer_sizes answer_sizes_;
 };
 
 }  // namespace auburnfold
--- a/Libraries/LibDecision/Calls/pipelined_calls.h
+++ b/Libraries/LibDecision/Calls/pipelined_calls.h
@@ -18,12 +18,13 @@
       : policies_(policies), routes_(routes), calls_(calls) {}
 
   /// Defers `arrived` if it must wait for the calls before it. Returns whether
-  /// it did.
+  /// it did. Else room is reserved for its answer, which may have to wait.
   bool Defer(event_context& context, const call_arrived& arrived) const;
 
  private:
   /// False also if it is not known.
-  bool IsIdempotent(const call_arrived& arrived) const;
+  bool IsIdempotent(const call_arrived& arrived, const route* found) const;
+  const route* RouteOf(const call_arrived& arrived) const;
 
   const policy_table& policies_;
   const route_table& routes_;
--- a/Libraries/LibDecision/effect.h
+++ b/Libraries/LibDecision/effect.h
@@ -69,6 +69,13 @@
   call_id call;
 };
 
+/// Reserve memory for the answer to `call`, which may have to wait for those to
+/// earlier requests on its connection.
+struct reserve_answer {
+  call_id call;
+  std::uint64_t bytes = 0;
+};
+
 /// Send `work` to the local endpoint. Report `work_sent` before the first byte
 /// is written, and `work_finished` exactly once.
 struct execute_work {
@@ -255,6 +262,7 @@
                             relay_answer,
                             refuse_call,
                             defer_call,
+                            reserve_answer,
                             execute_work,
                             cancel_work,
                             relay_work_answer,
--- a/Libraries/LibDecision/event.h
+++ b/Libraries/LibDecision/event.h
@@ -2,6 +2,7 @@
 #define LIBDECISION_EVENT_H_
 
 #include <cstdint>
+#include <limits>
 #include <optional>
 #include <string>
 #include <variant>
@@ -74,6 +75,9 @@
   bool is_pipelined = false;
   /// The last of those requests that was reported as a call.
   std::optional<call_id> behind;
+  /// Bytes that may still be reserved for answers that wait for those to
+  /// earlier requests.
+  std::uint64_t answer_room = std::numeric_limits<std::uint64_t>::max();
   /// Time since the request was read. The deadline counts from then.
   duration waited{};
   request_metadata metadata;
--- a/Libraries/LibRuntime/Connections/body_memory.h
+++ b/Libraries/LibRuntime/Connections/body_memory.h
@@ -24,6 +24,26 @@
   }
   void Release(std::size_t bytes) { used_bytes_ -= bytes; }
 
+  /// Bytes that may be reserved for bodies that are only expected. Half of the
+  /// memory is left to those that have come.
+  std::size_t room_for_expected() const {
+    const std::size_t bound = max_bytes_ / 2;
+    return std::min(bound - std::min(expected_bytes_, bound),
+                    max_bytes_ - used_bytes_);
+  }
+  /// As `TryReserve`, within that room.
+  bool TryReserveExpected(std::size_t bytes) {
+    if (bytes > room_for_expected() || !TryReserve(bytes)) {
+      return false;
+    }
+    expected_bytes_ += bytes;
+    return true;
+  }
+  void ReleaseExpected(std::size_t bytes) {
+    expected_bytes_ -= bytes;
+    Release(bytes);
+  }
+
   std::size_t used_bytes() const { return used_bytes_; }
   std::size_t peak_bytes() const { return peak_bytes_; }
 
@@ -31,6 +51,8 @@
   std::size_t max_bytes_;
   std::size_t used_bytes_ = 0;
   std::size_t peak_bytes_ = 0;
+  /// The part of `used_bytes_` that was reserved for expected bodies.
+  std::size_t expected_bytes_ = 0;
 };
 
 }  // namespace auburnfold
--- a/Libraries/LibRuntime/Connections/http_types.h
+++ b/Libraries/LibRuntime/Connections/http_types.h
@@ -12,6 +12,7 @@
 #include <boost/beast/http/string_body.hpp>
 #include <cstddef>
 
+#include "LibDecision/Calls/answer_sizes.h"
 #include "LibDecision/Routes/route.h"
 
 namespace auburnfold {
@@ -31,7 +32,7 @@
 inline constexpr unsigned kHttp11 = 11;
 /// Maximum body size of a response, and of a request while no configuration
 /// sets another.
-inline constexpr std::size_t kMaxBodyBytes = std::size_t{1024} * 1024;
+inline constexpr std::size_t kMaxBodyBytes = kMaxAnswerBytes;
 /// Maximum size of the start line and headers of a response, and of a request
 /// while no configuration sets another.
 inline constexpr std::size_t kMaxHeaderBytes = std::size_t{16} * 1024;
--- a/Libraries/LibRuntime/Connections/server_exchange.cc
+++ b/Libraries/LibRuntime/Connections/server_exchange.cc
@@ -18,6 +18,18 @@
   on_turn_ = std::move(on_turn);
 }
 
+std::size_t server_exchange::ResponseRoom() const {
+  const auto session = session_.lock();
+  return session ? session->memory_->room_for_expected() : 0;
+}
+
+void server_exchange::ReserveExpected(std::size_t body_bytes) {
+  const auto session = session_.lock();
+  if (session && session->memory_->TryReserveExpected(body_bytes)) {
+    expected_bytes_ += body_bytes;
+  }
+}
+
 bool server_exchange::ReserveResponse(std::size_t body_bytes) {
   const auto session = session_.lock();
   return !session || session->ReserveResponse(*this, body_bytes);
--- a/Libraries/LibRuntime/Connections/server_exchange.h
+++ b/Libraries/LibRuntime/Connections/server_exchange.h
@@ -30,8 +30,14 @@
   /// Until then no request behind this one is handed over.
   void Defer(std::function<void()> on_turn);
 
-  /// Reserves memory for the response until it is written, if the response is
-  /// the next one and not small. Returns whether there is enough.
+  /// Bytes that may still be reserved for expected responses, on all
+  /// connections.
+  std::size_t ResponseRoom() const;
+  /// Reserves memory for the response that is expected, if there is enough.
+  void ReserveExpected(std::size_t body_bytes);
+  /// Reserves memory for the response until it is written, in place of what was
+  /// reserved for the expected one. Returns whether there is enough; for a
+  /// small one there always is.
   bool ReserveResponse(std::size_t body_bytes);
   /// Sends the response after those to all earlier requests.
   void Respond(http_response response);
@@ -72,10 +78,11 @@
   std::function<void()> on_turn_;
   clock::time_point read_at_ = clock::now();
   http::verb method_ = http::verb::unknown;
-  /// Memory reserved for the request, and for the response while it waits for
-  /// earlier ones.
+  /// Memory reserved for the request, and for the part of the response that was
+  /// not expected.
   std::size_t reserved_bytes_ = 0;
-  bool is_response_reserved_ = false;
+  /// Memory reserved for the expected response.
+  std::size_t expected_bytes_ = 0;
 };
 
 }  // namespace auburnfold
--- a/Libraries/LibRuntime/Connections/server_session.cc
+++ b/Libraries/LibRuntime/Connections/server_session.cc
@@ -27,9 +27,6 @@
 /// From this size of the requests and responses of one connection on, no
 /// further request is taken.
 constexpr std::size_t kMaxHeldBytes = kMaxBodyBytes;
-/// Responses beyond this size are not held: their requests were taken before
-/// the size of any response was known.
-constexpr std::size_t kMaxHeldResponseBytes = 4 * kMaxBodyBytes;
 /// Smaller responses are sent even if memory is used up, as requests without a
 /// body are read.
 constexpr std::size_t kMaxUncountedBytes = kMaxHeaderBytes;
@@ -338,14 +335,19 @@
 
 bool server_session::ReserveResponse(server_exchange& exchange,
                                      std::size_t body_bytes) {
-  if (body_bytes <= kMaxUncountedBytes || CountBefore(exchange) > 0) {
+  const std::size_t expected = exchange.expected_bytes_;
+  if (body_bytes <= expected) {
+    memory_->ReleaseExpected(expected - body_bytes);
+    exchange.expected_bytes_ = body_bytes;
     return true;
   }
-  if (!memory_->TryReserve(body_bytes)) {
+  if (body_bytes <= kMaxUncountedBytes) {
+    return true;
+  }
+  if (!memory_->TryReserve(body_bytes - expected)) {
     return false;
   }
-  exchange.reserved_bytes_ += body_bytes;
-  exchange.is_response_reserved_ = true;
+  exchange.reserved_bytes_ += body_bytes - expected;
   return true;
 }
 
@@ -355,40 +357,9 @@
   // The endpoint's HTTP version does not apply to this connection.
   response.version(kHttp11);
   exchange.response_ = std::move(response);
-  MakeRoomFor(exchange);
   WriteNext();
 }
 
-// Requests are dropped from the last one on, as if they had not been read. If
-// that is not enough, so is this one. The one before it then closes the
-// connection, or this one does if that one is already on its way.
-void server_session::MakeRoomFor(server_exchange& exchange) {
-  const std::size_t before = CountBefore(exchange);
-  if (before == 0) {
-    return;
-  }
-  while (!HoldResponse(exchange)) {
-    if (exchanges_.size() > before + 1) {
-      DropFrom(exchanges_.size() - 1);
-    } else {
-      return DropFrom(is_writing_ && before == 1 ? 2 : before);
-    }
-  }
-}
-
-bool server_session::HoldResponse(server_exchange& exchange) {
-  if (exchange.is_response_reserved_) {
-    return true;
-  }
-  const std::size_t bytes = exchange.response_->body().size();
-  if (HeldBytes() + bytes > kMaxHeldResponseBytes ||
-      !memory_->TryReserve(bytes)) {
-    return false;
-  }
-  exchange.reserved_bytes_ += bytes;
-  return true;
-}
-
 void server_session::WriteNext() {
   if (is_writing_ || exchanges_.empty() || !exchanges_.front()->response_) {
     return;
@@ -516,6 +487,7 @@
 // Nothing that the exchange does has an effect on the connection any more.
 void server_session::Release(server_exchange& exchange) {
   memory_->Release(std::exchange(exchange.reserved_bytes_, 0));
+  memory_->ReleaseExpected(std::exchange(exchange.expected_bytes_, 0));
   exchange.session_.reset();
   exchange.request_.reset();
   exchange.on_turn_ = nullptr;
--- a/Libraries/LibRuntime/Connections/server_session.h
+++ b/Libraries/LibRuntime/Connections/server_session.h
@@ -122,12 +122,6 @@
 
   bool ReserveResponse(server_exchange& exchange, std::size_t body_bytes);
   void Respond(server_exchange& exchange, http_response response);
-  /// Drops requests until there is memory for a response that waits for earlier
-  /// ones.
-  void MakeRoomFor(server_exchange& exchange);
-  /// Reserves memory for a response that waits for earlier ones. Returns
-  /// whether there is enough.
-  bool HoldResponse(server_exchange& exchange);
   void WriteNext();
   void WriteSome();
   void OnWritten(error_code error);
--- a/Libraries/LibRuntime/Requests/call_handler.cc
+++ b/Libraries/LibRuntime/Requests/call_handler.cc
@@ -99,6 +99,7 @@
   const std::size_t depth = exchange->CountBefore();
   arrived.is_pipelined = depth > 0;
   arrived.behind = exchange->CallBefore();
+  arrived.answer_room = exchange->ResponseRoom();
   arrived.waited = TimeSince(exchange->read_at());
   metrics_.ObservePipelining(depth);
   if (exchange->HasPeerClosed()) {
@@ -134,6 +135,13 @@
   found->second.exchange->Defer([this, call = deferred.call] { Resume(call); });
 }
 
+void call_handler::Execute(const reserve_answer& reserved) {
+  const auto found = calls_.find(reserved.call);
+  if (found != calls_.end()) {
+    found->second.exchange->ReserveExpected(reserved.bytes);
+  }
+}
+
 void call_handler::Resume(call_id call) {
   const auto found = calls_.find(call);
   if (found == calls_.end()) {
--- a/Libraries/LibRuntime/Requests/call_handler.h
+++ b/Libraries/LibRuntime/Requests/call_handler.h
@@ -48,6 +48,7 @@
   void Execute(const relay_answer& relayed);
   void Execute(const refuse_call& refused);
   void Execute(const defer_call& deferred);
+  void Execute(const reserve_answer& reserved);
 
   /// Ends a call whose answer could not be sent: closes its connection, which
   /// promises nothing.
--- a/Libraries/LibRuntime/node_runtime.cc
+++ b/Libraries/LibRuntime/node_runtime.cc
@@ -145,6 +145,7 @@
   void On(const request_view& effect) { views.Execute(effect); }
   void On(const send_view& effect) { views.Execute(effect); }
   void On(const defer_call& effect) { calls.Execute(effect); }
+  void On(const reserve_answer& effect) { calls.Execute(effect); }
   void On(const report_quota_usage& effect) { quotas.Execute(effect); }
   void On(const send_quota_grants& effect) { quotas.Execute(effect); }
   void On(const query_attempts& effect) { queries.Execute(effect); }
