LibDecision: Take a farewell that follows a health probe

Cause: a node that has just restarted knows its endpoint from a health probe, which names no run. A farewell that names one was taken for that of an earlier endpoint and ignored, but acknowledged.

Whether a farewell, a notice of another node or the record of an earlier run is about the current run is now asked in one place, where an unknown run matches.

Evidence: the node's log shows endpoint_changed with run 0, then endpoint_report_ignored with state 2.

--- a/Libraries/LibDecision/Work/local_endpoint.cc
+++ b/Libraries/LibDecision/Work/local_endpoint.cc
@@ -111,7 +111,7 @@
   }
   const endpoint_leave& leave = *earlier->leave;
   if (report_) {
-    if (leave.is_final && leave.endpoint == current_run()) {
+    if (leave.is_final && IsCurrentRun(leave.endpoint)) {
       Depart(leave.endpoint, context.now() - leaving_grace_);
     }
     return std::nullopt;
@@ -140,6 +140,14 @@
                         .is_final = has_departed()};
 }
 
+// Responses to health probes name no run, and neither do some deregistrations.
+bool local_endpoint::IsCurrentRun(const endpoint_run& run) const {
+  const bool is_either_unknown =
+      run.run == incarnation() || report_->run == incarnation();
+  return run.name == report_->name &&
+         (is_either_unknown || run.run == report_->run);
+}
+
 // Responses to health probes name no run, and deregistrations need not, so the
 // first report that does is not a replacement.
 bool local_endpoint::IsFirstReportWithRun(
@@ -155,17 +163,18 @@
     OnGoneBeforeFirstReport(context, report);
     return report_result::kChanged;
   }
-  const bool is_current_run =
-      report.name == report_->name &&
-      (report.run == incarnation() || report.run == report_->run);
-  if (!is_current_run) {
+  const endpoint_run run{report.name, report.run};
+  if (!IsCurrentRun(run)) {
     return report_result::kIgnored;
   }
-  return Depart(current_run(), context.now());
+  return Depart(run, context.now());
 }
 
 report_result local_endpoint::Depart(const endpoint_run& run, instant since) {
-  departed_ = run;
+  if (run.run != incarnation()) {
+    report_->run = run.run;
+  }
+  departed_ = current_run();
   const bool was_leaving = report_->state == endpoint_state::kLeaving;
   report_->state = endpoint_state::kLeaving;
   leaving_since_ = leaving_since_ ? std::min(*leaving_since_, since) : since;
@@ -186,11 +195,7 @@
   if (!report_) {
     departed_ = run;
   }
-  const bool is_current_run =
-      report_ && run.name == report_->name &&
-      (run.run == report_->run || report_->run == incarnation() ||
-       run.run == incarnation());
-  if (!is_current_run || has_departed()) {
+  if (!report_ || !IsCurrentRun(run) || has_departed()) {
     return report_result::kIgnored;
   }
   return Depart(run, context.now() - leaving_grace_);
--- a/Libraries/LibDecision/Work/local_endpoint.h
+++ b/Libraries/LibDecision/Work/local_endpoint.h
@@ -88,6 +88,8 @@
   const std::optional<endpoint_reported>& report() const { return report_; }
 
  private:
+  /// Whether `run` may be the run that the last report came from.
+  bool IsCurrentRun(const endpoint_run& run) const;
   bool IsFirstReportWithRun(const endpoint_reported& report) const;
   /// Whether `report` may have been sent before a leave that is not known.
   bool MustDefer(event_context& context, const endpoint_reported& report);
--- a/Tests/LibDecision/restarted_node_test.cc
+++ b/Tests/LibDecision/restarted_node_test.cc
@@ -97,6 +97,14 @@
             .sequence = sequence};
   }
 
+  /// The response of the endpoint to a health probe, which names no run.
+  static endpoint_reported ProbeResult() {
+    endpoint_reported result = Report(0);
+    result.run = incarnation();
+    result.is_probe_result = true;
+    return result;
+  }
+
   static endpoint_reported Farewell() {
     endpoint_reported farewell = Report(0, endpoint_state::kGone);
     farewell.report = report_id(1);
@@ -231,6 +239,35 @@
   EXPECT_TRUE(IsServed());
 }
 
+// Guards against a farewell that was acknowledged and ignored (DRAIN): the node
+// knew the endpoint from a health probe only, which names no run.
+TEST_F(a_restarted_node, KeepsALeaveThatFollowsAHealthProbe) {
+  AnswerStore();
+  Happen(ProbeResult());
+  EXPECT_TRUE(IsServed());
+  Happen(Farewell());
+  AnswerStore();
+  EXPECT_EQ(acknowledged_, std::vector{report_id(1)});
+  Pass(500ms);
+  EXPECT_FALSE(IsServed());
+  Happen(Report(8));
+  EXPECT_FALSE(IsServed());
+  Start();
+  AnswerStore();
+  Happen(Report(8));
+  EXPECT_FALSE(IsServed());
+}
+
+TEST_F(a_restarted_node, IgnoresTheFarewellOfAnEarlierEndpoint) {
+  AnswerStore();
+  Happen(ProbeResult());
+  endpoint_reported other = Farewell();
+  other.name = endpoint_name("i-1");
+  Happen(other);
+  Pass(500ms);
+  EXPECT_TRUE(IsServed());
+}
+
 TEST_F(a_restarted_node, KeepsALeaveThatAnotherNodeShows) {
   Leave(Farewell());
   const member_record left = *StoredRecord();
@@ -311,10 +348,7 @@
 }
 
 TEST_F(a_restarted_node_without_the_store, TakesNoHealthProbeForSound) {
-  endpoint_reported probe = Report(0);
-  probe.run = incarnation();
-  probe.is_probe_result = true;
-  Happen(probe);
+  Happen(ProbeResult());
   EXPECT_FALSE(IsServed());
 }
 
