LibDecision: Keep an acknowledged leave over a planned stop

Cause: a node that stops ends the lease of its record, and the record is what its next run learns the leave from.

A node whose endpoint leaves now stops without ending the lease: the record, which other nodes read as leaving, goes when the lease expires.

Evidence: the node's log shows endpoint_changed with state 2 while it stops, and state 0 from the next run. KeepsALeaveOverAPlannedStop and KeepsALeaveThatComesDuringAPlannedStop fail before and pass now.

--- a/Libraries/LibDecision/Registry/node_registry.cc
+++ b/Libraries/LibDecision/Registry/node_registry.cc
@@ -117,6 +117,14 @@
   registration_.RetryNow(context);
 }
 
+// The next run of the node learns from the record that its endpoint leaves.
+void node_registry::OnStopped(event_context& context) {
+  if (members_.self().leave) {
+    return registration_.Stop(context);
+  }
+  registration_.Withdraw(context);
+}
+
 void node_registry::OnTimer(event_context& context, timer_owner owner) {
   if (owner == timer_owner::kRegistryWatch) {
     return watch_.OnTimer(context);
--- a/Libraries/LibDecision/Registry/node_registry.h
+++ b/Libraries/LibDecision/Registry/node_registry.h
@@ -33,7 +33,7 @@
   void OnStoreRegained(event_context& context);
   void OnTimer(event_context& context, timer_owner owner);
   /// The process is about to exit.
-  void OnStopped(event_context& context) { registration_.Withdraw(context); }
+  void OnStopped(event_context& context);
   /// Publishes this node's record if it has changed. Called at the end of each
   /// event.
   void PublishChanges(event_context& context);
--- a/Libraries/LibDecision/Registry/registration.cc
+++ b/Libraries/LibDecision/Registry/registration.cc
@@ -61,9 +61,13 @@
   StartNextCall(context);
 }
 
-void registration::Withdraw(event_context& context) {
+void registration::Stop(event_context& context) {
   is_withdrawn_ = true;
   context.timers().Cancel({timer_owner::kRegistration});
+}
+
+void registration::Withdraw(event_context& context) {
+  Stop(context);
   if (lease_) {
     context.Count(counter::kStoreCalls);
     context.Emit(call_store{call_ids_.Next(), store_end_lease{*lease_}});
--- a/Libraries/LibDecision/Registry/registration.h
+++ b/Libraries/LibDecision/Registry/registration.h
@@ -25,7 +25,9 @@
                    store_revision revision);
   /// A watch or listing showed that this node's key is absent.
   void OnKeyMissing(event_context& context);
-  /// Ends the lease, so that the record is removed at once.
+  /// Makes no more calls. The record is removed when its lease expires.
+  void Stop(event_context& context);
+  /// As `Stop`, but ends the lease, so that the record is removed at once.
   void Withdraw(event_context& context);
 
   /// Whether the registry holds the record that was published last, or cannot
--- a/Tests/LibDecision/restarted_node_test.cc
+++ b/Tests/LibDecision/restarted_node_test.cc
@@ -79,6 +79,9 @@
       result.revision = revision_;
       entry_ = store_entry{write->key, write->value, revision_};
     }
+    if (std::holds_alternative<store_end_lease>(request)) {
+      entry_.reset();
+    }
     const auto* list = std::get_if<store_list>(&request);
     if (list != nullptr && list->prefix == kRegistryPrefix && entry_) {
       result.entries.push_back(*entry_);
@@ -135,6 +138,13 @@
     return is_started;
   }
 
+  /// A planned stop of the node, to its end.
+  void Stop() {
+    Happen(stop_requested{});
+    Pass(26s);
+    AnswerStore();
+  }
+
   std::optional<member_record> StoredRecord() const {
     return entry_ ? DecodeMember(entry_->key, entry_->value) : std::nullopt;
   }
@@ -258,6 +268,42 @@
   EXPECT_FALSE(IsServed());
 }
 
+// Guards against a leave that was forgotten by a planned stop (DRAIN): the
+// record that names it was taken out of the registry.
+TEST_F(a_restarted_node, KeepsALeaveOverAPlannedStop) {
+  Leave(Farewell());
+  Stop();
+  Start();
+  AnswerStore();
+  Happen(ProbeResult());
+  EXPECT_FALSE(IsServed());
+  Happen(Report(8));
+  EXPECT_FALSE(IsServed());
+}
+
+TEST_F(a_restarted_node, KeepsALeaveThatComesDuringAPlannedStop) {
+  AnswerStore();
+  Happen(Report(7));
+  AnswerStore();
+  Happen(stop_requested{});
+  Happen(Farewell());
+  AnswerStore();
+  Stop();
+  Start();
+  AnswerStore();
+  Happen(ProbeResult());
+  EXPECT_FALSE(IsServed());
+}
+
+TEST_F(a_restarted_node, HasWithdrawnItsRecordIfItsEndpointStays) {
+  AnswerStore();
+  Happen(Report(7));
+  AnswerStore();
+  ASSERT_TRUE(StoredRecord());
+  Stop();
+  EXPECT_FALSE(StoredRecord());
+}
+
 TEST_F(a_restarted_node, IgnoresTheFarewellOfAnEarlierEndpoint) {
   AnswerStore();
   Happen(ProbeResult());
