LibDecision: Trust the store's routes for keys only with proof

Cause: a node that has just started takes whatever the store shows for the latest routes.

Nodes now name in their records the version that they know for certain, with the store's era. Until a record or an answer of such a node proves its routes, or none has named newer ones for three seconds, a node that has just started refuses requests with a key as not run (api-keys-outdated). Only deployments whose keys have a validity are concerned.

The fixture of api_keys_test.cc gets a record with proof, so that its tests go on to test what they did; five new ones are about the time before.

--- a/Libraries/LibDecision/Membership/membership.cc
+++ b/Libraries/LibDecision/Membership/membership.cc
@@ -65,6 +65,11 @@
   UpdateOwnRecord();
 }
 
+void membership::SetProvenRoutes(const proven_routes& routes) {
+  self_.routes = routes;
+  UpdateOwnRecord();
+}
+
 void membership::SetDraining(event_context&, bool is_draining) {
   is_draining_ = is_draining;
   UpdateOwnRecord();
@@ -241,7 +246,8 @@
   const member_record* current = member_list_.Find(self_.node);
   const bool is_unchanged =
       current->service == self_.service && current->slots == self_.slots &&
-      current->leave == self_.leave && current->state == state;
+      current->leave == self_.leave && current->routes == self_.routes &&
+      current->state == state;
   if (is_unchanged) {
     return;
   }
--- a/Libraries/LibDecision/Membership/membership.h
+++ b/Libraries/LibDecision/Membership/membership.h
@@ -31,6 +31,8 @@
   void OnEndpointReported(event_context& context,
                           const endpoint_reported& report,
                           const std::optional<endpoint_leave>& leave = {});
+  /// Tells what this node knows for certain of the routes.
+  void SetProvenRoutes(const proven_routes& routes);
   /// Takes the local endpoint out of service, or back in.
   void SetDraining(event_context& context, bool is_draining);
   /// Fills in the known nodes, and how many peers hold the same rows as this
--- a/Libraries/LibDecision/Registry/member_codec.cc
+++ b/Libraries/LibDecision/Registry/member_codec.cc
@@ -14,6 +14,8 @@
 
 // Format and version of the values.
 constexpr std::string_view kFormatTag = "auburnfold-node-1";
+// Four words that earlier versions read as no leave.
+constexpr std::string_view kNoLeave = "- - - -";
 constexpr std::size_t kMaxHostBytes = 64;
 constexpr std::size_t kMaxNameBytes = 256;
 
@@ -80,10 +82,11 @@
   std::optional<endpoint_leave> ReadLeave() {
     endpoint_leave leave;
     std::uint64_t run = 0;
-    const bool is_read = fields_.TakeFlag(leave.is_final) &&
-                         fields_.TakeNumber(leave.sequence) &&
-                         fields_.TakeNumber(run);
+    const bool has_flag = fields_.TakeFlag(leave.is_final);
+    const bool has_sequence = fields_.TakeNumber(leave.sequence);
+    const bool has_run = fields_.TakeNumber(run);
     const std::string_view name = fields_.TakeUntil(' ');
+    const bool is_read = has_flag && has_sequence && has_run;
     if (!is_read || name.size() > kMaxNameBytes || !IsText(name)) {
       return std::nullopt;
     }
@@ -91,6 +94,16 @@
     return leave;
   }
 
+  std::optional<proven_routes> ReadRoutes() {
+    std::uint64_t era = 0;
+    std::uint64_t version = 0;
+    const bool has_era = fields_.TakeNumber(era);
+    if (!fields_.TakeNumber(version) || !has_era) {
+      return std::nullopt;
+    }
+    return proven_routes{store_era(era), route_version(version)};
+  }
+
   /// Empty if all fields were read.
   std::string_view unread_field() const { return unread_field_; }
 
@@ -129,6 +142,13 @@
     AppendNumber(line, record.leave->endpoint.run.value());
     AppendWord(line, record.leave->endpoint.name.value());
   }
+  if (record.routes) {
+    if (!record.leave) {
+      AppendWord(line, kNoLeave);
+    }
+    AppendNumber(line, record.routes->era.value());
+    AppendNumber(line, record.routes->version.value());
+  }
   return line;
 }
 
@@ -152,6 +172,7 @@
   record.slots = fields.ReadNumber<std::uint32_t>("slots");
   // A later version may append fields.
   record.leave = fields.ReadLeave();
+  record.routes = fields.ReadRoutes();
   if (!fields.unread_field().empty()) {
     return {.unread_field = fields.unread_field()};
   }
--- a/Libraries/LibDecision/Routes/route.h
+++ b/Libraries/LibDecision/Routes/route.h
@@ -12,9 +12,6 @@
 
 namespace auburnfold {
 
-/// Version of the route configuration; later versions are higher.
-using route_version = strong_value<struct route_version_tag, std::uint64_t>;
-
 /// One of the services that a route distributes its requests over.
 struct weighted_service {
   service_name service;
--- a/Libraries/LibDecision/Tenants/key_validity.cc
+++ b/Libraries/LibDecision/Tenants/key_validity.cc
@@ -20,6 +20,10 @@
 constexpr backoff_policy kRetryBackoff{std::chrono::milliseconds(200),
                                        std::chrono::milliseconds(800), 2};
 
+// Nodes that are alive write their records again within two seconds after the
+// store has come back.
+constexpr duration kProofTime = std::chrono::seconds(3);
+
 }  // namespace
 
 key_validity::key_validity(duration validity, std::string route_key)
@@ -33,7 +37,8 @@
   const bool is_valid =
       confirmed_at_ && context.elapsed_now() - *confirmed_at_ < validity_;
   SetLost(context, !is_valid);
-  if (!is_valid && !read_call_ && failures_ == 0) {
+  const bool may_read = !read_call_ && failures_ == 0 && !IsAwaitingProof();
+  if (!is_valid && may_read) {
     Read(context);
   }
   return is_valid;
@@ -55,7 +60,51 @@
   ScheduleRead(context);
 }
 
+// A store that has come back from an older copy shows routes that were replaced
+// before. A node that has just started cannot tell.
 void key_validity::OnConfirmed(event_context& context, instant when) {
+  if (is_proven_) {
+    return Confirm(context, when);
+  }
+  if (!read_since_) {
+    read_since_ = context.elapsed_now();
+  }
+  read_at_ = std::max(read_at_, when);
+  ScheduleRead(context);
+}
+
+void key_validity::Prove(event_context& context,
+                         std::optional<route_version> newest,
+                         std::optional<route_version> in_force) {
+  newest_ = std::max(newest_, newest);
+  if (!needs_proof() || !in_force || in_force < newest_) {
+    return;
+  }
+  const bool had_time =
+      read_since_ && context.elapsed_now() - *read_since_ >= kProofTime;
+  if (newest_ || had_time) {
+    SetProven(context);
+  }
+}
+
+void key_validity::SetProven(event_context& context) {
+  is_proven_ = true;
+  if (std::exchange(read_since_, std::nullopt)) {
+    Confirm(context, read_at_);
+  }
+}
+
+// A node whose confirmation is old may have missed routes that the store has
+// lost since.
+void key_validity::OnStoreEraChanged(event_context& context) {
+  const bool is_recent =
+      confirmed_at_ && context.elapsed_now() - *confirmed_at_ < validity_;
+  is_proven_ = is_proven_ && is_recent;
+  read_since_.reset();
+  newest_.reset();
+}
+
+void key_validity::Confirm(event_context& context, instant when) {
   if (confirmed_at_ && when <= *confirmed_at_) {
     return;
   }
@@ -82,7 +131,8 @@
                                    duration age) {
   const bool concerns_routes_in_force = sent_at > routes_taken_at_;
   if (is_active_ && concerns_routes_in_force) {
-    OnConfirmed(context, std::min(sent_at - age, context.elapsed_now()));
+    SetProven(context);
+    Confirm(context, std::min(sent_at - age, context.elapsed_now()));
   }
 }
 
@@ -122,6 +172,9 @@
   if (!is_active_ || read_call_) {
     return;
   }
+  if (IsAwaitingProof()) {
+    return ScheduleRetry(context);
+  }
   const bool is_young =
       confirmed_at_ && context.elapsed_now() - *confirmed_at_ < read_age_;
   if (is_young) {
@@ -146,6 +199,10 @@
   if (!is_active_ || read_call_) {
     return;
   }
+  if (IsAwaitingProof()) {
+    return context.timers().Schedule({timer_owner::kKeyValidity},
+                                     context.now() + kProofTime);
+  }
   const duration age =
       confirmed_at_ ? context.elapsed_now() - *confirmed_at_ : read_age_;
   context.timers().Schedule(
--- a/Libraries/LibDecision/Tenants/key_validity.h
+++ b/Libraries/LibDecision/Tenants/key_validity.h
@@ -9,6 +9,7 @@
 
 #include "LibDecision/event.h"
 #include "LibDecision/event_context.h"
+#include "LibDecision/ids.h"
 #include "LibDecision/store_call_id_generator.h"
 
 namespace auburnfold {
@@ -21,6 +22,19 @@
   /// API keys are always valid if `validity` is zero.
   key_validity(duration validity, std::string route_key);
 
+  /// Whether it is still open that the key-value store is the latest copy,
+  /// since this node has just started, or has missed a change of the era.
+  bool needs_proof() const { return is_active_ && !is_proven_; }
+  bool has_proof() const { return is_active_ && is_proven_; }
+  /// `newest` is the newest version that records of the store's present era
+  /// name; unset if none names one. Without such a record, it is assumed that
+  /// there is no node with newer routes once all had time to write theirs.
+  void Prove(event_context& context,
+             std::optional<route_version> newest,
+             std::optional<route_version> in_force);
+  /// The store has come back from an older copy.
+  void OnStoreEraChanged(event_context& context);
+
   /// Whether the API keys in force are valid. Reads the routes if they are not.
   bool IsValid(event_context& context);
   /// How long before `when` it was certain that no routes existed that are
@@ -44,6 +58,10 @@
   void set_node_count(std::size_t node_count) { node_count_ = node_count; }
 
  private:
+  void SetProven(event_context& context);
+  void Confirm(event_context& context, instant when);
+  /// Whether proof is awaited which no read of the routes can give.
+  bool IsAwaitingProof() const { return !is_proven_ && read_since_; }
   void Read(event_context& context);
   void ScheduleRead(event_context& context);
   void ScheduleRetry(event_context& context);
@@ -57,6 +75,13 @@
   store_call_id_generator call_ids_{store_caller::kKeyValidity};
   bool is_active_ = false;
   bool is_lost_ = false;
+  bool is_proven_ = false;
+  /// Since when reads of the store have shown the routes in force, and the last
+  /// one that did; until they prove anything.
+  std::optional<instant> read_since_;
+  instant read_at_{};
+  /// The newest version that records have named in the store's present era.
+  std::optional<route_version> newest_;
   std::optional<instant> confirmed_at_;
   instant routes_taken_at_{};
   duration read_age_{};
--- a/Libraries/LibDecision/ids.h
+++ b/Libraries/LibDecision/ids.h
@@ -64,6 +64,8 @@
 /// Identifies one crash of an endpoint; unique over all nodes.
 using crash_id = strong_value<struct crash_tag, std::uint64_t>;
 
+/// Version of the route configuration; later versions are higher.
+using route_version = strong_value<struct route_version_tag, std::uint64_t>;
 /// Version of a table row; each accepted change increments it by one.
 using row_version = strong_value<struct row_version_tag, std::uint64_t>;
 /// Identifies one change of the table. The author chooses it, so that a retried
--- a/Libraries/LibDecision/member_record.h
+++ b/Libraries/LibDecision/member_record.h
@@ -16,6 +16,15 @@
   kGone,     ///< Left, or was declared dead.
 };
 
+/// What a node knew for certain: in this era of the key-value store, when it
+/// wrote so, no routes newer than this version existed.
+struct proven_routes {
+  store_era era;
+  route_version version;
+
+  friend bool operator==(const proven_routes&, const proven_routes&) = default;
+};
+
 /// A member of the cluster: a node and its endpoint. Of two records of a node,
 /// the one with the higher (incarnation, version) is newer; if they are equal,
 /// the one with the later state.
@@ -32,6 +41,9 @@
   std::uint32_t slots = 0;
   /// Kept for the node's next run, which finds it in the registry.
   std::optional<endpoint_leave> leave;
+  /// For nodes that have just started, which cannot tell an older copy of the
+  /// key-value store from the latest one.
+  std::optional<proven_routes> routes;
 
   friend bool operator==(const member_record&, const member_record&) = default;
 };
--- a/Libraries/LibDecision/reducer.cc
+++ b/Libraries/LibDecision/reducer.cc
@@ -137,6 +137,7 @@
     if (pipelined.Defer(context, arrived)) {
       return;
     }
+    ProveRoutes(context);
     if (!arrived.parent && arrived.may_have_parent) {
       const auto parent_id = work.FindParentOf(arrived.metadata.own_id);
       if (parent_id) {
@@ -200,6 +201,7 @@
         finished.result.peer->routes_confirmed_age) {
       keys_validity.OnPeerConfirmed(
           context, *sent_at, *finished.result.peer->routes_confirmed_age);
+      TellProvenRoutes();
     }
     calls.OnAttemptFinished(context, finished);
   }
@@ -331,6 +333,7 @@
     keys_validity.set_node_count(members.list().members().size());
     keys_validity.OnStoreAnswered(context, answer,
                                   routes_watcher.value_in_force());
+    ProveRoutes(context);
     policies.OnStoreAnswered(context, answer);
   }
 
@@ -355,6 +358,7 @@
     for (const route& configured_route : decoded.config->routes) {
       ApplyRouteSettings(context, decoded.config->version, configured_route);
     }
+    ProveRoutes(context);
     ProbeEndpoint(context);
   }
 
@@ -365,6 +369,36 @@
     }
   }
 
+  // Every record is from the store, or from a node that has it from there.
+  void ProveRoutes(event_context& context) {
+    if (!keys_validity.needs_proof()) {
+      return;
+    }
+    std::optional<route_version> newest;
+    const auto add = [&](const member_record& record) {
+      if (record.routes && record.routes->era == latest_store_era) {
+        newest = std::max(newest, std::optional(record.routes->version));
+      }
+    };
+    for (const auto& [node, record] : members.list().members()) {
+      add(record);
+    }
+    if (const member_record* earlier = registry.earlier_record()) {
+      add(*earlier);
+    }
+    keys_validity.Prove(context, newest, routes.version());
+    TellProvenRoutes();
+  }
+
+  // Once in each era: whatever is stored later in the era is listed, too.
+  void TellProvenRoutes() {
+    const auto& told = members.self().routes;
+    const bool is_told = told && told->era == latest_store_era;
+    if (keys_validity.has_proof() && !is_told) {
+      members.SetProvenRoutes({latest_store_era, *routes.version()});
+    }
+  }
+
   static void LogRoutes(event_context& context,
                         decision_kind kind,
                         const routes_decoded& decoded) {
@@ -506,6 +540,8 @@
     }
     if (options.settings == settings_source::kRoutes) {
       routes_watcher.OnStoreEraChanged(context);
+      keys_validity.OnStoreEraChanged(context);
+      TellProvenRoutes();
     }
   }
 
@@ -585,6 +621,7 @@
       case timer_owner::kNewerRoutes:
         return routes_watcher.OnNewerRoutesTimer(context, routes.version());
       case timer_owner::kKeyValidity:
+        ProveRoutes(context);
         return keys_validity.OnTimer(context,
                                      routes_watcher.is_store_unavailable());
     }
--- a/Tests/LibDecision/api_keys_in_fleet_test.cc
+++ b/Tests/LibDecision/api_keys_in_fleet_test.cc
@@ -114,6 +114,23 @@
   EXPECT_EQ(Outdated(), outdated);
 }
 
+// Guards against a removed key that is let in again: a node that has just
+// started takes the older copy for the newest routes.
+TEST_P(a_fleet_with_tenants, TrustsNoOlderCopyOfTheStoreAtAFreshNode) {
+  RemoveKey();
+  nodes_.Pass(6s);
+  nodes_.store().BeginOutage(outage_kind::kPaused);
+  nodes_.Pass(300ms);
+  nodes_.store().EndOutage(1);
+  for (std::size_t node = 0; node < kNodes / 3; ++node) {
+    nodes_.Restart(node);
+  }
+  nodes_.Pass(1s);
+  nodes_.store().RewriteRoutes();
+  nodes_.Pass(3s);
+  EXPECT_LE(AcceptedAfterRemoval(), kValidity);
+}
+
 INSTANTIATE_TEST_SUITE_P(Seeds,
                          a_fleet_with_tenants,
                          testing::Range<std::uint64_t>(1, 6));
--- a/Tests/LibDecision/api_keys_test.cc
+++ b/Tests/LibDecision/api_keys_test.cc
@@ -69,7 +69,11 @@
 // not at all.
 class a_node_with_tenants : public testing::Test {
  protected:
-  explicit a_node_with_tenants(duration validity = kValidity)
+  /// `proven` is what the record of another node says about the routes.
+  explicit a_node_with_tenants(
+      duration validity = kValidity,
+      std::optional<proven_routes> proven = proven_routes{store_era(1),
+                                                          route_version(1)})
       : state_({.settings = settings_source::kRoutes,
                 .route_key = kRouteKey,
                 .api_key_validity = validity}) {
@@ -87,15 +91,21 @@
                                 .is_anonymous = name == std::string("open")});
     }
     Happen(node_started{.node = node_id(1), .run = incarnation(1)});
+    LearnMembers(proven);
+    ReportEndpoint();
+  }
+
+  void LearnMembers(std::optional<proven_routes> proven) {
     member_update members;
+    ++members_version_;
     for (std::uint64_t node = 1; node <= 2; ++node) {
       members.records.push_back({.node = node_id(node),
                                  .run = incarnation(1),
-                                 .version = 2,
-                                 .service = service_name("lots")});
+                                 .version = members_version_,
+                                 .service = service_name("lots"),
+                                 .routes = proven});
     }
     Happen(message_received{{.from = node_id(2), .content = members}});
-    ReportEndpoint();
   }
 
   void ReportEndpoint() {
@@ -205,6 +215,7 @@
   duration suspended_{};
   std::uint64_t entropy_ = 0;
   std::uint64_t calls_ = 0;
+  std::uint64_t members_version_ = 1;
   std::uint64_t stored_ = 1;
   bool is_store_down_ = false;
   bool is_store_silent_ = false;
@@ -216,6 +227,49 @@
   std::optional<answer_metadata> answered_;
 };
 
+// Guards against a removed key that is let in again: a node that has just
+// started took an older copy of the store for the latest one.
+class a_node_that_has_just_started : public a_node_with_tenants {
+ protected:
+  a_node_that_has_just_started()
+      : a_node_with_tenants(kValidity, std::nullopt) {}
+};
+
+TEST_F(a_node_that_has_just_started, RefusesKeysUntilItsRoutesAreProven) {
+  EXPECT_EQ(Call("ka"), "api-keys-outdated");
+  EXPECT_EQ(refused_->execution, execution_state::kNotExecuted);
+  EXPECT_EQ(Call("", "/open/"), "tenant ");
+  LearnMembers(proven_routes{store_era(1), route_version(1)});
+  EXPECT_EQ(Call("ka"), "tenant a");
+}
+
+TEST_F(a_node_that_has_just_started, RefusesKeysWhileAnotherKnowsNewerRoutes) {
+  LearnMembers(proven_routes{store_era(1), route_version(2)});
+  Pass(10s);
+  EXPECT_EQ(Call("ka"), "api-keys-outdated");
+}
+
+TEST_F(a_node_that_has_just_started, TakesNoProofOfAnotherEra) {
+  LearnMembers(proven_routes{store_era(0), route_version(1)});
+  EXPECT_EQ(Call("ka"), "api-keys-outdated");
+}
+
+// All nodes may have started together.
+TEST_F(a_node_that_has_just_started, TrustsTheStoreIfNoneObjectsForAWhile) {
+  Pass(2900ms);
+  EXPECT_EQ(Call("ka"), "api-keys-outdated");
+  Pass(200ms);
+  EXPECT_EQ(Call("ka"), "tenant a");
+}
+
+TEST_F(a_node_that_has_just_started, ReadsTheStoreNoMoreOftenForItsProof) {
+  for (int i = 0; i < 100; ++i) {
+    Call("ka");
+    Pass(10ms);
+  }
+  EXPECT_LE(reads_, 1);
+}
+
 class a_call_with_a_key : public a_node_with_tenants {};
 
 TEST_F(a_call_with_a_key, IsMadeForTheTenantOfItsKey) {
--- a/Tests/LibDecision/registry_test.cc
+++ b/Tests/LibDecision/registry_test.cc
@@ -432,6 +432,17 @@
   EXPECT_EQ(DecodeMember(MemberKey(record.node), EncodeMember(record)), record);
 }
 
+TEST_F(a_record, MayNameRoutesWithAndWithoutALeave) {
+  member_record record{
+      .node = node_id(7),
+      .address = {.host = "10.0.0.7", .peer_port = 81},
+      .routes = proven_routes{store_era(3), route_version(12)}};
+  EXPECT_EQ(DecodeMember(MemberKey(record.node), EncodeMember(record)), record);
+  record.leave = endpoint_leave{
+      .endpoint = {endpoint_name("i-2"), incarnation(100)}, .sequence = 8};
+  EXPECT_EQ(DecodeMember(MemberKey(record.node), EncodeMember(record)), record);
+}
+
 TEST_F(a_record, MayHaveFieldsOfALaterVersion) {
   const member_record record{.node = node_id(7),
                              .address = {.host = "10.0.0.7", .peer_port = 81},
