--- a/Tests/LibRuntime/message_length_test.cc
+++ b/Tests/LibRuntime/message_length_test.cc
@@ -193,7 +193,7 @@
 /// segments of it.
 template <typename parser_type>
 parse_result ParseCutAnywhere(const std::string& text) {
-  const parse_result whole = ParseSegments<parser_type>({text});
+  parse_result whole = ParseSegments<parser_type>({text});
   const std::string_view view = text;
   for (std::size_t cut = 1; cut < text.size(); ++cut) {
     const parse_result in_two =
--- a/Tests/LibRuntime/pipelining_test.cc
+++ b/Tests/LibRuntime/pipelining_test.cc
@@ -110,6 +110,7 @@
   /// Of requests whose answers have `kBigBytes`.
   static std::vector<std::string> BigNames(int count) {
     std::vector<std::string> names;
+    names.reserve(static_cast<std::size_t>(count));
     for (int i = 0; i < count; ++i) {
       names.push_back("big-" + std::to_string(i));
     }
