LibDecision: Keep the leave of a silent endpoint

Cause: a node that hears nothing of its endpoint for five seconds announces it as leaving, and wrote its record without the leave that it held. The next run of the node found none.

Evidence: KeepsALeaveAfterItsEndpointWasSilent fails before and passes now.

--- a/Libraries/LibDecision/reducer.cc
+++ b/Libraries/LibDecision/reducer.cc
@@ -639,7 +639,7 @@
     if (work.OnEndpointTimer(context)) {
       endpoint_reported silent = *work.endpoint().report();
       silent.state = endpoint_state::kLeaving;
-      members.OnEndpointReported(context, silent);
+      members.OnEndpointReported(context, silent, work.endpoint().leave());
     }
   }
 
