LibDecision: Take the farewell of an endpoint that never reported

A late report of the new one would have made it ready.

A farewell of a later run than the current one is now the first word of that run; one of an earlier run is ignored as before.

Evidence: KeepsTheLeaveOfAnEndpointThatNeverReported fails before and passes now.

--- a/Libraries/LibDecision/Work/local_endpoint.cc
+++ b/Libraries/LibDecision/Work/local_endpoint.cc
@@ -165,7 +165,11 @@
   }
   const endpoint_run run{report.name, report.run};
   if (!IsCurrentRun(run)) {
-    return report_result::kIgnored;
+    if (report.run <= report_->run) {
+      return report_result::kIgnored;
+    }
+    OnGoneBeforeFirstReport(context, report);
+    return report_result::kReplaced;
   }
   return Depart(run, context.now());
 }
