Tests: Keep the dialect of a health probe's test alive

Cause, by the debugger's trace: the test handed a temporary any_wire_dialect to work_handler, which keeps a reference.

--- a/Tests/platform/repeated_refusals_test.cc
+++ b/Tests/platform/repeated_refusals_test.cc
@@ -260,9 +260,9 @@
     const node_identity self;
     node_metrics metrics(1);
     std::string name;
+    const any_wire_dialect dialect{endpoints_of_the_platform()};
     work_handler works(
-        io, self, any_wire_dialect(endpoints_of_the_platform()),
-        [this] { return connection_id(++last_connection_); },
+        io, self, dialect, [this] { return connection_id(++last_connection_); },
         [&](const event_content& event) {
           if (const auto* reported = std::get_if<endpoint_reported>(&event)) {
             name = reported->name.value();
