--- a/Tests/Soak/soak.sh
+++ b/Tests/Soak/soak.sh
@@ -51,6 +51,18 @@
 }
 trap Finish EXIT
 
+# The service of node $1, as auburnfold-soak has it: two nodes have little
+# traffic.
+ServiceOf() {
+  if [ "$1" -lt 2 ]; then
+    echo quiet
+  elif [ $(($1 % 2)) -eq 0 ]; then
+    echo booking
+  else
+    echo gate
+  fi
+}
+
 # Routes of service $1, for requests that may be repeated and that may not.
 RoutesOf() {
   jq -n --arg service "$1" '
@@ -83,8 +95,7 @@
 StartStore
 PutConfiguration
 for ((i = 0; i < nodes; i++)); do
-  service=$([ $i -lt 2 ] && echo quiet || { [ $((i % 2)) -eq 0 ] && echo booking || echo gate; })
-  jq -n --arg host "$host" --arg service "$service" --arg zone "zone-$((i % 3))" \
+  jq -n --arg host "$host" --arg service "$(ServiceOf $i)" --arg zone "zone-$((i % 3))" \
     --argjson port $((first_port + ports_per_node * i)) --argjson store "$store_port" \
     'def at(offset): $host + ":" + ($port + offset | tostring);
      {dialect: "platform", host: $host, domain: $zone, service: $service,
