--- a/Tests/Soak/soak.sh
+++ b/Tests/Soak/soak.sh
@@ -38,10 +38,13 @@
 Finish() {
   local status=$? i
   touch "$work/over"
-  for ((i = 0; i < nodes; i++)); do
-    kill -KILL "$(cat "$work/node-$i.pid" 2>/dev/null)" 2>/dev/null || true
+  # A supervisor may just be starting its node once more.
+  for i in "${!supervisors[@]}"; do
+    until HasEnded "${supervisors[$i]}"; do
+      kill -KILL "$(cat "$work/node-$i.pid" 2>/dev/null)" 2>/dev/null || true
+      sleep 0.1
+    done
   done
-  wait "${supervisors[@]}" 2>/dev/null || true
   StopAll
   if [ $status -eq 0 ]; then
     rm -r "$work"
