LibDecision: Name what key validity waits for

A reader could not tell read_since_ and read_at_ from the confirmations beside them, nor what kProofTime is the time of. Names and comments only.

--- a/Libraries/LibDecision/Tenants/key_validity.cc
+++ b/Libraries/LibDecision/Tenants/key_validity.cc
@@ -20,9 +20,10 @@
 constexpr backoff_policy kRetryBackoff{std::chrono::milliseconds(200),
                                        std::chrono::milliseconds(800), 2};
 
-// Nodes that are alive write their records again within two seconds after the
-// store has come back.
-constexpr duration kProofTime = std::chrono::seconds(3);
+// Without a record that proves the routes, a node with newer ones has this time
+// to object. Nodes that are alive write their records again within two seconds
+// after the store has come back.
+constexpr duration kObjectionTime = std::chrono::seconds(3);
 
 }  // namespace
 
@@ -66,31 +67,32 @@
   if (is_proven_) {
     return Confirm(context, when);
   }
-  if (!read_since_) {
-    read_since_ = context.elapsed_now();
+  if (!first_unproven_read_at_) {
+    first_unproven_read_at_ = context.elapsed_now();
   }
-  read_at_ = std::max(read_at_, when);
+  last_unproven_read_at_ = std::max(last_unproven_read_at_, when);
   ScheduleRead(context);
 }
 
 void key_validity::Prove(event_context& context,
                          std::optional<route_version> newest,
                          std::optional<route_version> in_force) {
-  newest_ = std::max(newest_, newest);
-  if (!needs_proof() || !in_force || in_force < newest_) {
+  newest_recorded_ = std::max(newest_recorded_, newest);
+  if (!needs_proof() || !in_force || in_force < newest_recorded_) {
     return;
   }
   const bool had_time =
-      read_since_ && context.elapsed_now() - *read_since_ >= kProofTime;
-  if (newest_ || had_time) {
+      first_unproven_read_at_ &&
+      context.elapsed_now() - *first_unproven_read_at_ >= kObjectionTime;
+  if (newest_recorded_ || had_time) {
     SetProven(context);
   }
 }
 
 void key_validity::SetProven(event_context& context) {
   is_proven_ = true;
-  if (std::exchange(read_since_, std::nullopt)) {
-    Confirm(context, read_at_);
+  if (std::exchange(first_unproven_read_at_, std::nullopt)) {
+    Confirm(context, last_unproven_read_at_);
   }
 }
 
@@ -100,8 +102,8 @@
   const bool is_recent =
       confirmed_at_ && context.elapsed_now() - *confirmed_at_ < validity_;
   is_proven_ = is_proven_ && is_recent;
-  read_since_.reset();
-  newest_.reset();
+  first_unproven_read_at_.reset();
+  newest_recorded_.reset();
 }
 
 void key_validity::Confirm(event_context& context, instant when) {
@@ -201,7 +203,7 @@
   }
   if (IsAwaitingProof()) {
     return context.timers().Schedule({timer_owner::kKeyValidity},
-                                     context.now() + kProofTime);
+                                     context.now() + kObjectionTime);
   }
   const duration age =
       confirmed_at_ ? context.elapsed_now() - *confirmed_at_ : read_age_;
--- a/Libraries/LibDecision/Tenants/key_validity.h
+++ b/Libraries/LibDecision/Tenants/key_validity.h
@@ -22,13 +22,15 @@
   /// API keys are always valid if `validity` is zero.
   key_validity(duration validity, std::string route_key);
 
-  /// Whether it is still open that the key-value store is the latest copy,
-  /// since this node has just started, or has missed a change of the era.
+  /// Whether the routes in force may be those of an older copy of the key-value
+  /// store: this node has just started, or its confirmation was too old when
+  /// the store's era changed. No API key is valid meanwhile.
   bool needs_proof() const { return is_active_ && !is_proven_; }
   bool has_proof() const { return is_active_ && is_proven_; }
-  /// `newest` is the newest version that records of the store's present era
-  /// name; unset if none names one. Without such a record, it is assumed that
-  /// there is no node with newer routes once all had time to write theirs.
+  /// Looks for proof that the routes in force are the newest. `newest` is the
+  /// newest version that records of the store's present era name; unset if none
+  /// names one. Without such a record, no node is assumed to have newer routes
+  /// once all had time to write theirs.
   void Prove(event_context& context,
              std::optional<route_version> newest,
              std::optional<route_version> in_force);
@@ -60,8 +62,11 @@
  private:
   void SetProven(event_context& context);
   void Confirm(event_context& context, instant when);
-  /// Whether proof is awaited which no read of the routes can give.
-  bool IsAwaitingProof() const { return !is_proven_ && read_since_; }
+  /// Whether the store has shown the routes in force, and only the proof is
+  /// missing, which another read does not give.
+  bool IsAwaitingProof() const {
+    return !is_proven_ && first_unproven_read_at_;
+  }
   void Read(event_context& context);
   void ScheduleRead(event_context& context);
   void ScheduleRetry(event_context& context);
@@ -76,12 +81,12 @@
   bool is_active_ = false;
   bool is_lost_ = false;
   bool is_proven_ = false;
-  /// Since when reads of the store have shown the routes in force, and the last
-  /// one that did; until they prove anything.
-  std::optional<instant> read_since_;
-  instant read_at_{};
+  /// The first and the last read of the store that showed the routes in force
+  /// while they were not proven.
+  std::optional<instant> first_unproven_read_at_;
+  instant last_unproven_read_at_{};
   /// The newest version that records have named in the store's present era.
-  std::optional<route_version> newest_;
+  std::optional<route_version> newest_recorded_;
   std::optional<instant> confirmed_at_;
   instant routes_taken_at_{};
   duration read_age_{};
--- a/Libraries/LibDecision/reducer.cc
+++ b/Libraries/LibDecision/reducer.cc
@@ -369,7 +369,8 @@
     }
   }
 
-  // Every record is from the store, or from a node that has it from there.
+  // Records come from the store, some by way of another node's view, so that
+  // their eras are the store's.
   void ProveRoutes(event_context& context) {
     if (!keys_validity.needs_proof()) {
       return;
@@ -390,7 +391,8 @@
     TellProvenRoutes();
   }
 
-  // Once in each era: whatever is stored later in the era is listed, too.
+  // Once in each era: what is stored later in the era is not lost with an older
+  // copy, so that whoever lists the store finds it there.
   void TellProvenRoutes() {
     const auto& told = members.self().routes;
     const bool is_told = told && told->era == latest_store_era;
