LibRuntime: Tell responses without a body in one place

Parsers and FinishResponse listed the same statuses, 204 and 304, each for itself. FinishResponse now asks HasNoBody, which adds informational ones; none is sent here.

--- a/Libraries/LibRuntime/Connections/http_responses.cc
+++ b/Libraries/LibRuntime/Connections/http_responses.cc
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <utility>
 
+#include "LibRuntime/Connections/message_framing.h"
 #include "LibWire/header_names.h"
 
 namespace auburnfold {
@@ -71,10 +72,7 @@
 }
 
 void FinishResponse(http_response& response, http::verb method) {
-  const bool has_no_body = method == http::verb::head ||
-                           response.result() == http::status::no_content ||
-                           response.result() == http::status::not_modified;
-  if (has_no_body) {
+  if (method == http::verb::head || HasNoBody(response.result_int())) {
     response.body().clear();
     return;
   }
