--- a/Tests/Soak/soak_client.cc
+++ b/Tests/Soak/soak_client.cc
@@ -85,7 +85,8 @@
     if (sends) {
       SendBatch();
     }
-    if (!WriteDue() || !ReadSome()) {
+    WriteDue();
+    if (!ReadSome()) {
       return EndAll(request_end::kClosed);
     }
     if (now >= leaves_at_) {
@@ -157,25 +158,22 @@
   }
 }
 
-bool soak_client::WriteDue() {
+void soak_client::WriteDue() {
   while (!segments_.empty() && soak_clock::now() >= segments_.front().due) {
     std::string& bytes = segments_.front().bytes;
     boost::system::error_code error;
     const std::size_t sent = socket_->write_some(asio::buffer(bytes), error);
     if (error == asio::error::would_block) {
-      return true;
+      return;
     }
     if (error) {
-      // What the node has answered before its close may still be read.
-      segments_.clear();
-      return true;
+      return segments_.clear();
     }
     bytes.erase(0, sent);
     if (bytes.empty()) {
       segments_.pop_front();
     }
   }
-  return true;
 }
 
 bool soak_client::ReadSome() {
@@ -195,26 +193,26 @@
     return false;
   }
   buffer_.commit(size);
+  return ParseAnswers();
+}
+
+bool soak_client::ParseAnswers() {
   while (buffer_.size() > 0) {
     if (!parser_) {
       parser_.emplace();
       parser_->eager(true);
       parser_->body_limit(kMaxBodyBytes);
     }
+    boost::system::error_code error;
     buffer_.consume(parser_->put(buffer_.data(), error));
-    if (error == http::error::need_more) {
-      return true;
-    }
-    if (error) {
-      if (!waiting_.empty()) {
-        record_.OnAnswered(waiting_.front(), 0,
-                           "no answer in HTTP: " + error.message());
-        waiting_.pop_front();
-      }
-      return false;
+    const bool is_broken = error && error != http::error::need_more;
+    if (is_broken && !waiting_.empty()) {
+      record_.OnAnswered(waiting_.front(), 0,
+                         "no answer in HTTP: " + error.message());
+      waiting_.pop_front();
     }
     if (!parser_->is_done()) {
-      return true;
+      return !is_broken;
     }
     OnAnswer(parser_->get());
     parser_.reset();
--- a/Tests/Soak/soak_client.h
+++ b/Tests/Soak/soak_client.h
@@ -58,9 +58,12 @@
   void SendBatch();
   std::string MakeRequest();
   void Cut(const std::string& text);
-  /// Returns whether the connection is still open.
-  bool WriteDue();
+  /// Writes what is due. Its errors are left to `ReadSome`, since answers that
+  /// came before may still be read.
+  void WriteDue();
+  /// Returns whether the connection is still open and what was read is HTTP.
   bool ReadSome();
+  bool ParseAnswers();
   void OnAnswer(const http_response& answer);
   void EndAll(request_end end);
 
--- a/Tests/Soak/soak_main.cc
+++ b/Tests/Soak/soak_main.cc
@@ -27,6 +27,7 @@
 constexpr std::size_t kQuietNodes = 2;
 constexpr std::size_t kFindingsShown = 20;
 constexpr std::chrono::milliseconds kStartPatience{30'000};
+constexpr std::chrono::milliseconds kStartInterval{100};
 constexpr const char* kQuietService = "quiet";
 
 struct options {
@@ -89,41 +90,70 @@
   return node % 2 == 0 ? "booking" : "gate";
 }
 
-/// Whether each node serves each service, before anything is disturbed.
+/// Makes one call of `service` through `node`. Returns the status of the
+/// answer.
+unsigned CallOnce(const node_ports& ports,
+                  sent_request request,
+                  const std::string& service,
+                  traffic_record& record) {
+  request.target = '/' + service + "-read/" + request.id + "/0/0";
+  record.OnSent(request);
+  const unsigned status =
+      Call(ports.call,
+           RequestText("GET", request.target,
+                       "Host: calls.example\r\nX-Request-Id: " + request.id +
+                           "\r\nX-Deadline-Ms: 2000\r\nX-Extra: \r\n",
+                       {}),
+           std::chrono::milliseconds(2000));
+  // Not judged: nodes need not serve yet.
+  record.OnEnded(request.id, request_end::kLeft);
+  return status;
+}
+
+/// Waits until each node serves each service. Returns whether all do in time.
 bool WaitUntilServing(const std::vector<node_ports>& nodes,
                       traffic_record& record) {
   const moment until = soak_clock::now() + kStartPatience;
   int next = 0;
   for (std::size_t node = 0; node < nodes.size(); ++node) {
     for (const char* service : {"booking", "gate", kQuietService}) {
-      unsigned status = 0;
-      while (status != 200 && soak_clock::now() < until) {
-        sent_request sent{.id = "start-" + std::to_string(next++),
-                          .method = "GET",
-                          .may_repeat = true,
-                          .node = node};
-        sent.target = std::string("/") + service + "-read/" + sent.id + "/0/0";
-        record.OnSent(sent);
-        status =
-            Call(nodes[node].call,
-                 RequestText("GET", sent.target,
-                             "Host: calls.example\r\nX-Request-Id: " + sent.id +
-                                 "\r\nX-Deadline-Ms: 2000\r\nX-Extra: \r\n",
-                             {}),
-                 std::chrono::milliseconds(2000));
-        record.OnEnded(sent.id, request_end::kLeft);
-        if (status != 200) {
-          std::this_thread::sleep_for(std::chrono::milliseconds(100));
+      const auto serves = [&] {
+        const sent_request request{.id = "start-" + std::to_string(next++),
+                                   .method = "GET",
+                                   .may_repeat = true,
+                                   .node = node};
+        return CallOnce(nodes[node], request, service, record) == 200;
+      };
+      while (!serves()) {
+        if (soak_clock::now() >= until) {
+          return false;
         }
-      }
-      if (status != 200) {
-        return false;
+        std::this_thread::sleep_for(kStartInterval);
       }
     }
   }
   return true;
 }
 
+void Print(const options& chosen,
+           const traffic_record& record,
+           const std::vector<finding>& findings) {
+  const std::string title = "seed " + std::to_string(chosen.seed) + ": ";
+  std::cout << title << record.Summary() << '\n';
+  std::map<std::string, int> counts;
+  for (const finding& each : findings) {
+    ++counts[NameOf(each.broken)];
+  }
+  for (std::size_t i = 0; i < std::min(findings.size(), kFindingsShown); ++i) {
+    std::cout << NameOf(findings[i].broken) << ' ' << findings[i].text << '\n';
+  }
+  std::cout << title << (findings.empty() ? "no rule broken" : "broken:");
+  for (const auto& [name, count] : counts) {
+    std::cout << ' ' << name << ' ' << count;
+  }
+  std::cout << std::endl;
+}
+
 int Run(const options& chosen) {
   std::ofstream log(chosen.folder + "/events.log");
   traffic_record record(log);
@@ -162,20 +192,7 @@
     each.join();
   }
   const std::vector<finding> findings = record.Judge();
-  std::cout << "seed " << chosen.seed << ": " << record.Summary() << '\n';
-  for (std::size_t i = 0; i < std::min(findings.size(), kFindingsShown); ++i) {
-    std::cout << NameOf(findings[i].broken) << ' ' << findings[i].text << '\n';
-  }
-  std::map<std::string, int> counts;
-  for (const finding& each : findings) {
-    ++counts[NameOf(each.broken)];
-  }
-  std::cout << "seed " << chosen.seed << ": "
-            << (findings.empty() ? "no rule broken" : "broken:");
-  for (const auto& [name, count] : counts) {
-    std::cout << ' ' << name << ' ' << count;
-  }
-  std::cout << std::endl;
+  Print(chosen, record, findings);
   return findings.empty() ? 0 : 1;
 }
 
--- a/Tests/Soak/traffic_record.cc
+++ b/Tests/Soak/traffic_record.cc
@@ -157,8 +157,8 @@
                     [](const auto& entry) { return !entry.second.end; }));
 }
 
-// As a machine counts as in touch: nothing of `node` or the store was disturbed
-// then, or in the stable window before.
+// Rules with a bound in time hold for nodes that neither were disturbed nor had
+// a disturbed store then, or in the stable window before.
 bool traffic_record::IsDisrupted(std::size_t node,
                                  moment from,
                                  moment until) const {
