LibDecision: Store a leave that comes at the end of a planned stop

Cause: a node that has no requests left withdraws its record, and then waits for late requests for up to a second. A leave that came in this time was acknowledged at once, because a withdrawn record counted as stored, and the next run of the node found none.

A leave now publishes the record again, under a new lease, and is acknowledged once it is stored. Registration needs no state of its own for "withdrawn".

Evidence: KeepsALeaveThatComesAtTheEndOfAPlannedStop fails before and passes now.

--- a/Libraries/LibDecision/Membership/membership.cc
+++ b/Libraries/LibDecision/Membership/membership.cc
@@ -92,11 +92,11 @@
 }
 
 void membership::OnStopped(event_context& context) {
-  self_.state = member_state::kGone;
-  ++self_.version;
   if (discovery_ == discovery_mode::kRegistry) {
     return;
   }
+  self_.state = member_state::kGone;
+  ++self_.version;
   gossip_.set_self(self_);
   if (is_published_) {
     gossip_.QueueBroadcast(self_, self_.node);
--- a/Libraries/LibDecision/Registry/node_registry.cc
+++ b/Libraries/LibDecision/Registry/node_registry.cc
@@ -119,10 +119,10 @@
 
 // The next run of the node learns from the record that its endpoint leaves.
 void node_registry::OnStopped(event_context& context) {
-  if (members_.self().leave) {
-    return registration_.Stop(context);
+  is_stopped_ = true;
+  if (!members_.self().leave) {
+    registration_.Withdraw(context);
   }
-  registration_.Withdraw(context);
 }
 
 void node_registry::OnTimer(event_context& context, timer_owner owner) {
@@ -132,12 +132,13 @@
   registration_.OnTimer(context);
 }
 
-// A node without an endpoint serves no requests and need not be discovered.
+// A node without an endpoint serves no requests and need not be discovered. A
+// stopped one still gets reports while it waits for late requests.
 void node_registry::PublishChanges(event_context& context) {
   const member_record& self = members_.self();
   const bool has_endpoint = self.service != service_name();
-  if (!has_endpoint || self == published_ || !watch_.is_listed() ||
-      self.state == member_state::kGone) {
+  const bool is_needed = has_endpoint && (!is_stopped_ || self.leave);
+  if (!is_needed || self == published_ || !watch_.is_listed()) {
     return;
   }
   published_ = self;
--- a/Libraries/LibDecision/Registry/node_registry.h
+++ b/Libraries/LibDecision/Registry/node_registry.h
@@ -32,7 +32,7 @@
   /// A call of the store has succeeded after one that has not.
   void OnStoreRegained(event_context& context);
   void OnTimer(event_context& context, timer_owner owner);
-  /// The process is about to exit.
+  /// No requests are left. The process exits soon.
   void OnStopped(event_context& context);
   /// Publishes this node's record if it has changed. Called at the end of each
   /// event.
@@ -104,6 +104,7 @@
   bool lists_earlier_run_ = false;
   bool is_first_listing_ = true;
   bool may_list_older_records_ = false;
+  bool is_stopped_ = false;
 };
 
 }  // namespace auburnfold
--- a/Libraries/LibDecision/Registry/registration.cc
+++ b/Libraries/LibDecision/Registry/registration.cc
@@ -61,22 +61,23 @@
   StartNextCall(context);
 }
 
-void registration::Stop(event_context& context) {
-  is_withdrawn_ = true;
-  context.timers().Cancel({timer_owner::kRegistration});
-}
-
 void registration::Withdraw(event_context& context) {
-  Stop(context);
+  context.timers().Cancel({timer_owner::kRegistration});
   if (lease_) {
     context.Count(counter::kStoreCalls);
     context.Emit(call_store{call_ids_.Next(), store_end_lease{*lease_}});
   }
+  stage_ = stage::kIdle;
+  pending_call_.reset();
+  lease_.reset();
+  desired_value_.clear();
+  stored_value_.clear();
+  revision_ = store_revision();
 }
 
 void registration::OnStoreAnswered(event_context& context,
                                    const store_answered& answer) {
-  if (answer.call != pending_call_ || is_withdrawn_) {
+  if (answer.call != pending_call_) {
     return;
   }
   pending_call_.reset();
@@ -121,7 +122,7 @@
 }
 
 void registration::StartNextCall(event_context& context) {
-  if (pending_call_ || desired_value_.empty() || is_withdrawn_) {
+  if (pending_call_ || desired_value_.empty()) {
     return;
   }
   if (!lease_) {
--- a/Libraries/LibDecision/Registry/registration.h
+++ b/Libraries/LibDecision/Registry/registration.h
@@ -25,16 +25,13 @@
                    store_revision revision);
   /// A watch or listing showed that this node's key is absent.
   void OnKeyMissing(event_context& context);
-  /// Makes no more calls. The record is removed when its lease expires.
-  void Stop(event_context& context);
-  /// As `Stop`, but ends the lease, so that the record is removed at once.
+  /// Ends the lease, so that the record is removed at once. Makes no more calls
+  /// until another record is published.
   void Withdraw(event_context& context);
 
-  /// Whether the registry holds the record that was published last, or cannot
-  /// hold it any more.
+  /// Whether the registry holds the record that was published last.
   bool is_stored() const {
-    return is_withdrawn_ ||
-           (!desired_value_.empty() && stored_value_ == desired_value_);
+    return !desired_value_.empty() && stored_value_ == desired_value_;
   }
 
   void OnStoreAnswered(event_context& context, const store_answered& answer);
@@ -77,7 +74,6 @@
   /// Revision of this node's key; 0 if it is absent.
   store_revision revision_;
   std::uint32_t failures_ = 0;
-  bool is_withdrawn_ = false;
 };
 
 }  // namespace auburnfold
--- a/Libraries/LibDecision/Work/report_acknowledgements.h
+++ b/Libraries/LibDecision/Work/report_acknowledgements.h
@@ -22,8 +22,7 @@
   void OnReported(event_context& context,
                   report_id report,
                   bool announces_leave);
-  /// The node's record, and with it the leave, is in the registry, or cannot be
-  /// any more.
+  /// The node's record, and with it the leave, is in the registry.
   void OnRecordStored(event_context& context);
   void OnTimer(event_context& context);
 
--- a/Tests/LibDecision/restarted_node_test.cc
+++ b/Tests/LibDecision/restarted_node_test.cc
@@ -295,6 +295,37 @@
   EXPECT_FALSE(IsServed());
 }
 
+// Guards against a farewell that was acknowledged and forgotten (DRAIN): the
+// node had finished its work and taken its record out of the registry, and
+// waited for late requests.
+TEST_F(a_restarted_node, KeepsALeaveThatComesAtTheEndOfAPlannedStop) {
+  AnswerStore();
+  Happen(Report(7));
+  AnswerStore();
+  Stop();
+  ASSERT_FALSE(StoredRecord());
+  Happen(Farewell());
+  EXPECT_TRUE(acknowledged_.empty());
+  AnswerStore();
+  EXPECT_EQ(acknowledged_, std::vector{report_id(1)});
+  Start();
+  AnswerStore();
+  Happen(ProbeResult());
+  EXPECT_FALSE(IsServed());
+  Happen(Report(8));
+  EXPECT_FALSE(IsServed());
+}
+
+TEST_F(a_restarted_node, PublishesNoReportThatComesAtTheEndOfAPlannedStop) {
+  AnswerStore();
+  Happen(Report(7));
+  AnswerStore();
+  Stop();
+  Happen(Report(8));
+  AnswerStore();
+  EXPECT_FALSE(StoredRecord());
+}
+
 // Guards against a leave that was forgotten (DRAIN): the record lost it when
 // nothing was heard of the endpoint for a while.
 TEST_F(a_restarted_node, KeepsALeaveAfterItsEndpointWasSilent) {
