Tests: Let endpoints leave while their nodes stop in the soak

The soak let an endpoint leave during a planned stop of its node only by chance. A disruption of its own does so now, at any time of the stop.

--- a/Tests/Soak/disruptor.cc
+++ b/Tests/Soak/disruptor.cc
@@ -51,7 +51,7 @@
   const std::size_t node = ChooseNode();
   const milliseconds length(200 + Random(1800));
   const std::size_t other = ChooseNode();
-  switch (Random(8)) {
+  switch (Random(9)) {
     case 0:
       return Start(
           [=, this] { Restart(node, SIGKILL, disruption_kind::kUnplanned); });
@@ -71,6 +71,10 @@
       return Start([=, this, loses_answers = Random(2) == 0] {
         DisturbStore(length, loses_answers);
       });
+    case 6:
+      return Start([=, this, stopped_before = milliseconds(Random(2500))] {
+        LeaveDuringStop(node, stopped_before, length);
+      });
     default: {
       const milliseconds late_report(Random(2) * (1000 + Random(3000)));
       const milliseconds kill_after(100 + Random(700));
@@ -168,4 +172,14 @@
   }
 }
 
+void disruptor::LeaveDuringStop(std::size_t node,
+                                milliseconds stopped_before,
+                                milliseconds late_report) {
+  std::thread stopping(
+      [=, this] { Restart(node, SIGTERM, disruption_kind::kPlanned); });
+  std::this_thread::sleep_for(stopped_before);
+  endpoints_[node]->Leave(late_report, [] {});
+  stopping.join();
+}
+
 }  // namespace auburnfold::soak
--- a/Tests/Soak/disruptor.h
+++ b/Tests/Soak/disruptor.h
@@ -49,6 +49,11 @@
              std::chrono::milliseconds late_report,
              bool is_killed,
              std::chrono::milliseconds kill_after);
+  /// The endpoint leaves while its node finishes its work, which it was told to
+  /// do `stopped_before` that.
+  void LeaveDuringStop(std::size_t node,
+                       std::chrono::milliseconds stopped_before,
+                       std::chrono::milliseconds late_report);
   bool Signal(std::size_t node, int signal_number) const;
   bool IsReady(std::size_t node) const;
   void SetStoreFaults(const std::string& faults) const;
