LibDecision: Refuse a leave that a stopping node cannot store

A leave that is not stored within 500 ms is acknowledged all the same, since endpoints wait a second, and the node keeps to it. A node that is about to exit does not: its next run knows of the leave only from the store.

Such a node now answers 503, node-stopping, and logs it. The endpoint reports its leave again, to the next run. The node still sends it no new work.

Evidence: HasRefusedALeaveThatCouldNotBeStoredBeforeItsStop, which does not compile on the code before; there the report is acknowledged after 500 ms (IsAcknowledgedWithinASecondIfTheStoreIsAway holds while no stop is asked for).

--- a/Libraries/LibDecision/Work/report_acknowledgements.cc
+++ b/Libraries/LibDecision/Work/report_acknowledgements.cc
@@ -22,8 +22,14 @@
 
 void report_acknowledgements::OnTimer(event_context& context) {
   while (!delayed_.empty() && delayed_.front().due <= context.now()) {
-    context.Emit(acknowledge_report{delayed_.front().report});
+    const report_id report = delayed_.front().report;
     delayed_.pop_front();
+    if (is_stopping_) {
+      context.Emit(log_message{"a leave is refused: it could not be stored"});
+      context.Emit(refuse_report{report, error_kind::kNodeStopping});
+    } else {
+      context.Emit(acknowledge_report{report});
+    }
   }
   if (!delayed_.empty()) {
     context.timers().Schedule({timer_owner::kReportAcknowledgement},
--- a/Libraries/LibDecision/Work/report_acknowledgements.h
+++ b/Libraries/LibDecision/Work/report_acknowledgements.h
@@ -16,7 +16,8 @@
 
 /// Acknowledges the reports of the local endpoint. A leave is acknowledged once
 /// it is stored, so that it binds the next run of this node too, or after
-/// `kMaxAcknowledgementDelay`.
+/// `kMaxAcknowledgementDelay`. A node that stops refuses it then: the next run
+/// would know nothing of it, and can acknowledge it itself.
 class report_acknowledgements {
  public:
   void OnReported(event_context& context,
@@ -24,6 +25,7 @@
                   bool announces_leave);
   /// The node's record, and with it the leave, is in the registry.
   void OnRecordStored(event_context& context);
+  void OnStopRequested() { is_stopping_ = true; }
   void OnTimer(event_context& context);
 
  private:
@@ -34,6 +36,7 @@
 
   /// In the order of their arrival.
   std::deque<delayed_report> delayed_;
+  bool is_stopping_ = false;
 };
 
 }  // namespace auburnfold
--- a/Libraries/LibDecision/effect.h
+++ b/Libraries/LibDecision/effect.h
@@ -212,6 +212,12 @@
   report_id report;
 };
 
+/// Tell the local endpoint that a report could not be acknowledged.
+struct refuse_report {
+  report_id report;
+  error_kind kind;
+};
+
 /// Decode the routes from the value of the route key. Report `routes_decoded`
 /// with the same `value` and `reading`.
 struct decode_routes {
@@ -278,6 +284,7 @@
                             call_store,
                             probe_endpoint,
                             acknowledge_report,
+                            refuse_report,
                             decode_routes,
                             apply_caller_limits,
                             request_view,
--- a/Libraries/LibDecision/event.h
+++ b/Libraries/LibDecision/event.h
@@ -173,7 +173,7 @@
   /// What that response says about the endpoint besides its state.
   std::optional<endpoint_signals> signals;
   /// Set if the endpoint waits for an acknowledgement. Answer it with
-  /// `acknowledge_report`.
+  /// `acknowledge_report` or `refuse_report`.
   std::optional<report_id> report;
 };
 
--- a/Libraries/LibDecision/reducer.cc
+++ b/Libraries/LibDecision/reducer.cc
@@ -118,6 +118,7 @@
     members.OnStopRequested(context);
     calls.OnStopRequested(context);
     work.OnStopRequested(context);
+    acknowledgements.OnStopRequested();
     context.timers().Schedule({timer_owner::kStop, kStopLimitTimerKey},
                               context.now() + options.stop_limit);
     context.timers().Schedule({timer_owner::kStop, kStopGraceTimerKey},
--- a/Libraries/LibRuntime/node_runtime.cc
+++ b/Libraries/LibRuntime/node_runtime.cc
@@ -142,6 +142,7 @@
   void On(const apply_caller_limits& effect);
   void On(const probe_endpoint& effect) { works.ProbeEndpoint(effect.path); }
   void On(const acknowledge_report& effect);
+  void On(const refuse_report& effect);
   void On(const request_view& effect) { views.Execute(effect); }
   void On(const send_view& effect) { views.Execute(effect); }
   void On(const defer_call& effect) { calls.Execute(effect); }
@@ -642,6 +643,13 @@
   }
 }
 
+void node_runtime::impl::On(const refuse_report& effect) {
+  const auto reported = reports.extract(effect.report);
+  if (reported) {
+    reported.mapped()->Respond(dialect.MakeError({.kind = effect.kind}));
+  }
+}
+
 // Another writer may send the same report every second.
 void node_runtime::impl::LogUnreadReport(const http_request& request,
                                          const request_error& error) {
--- a/Tests/LibDecision/restarted_node_test.cc
+++ b/Tests/LibDecision/restarted_node_test.cc
@@ -49,6 +49,9 @@
       if (const auto* acknowledged = std::get_if<acknowledge_report>(&each)) {
         acknowledged_.push_back(acknowledged->report);
       }
+      if (const auto* refused = std::get_if<refuse_report>(&each)) {
+        refused_.push_back(refused->report);
+      }
     }
     return made;
   }
@@ -167,6 +170,7 @@
   std::uint64_t last_work_ = 0;
   std::vector<call_store> calls_;
   std::vector<report_id> acknowledged_;
+  std::vector<report_id> refused_;
   store_revision revision_{10};
   /// What the store holds under the node's key.
   std::optional<store_entry> entry_;
@@ -316,6 +320,20 @@
   EXPECT_FALSE(IsServed());
 }
 
+TEST_F(a_restarted_node, HasRefusedALeaveThatCouldNotBeStoredBeforeItsStop) {
+  AnswerStore();
+  Happen(Report(7));
+  AnswerStore();
+  Happen(stop_requested{});
+  Happen(Farewell());
+  Pass(kMaxAcknowledgementDelay - 10ms);
+  EXPECT_TRUE(refused_.empty());
+  Pass(20ms);
+  EXPECT_TRUE(acknowledged_.empty());
+  EXPECT_EQ(refused_, std::vector{report_id(1)});
+  EXPECT_FALSE(IsServed()) << "callers need not wait for the store";
+}
+
 TEST_F(a_restarted_node, PublishesNoReportThatComesAtTheEndOfAPlannedStop) {
   AnswerStore();
   Happen(Report(7));
