LibDecision: Log an endpoint that has left as leaving

A late report of a run that has deregistered was logged as endpoint_changed with state 0, as if the endpoint were ready again, though the node went on refusing its work. The line now shows the state that the node goes by.

IsNotLoggedAsReadyWhenALateReportComes fails before and passes now.

--- a/Libraries/LibDecision/Work/incoming_work.cc
+++ b/Libraries/LibDecision/Work/incoming_work.cc
@@ -360,12 +360,17 @@
     admission_.OnEndpointReported(context, *endpoint_.report());
   }
   if (result != report_result::kAccepted) {
+    // A run that has left stays so, whatever it reports.
+    const bool is_overruled =
+        has_effect && report.state == endpoint_state::kReady;
+    const endpoint_state state =
+        is_overruled ? endpoint_.report()->state : report.state;
     context.Log({.kind = KindOf(result),
                  .service = report.service,
                  .endpoint = report.name,
                  .run = report.run,
                  .limit = report.slots,
-                 .state = static_cast<std::uint32_t>(report.state)});
+                 .state = static_cast<std::uint32_t>(state)});
   }
   const bool names_rate =
       has_effect && report.signals && report.signals->rate_limit;
--- a/Tests/LibDecision/registry_test.cc
+++ b/Tests/LibDecision/registry_test.cc
@@ -571,6 +571,15 @@
   an_endpoint_that_deregisters_before_its_first_report() { Deregister(); }
 };
 
+TEST_F(an_endpoint_that_deregisters_before_its_first_report,
+       IsNotLoggedAsReadyWhenALateReportComes) {
+  const effects made = Report(4);
+  EXPECT_TRUE(HasLogged(made, decision_kind::kEndpointChanged,
+                        endpoint_state::kLeaving));
+  EXPECT_FALSE(
+      HasLogged(made, decision_kind::kEndpointChanged, endpoint_state::kReady));
+}
+
 TEST_F(an_endpoint_that_deregisters_before_its_first_report,
        IsNotMadeReadyByAHealthProbe) {
   AnswerHealth();
