LibRuntime: End one connection when its handler throws, not the process

An exception that left a handler of the event loop ended the process, and with it all requests of the node. One while a request was read closed its connection without an answer, a log line or a count, because LEAF's catch-all took it.

- While a request is read: it is answered 500 internal, not run, since the reducer is told of it last; logged with its id and counted.
- While an answer is understood: the request ends internal, unknown.
- Elsewhere in a connection's handlers: that connection is closed, and logged.

An exception in a timer still ends the process, as does one in the reducer.

Evidence: SaysOfAnUnreadAnswerThatItMayHaveRun ended the test process before (std::length_error), ClosesThatConnectionOnly failed with the exception, and SaysThatAnUnreadRequestHasNotRun and AnswersTheEarlierRequestsOfAPipeline got no answer.

--- a/Libraries/LibRuntime/Connections/client_connection.cc
+++ b/Libraries/LibRuntime/Connections/client_connection.cc
@@ -8,6 +8,7 @@
 #include <string_view>
 #include <utility>
 
+#include "LibRuntime/Connections/connection_failure.h"
 #include "LibRuntime/Connections/long_fields.h"
 #include "LibRuntime/Connections/tcp_timeouts.h"
 
@@ -47,7 +48,8 @@
   request_ = std::move(request);
   StartConnectTimer();
   socket_.async_connect(to, [self = shared_from_this()](error_code error) {
-    self->OnConnected(error);
+    RunForConnection([&] { self->OnConnected(error); },
+                     [&] { self->FailInternally(); });
   });
 }
 
@@ -166,7 +168,8 @@
   is_write_done_ = false;
   asio::async_write(socket_, buffers,
                     [self = shared_from_this()](error_code error, std::size_t) {
-                      self->OnWritten(error);
+                      RunForConnection([&] { self->OnWritten(error); },
+                                       [&] { self->FailInternally(); });
                     });
   if (!is_reading_) {
     Read();
@@ -191,7 +194,8 @@
   socket_.async_read_some(
       buffer_.prepare(kReadChunkBytes),
       [self = shared_from_this()](error_code error, std::size_t size) {
-        self->OnRead(error, size);
+        RunForConnection([&] { self->OnRead(error, size); },
+                         [&] { self->FailInternally(); });
       });
 }
 
@@ -340,9 +344,15 @@
   } else {
     CloseSocket(false);
   }
-  if (on_finished) {
-    on_finished(std::move(result));
+  if (!on_finished) {
+    return;
   }
+  // The request ends also if its response cannot be understood.
+  RunForConnection([&] { on_finished(std::move(result)); },
+                   [&] {
+                     on_finished({.error = error_kind::kInternal,
+                                  .execution = execution_state::kUnknown});
+                   });
 }
 
 // A response without a length ends when the peer closes the connection, but
@@ -376,6 +386,10 @@
   }
 }
 
+void client_connection::FailInternally() {
+  Fail(error_kind::kInternal, execution_state::kUnknown, false);
+}
+
 void client_connection::Fail(error_kind kind,
                              execution_state execution,
                              bool by_peer) {
--- a/Libraries/LibRuntime/Connections/client_connection.h
+++ b/Libraries/LibRuntime/Connections/client_connection.h
@@ -94,6 +94,8 @@
   bool ReserveBodyMemory();
   void ReleaseBodyMemory();
   void Complete();
+  /// An exception has left the connection in an unknown state.
+  void FailInternally();
   void Fail(error_kind kind, execution_state execution, bool by_peer);
   void OnDisconnected(error_code error);
   /// Whether the response that was read belongs to the current request.
--- a/Libraries/LibRuntime/Connections/server_exchange.cc
+++ b/Libraries/LibRuntime/Connections/server_exchange.cc
@@ -14,6 +14,12 @@
   on_disconnect_ = std::move(on_disconnect);
 }
 
+void server_exchange::Abandon() {
+  if (on_disconnect_) {
+    std::exchange(on_disconnect_, nullptr)();
+  }
+}
+
 void server_exchange::Defer(std::function<void()> on_turn) {
   on_turn_ = std::move(on_turn);
 }
--- a/Libraries/LibRuntime/Connections/server_exchange.h
+++ b/Libraries/LibRuntime/Connections/server_exchange.h
@@ -26,6 +26,9 @@
   /// Calls `on_disconnect` if the request will not be answered: the peer
   /// disconnects, or the response to an earlier request closes the connection.
   void SetDisconnectHandler(std::function<void()> on_disconnect);
+  /// Calls `on_disconnect`, as if the peer had disconnected. The request can
+  /// still be answered.
+  void Abandon();
   /// Calls `on_turn` when all earlier requests on the connection are answered.
   /// Until then no request behind this one is handed over.
   void Defer(std::function<void()> on_turn);
@@ -57,6 +60,7 @@
   /// one.
   std::optional<call_id> CallBefore() const;
   void set_call(call_id call) { call_ = call; }
+  bool has_response() const { return response_.has_value(); }
   /// When the whole request was read.
   clock::time_point read_at() const { return read_at_; }
 
--- a/Libraries/LibRuntime/Connections/server_session.cc
+++ b/Libraries/LibRuntime/Connections/server_session.cc
@@ -10,6 +10,7 @@
 #include <utility>
 #include <vector>
 
+#include "LibRuntime/Connections/connection_failure.h"
 #include "LibRuntime/Connections/http_responses.h"
 
 namespace auburnfold {
@@ -115,7 +116,8 @@
   socket_.async_read_some(
       asio::buffer(received_),
       [self = shared_from_this()](error_code error, std::size_t size) {
-        self->OnRead(error, size);
+        RunForConnection([&] { self->OnRead(error, size); },
+                         [&] { self->OnDisconnected(); });
       });
 }
 
@@ -380,7 +382,10 @@
       // The response lives as long as it is written, also if the session drops
       // it.
       [self = shared_from_this(), exchange = exchanges_.front()](
-          error_code error, std::size_t) { self->OnWritten(error); });
+          error_code error, std::size_t) {
+        RunForConnection([&] { self->OnWritten(error); },
+                         [&] { self->OnDisconnected(); });
+      });
 }
 
 void server_session::OnWritten(error_code error) {
--- a/Libraries/LibRuntime/Observability/node_metrics.h
+++ b/Libraries/LibRuntime/Observability/node_metrics.h
@@ -25,7 +25,8 @@
   kConnectionsAccepted,
   kAcceptFailures,  ///< Connections that could not be accepted.
   kCallsPipelined,  ///< Calls read while earlier ones were unanswered.
-  kEffectsFailed,   ///< Effects that ended with an exception.
+  kEffectsFailed,   ///< Effects, and requests that are not yet known to the
+                    ///< reducer, that ended with an exception.
 };
 
 inline constexpr std::size_t kRuntimeCounterCount =
--- a/Libraries/LibRuntime/Requests/work_handler.cc
+++ b/Libraries/LibRuntime/Requests/work_handler.cc
@@ -58,6 +58,7 @@
             MakeErrorResponse(error.kind, execution_state::kNotExecuted,
                               duration::zero(), request_id(), error.reason));
       },
+      [](const std::exception&) { throw; },
       [&] { exchange->CloseConnection(); });
 }
 
--- a/Libraries/LibRuntime/node_runtime.cc
+++ b/Libraries/LibRuntime/node_runtime.cc
@@ -54,6 +54,7 @@
 // take the place of others.
 constexpr std::size_t kMaxPipelinedCalls = 16;
 constexpr std::size_t kLargestHeaderBytes = caller_limits::kMaxHeaderBytes;
+constexpr std::size_t kMaxLoggedIdBytes = 128;
 constexpr std::string_view kIdempotencyKeysTarget = "/auburnfold/v1/keys";
 
 // Counts microseconds, so that a restart within the same millisecond gets a
@@ -163,6 +164,9 @@
   session_handlers MakeSessionHandlers(
       std::function<void(const std::shared_ptr<server_exchange>&, http_request)>
           on_request);
+  void OnUnhandled(server_exchange& exchange,
+                   const std::string& id,
+                   const std::exception& error);
   leaf::result<void> ListenAt(http_listener& listener,
                               const std::string& key,
                               std::uint16_t port);
@@ -328,7 +332,17 @@
     std::function<void(const std::shared_ptr<server_exchange>&, http_request)>
         on_request) {
   session_handlers handlers;
-  handlers.on_request = std::move(on_request);
+  handlers.on_request = [this, handle = std::move(on_request)](
+                            const std::shared_ptr<server_exchange>& exchange,
+                            http_request request) {
+    const std::string id =
+        ToPrintable(request[dialect.echoed_header()], kMaxLoggedIdBytes);
+    try {
+      handle(exchange, std::move(request));
+    } catch (const std::exception& error) {
+      OnUnhandled(*exchange, id, error);
+    }
+  };
   handlers.on_rejected = [this](
                              const std::shared_ptr<server_exchange>& exchange,
                              error_kind kind) {
@@ -343,6 +357,22 @@
   return handlers;
 }
 
+// The reducer is told of a request last, so it does not know of this one.
+void node_runtime::impl::OnUnhandled(server_exchange& exchange,
+                                     const std::string& id,
+                                     const std::exception& error) {
+  metrics.Count(runtime_counter::kEffectsFailed);
+  metrics.CountError(error_kind::kInternal);
+  LOG4CPLUS_ERROR(Log(), "request " << id << " failed: " << error.what());
+  exchange.Abandon();
+  if (exchange.has_response()) {
+    return exchange.CloseConnection();
+  }
+  exchange.RespondAndClose(
+      dialect.MakeError({.kind = error_kind::kInternal,
+                         .execution = execution_state::kNotExecuted}));
+}
+
 leaf::result<void> node_runtime::impl::Start() {
   SetInitialLimits();
   call_listener.LimitSessions(DescriptorLimit() / kCallerDescriptorDivisor);
@@ -632,6 +662,7 @@
         exchange->Respond(
             dialect.MakeError({.kind = error.kind, .reason = error.reason}));
       },
+      [](const std::exception&) { throw; },
       [&] { exchange->CloseConnection(); });
 }
 
--- a/Tests/LibRuntime/failed_effects_test.cc
+++ b/Tests/LibRuntime/failed_effects_test.cc
@@ -13,13 +13,16 @@
 #include "scripted_server.h"
 
 // Guards against an exception in one effect that stopped the decision loop: the
-// node stayed ready and handled no event any more.
+// node stayed ready and handled no event any more. And against one in a handler
+// of the event loop, which ended the process.
 
 namespace auburnfold::testing_support {
 namespace {
 
 /// What a node does for a request, of which one part throws.
 enum class failing_part : std::uint8_t {
+  kReadingCall,
+  kReadingAnswer,
   kSendingWork,
   kAnswering,
   kRefusing,
@@ -29,6 +32,15 @@
 struct failing_dialect : own_dialect {
   explicit failing_dialect(failing_part failing) : part(failing) {}
 
+  leaf::result<caller_request> ReadCallerRequest(
+      const http_request& request) const {
+    ThrowIf(part == failing_part::kReadingCall && IsOdd(request));
+    return own_dialect::ReadCallerRequest(request);
+  }
+  outcome ReadEndpointOutcome(const http_response& response) const {
+    ThrowIf(part == failing_part::kReadingAnswer && IsOdd(response));
+    return own_dialect::ReadEndpointOutcome(response);
+  }
   void AddEndpointHeaders(http::fields& headers,
                           const endpoint_request& forwarded) const {
     ThrowIf(part == failing_part::kSendingWork && IsOdd(headers));
@@ -85,6 +97,37 @@
   std::unique_ptr<running_node> node_;
 };
 
+TEST_F(a_node_of_which_a_part_throws, SaysThatAnUnreadRequestHasNotRun) {
+  Start(failing_part::kReadingCall);
+  const read_answer answer = CallOdd();
+  EXPECT_EQ(answer.status, 500U);
+  EXPECT_EQ(answer.Header("Auburnfold-Result"), "internal");
+  EXPECT_EQ(answer.Header("Auburnfold-Ran"), "not-run");
+  ExpectCountedAndOthersServed();
+}
+
+TEST_F(a_node_of_which_a_part_throws, AnswersTheEarlierRequestsOfAPipeline) {
+  Start(failing_part::kReadingCall);
+  raw_client client(node_->call_port());
+  client.Write(CallText("listings") + CallText("listings", "X-Odd: 1\r\n"));
+  const auto whole = client.Read();
+  ASSERT_TRUE(whole);
+  EXPECT_EQ(whole->status, 200U);
+  const auto failed = client.Read();
+  ASSERT_TRUE(failed);
+  EXPECT_EQ(failed->Header("Auburnfold-Ran"), "not-run");
+}
+
+TEST_F(a_node_of_which_a_part_throws, SaysOfAnUnreadAnswerThatItMayHaveRun) {
+  Start(failing_part::kReadingAnswer);
+  const read_answer answer = CallOdd();
+  EXPECT_EQ(answer.Header("Auburnfold-Result"), "internal");
+  EXPECT_EQ(answer.Header("Auburnfold-Ran"), "unknown");
+  EXPECT_EQ(
+      raw_client::Exchange(node_->call_port(), CallText("listings")).status,
+      200U);
+}
+
 TEST_F(a_node_of_which_a_part_throws, SaysThatAnUnsentRequestHasNotRun) {
   Start(failing_part::kSendingWork);
   const read_answer answer = CallOdd();
--- a/Tests/LibRuntime/http_listener_test.cc
+++ b/Tests/LibRuntime/http_listener_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <list>
+#include <stdexcept>
 
 #include "raw_client.h"
 
@@ -40,6 +41,31 @@
   EXPECT_EQ(listener_.session_count(), kWaiting);
 }
 
+/// Whoever handles its requests throws.
+class a_listener_whose_owner_throws : public a_listener {
+ protected:
+  static session_handlers ThrowingHandlers(session_handlers handlers) {
+    handlers.on_rejected = [](const std::shared_ptr<server_exchange>&,
+                              error_kind) { throw std::length_error("odd"); };
+    return handlers;
+  }
+
+  http_listener odd_listener_{io_, ThrowingHandlers(handlers_), metrics_};
+};
+
+// The exception ended the process.
+TEST_F(a_listener_whose_owner_throws, ClosesThatConnectionOnly) {
+  ASSERT_FALSE(odd_listener_.Listen("127.0.0.1", 0));
+  raw_client other(odd_listener_.port());
+  raw_client client(odd_listener_.port());
+  client.Write("no request\r\n\r\n");
+  client.WaitUntilReceived();
+  io_.run_for(std::chrono::milliseconds(200));
+  odd_listener_.Sweep();
+  ASSERT_EQ(odd_listener_.session_count(), 1U);
+  EXPECT_TRUE(client.ReadsEnd());
+}
+
 class a_listener_with_a_limit : public a_listener {
  protected:
   a_listener_with_a_limit() { listener_.LimitSessions(2); }
