LibRuntime: Answer what a failed effect leaves open, for each kind of effect

Tests can now throw in front of any effect (SetEffectProbe). Of the 36 kinds, with calls in the usual ways, one left a request open for good: a pipelined call whose defer_call failed was never resumed or answered. It is now refused, not run. A report whose acknowledgement failed has its connection closed, so that the endpoint reports again.

EachKind/a_node_of_which_each_kind_throws hung before with kind 4, defer_call; all pass now. The calls reach nine kinds for certain (HasSeenTheKindsOfTheUsual Ways); for views, attempt reports and administration nothing is shown.

--- a/Libraries/LibRuntime/node_runtime.cc
+++ b/Libraries/LibRuntime/node_runtime.cc
@@ -104,7 +104,16 @@
   }
 
   /// Ends what could not be answered because carrying out the effect threw.
-  void OnFailed(const relay_answer& failed);
+  void OnFailed(const relay_answer& failed) {
+    RefuseOrClose(failed.call, execution_state::kExecuted);
+  }
+  void OnFailed(const defer_call& failed) {
+    RefuseOrClose(failed.call, execution_state::kNotExecuted);
+  }
+  void OnFailed(const acknowledge_report& failed) {
+    CloseReport(failed.report);
+  }
+  void OnFailed(const refuse_report& failed) { CloseReport(failed.report); }
   void OnFailed(const refuse_call& failed) { calls.Fail(failed.call); }
   void OnFailed(const relay_work_answer& failed) { works.Fail(failed.work); }
   void OnFailed(const refuse_work& failed) { works.Fail(failed.work); }
@@ -113,6 +122,10 @@
   template <class effect_type>
   void OnFailed(const effect_type&) {}
 
+  /// Answers a call whose answer, if the endpoint gave one, is lost.
+  void RefuseOrClose(call_id call, execution_state execution);
+  void CloseReport(report_id report);
+
   void OnEventCompleted(const event_content& content);
 
   void On(send_attempt& effect) { calls.Execute(effect); }
@@ -215,6 +228,7 @@
   /// The last report that could not be read, and why.
   std::string unread_report;
   std::uint64_t aborted_requests = 0;
+  std::function<void(const effect&)> before_effect;
   bool is_stopping = false;
   bool is_reducer_stopped = false;
   bool is_finished = false;
@@ -467,6 +481,9 @@
 // after it and all later events concern other requests.
 void node_runtime::impl::Execute(effect& next_effect) {
   try {
+    if (before_effect) {
+      before_effect(next_effect);
+    }
     std::visit([this](auto& content) { On(content); }, next_effect);
   } catch (const std::exception& error) {
     metrics.Count(runtime_counter::kEffectsFailed);
@@ -482,13 +499,20 @@
   }
 }
 
-// The answer of the endpoint is replaced by an error that says that it ran.
-void node_runtime::impl::OnFailed(const relay_answer& failed) {
+void node_runtime::impl::RefuseOrClose(call_id call,
+                                       execution_state execution) {
   try {
-    calls.Execute(refuse_call{failed.call, error_kind::kInternal,
-                              execution_state::kExecuted});
+    calls.Execute(refuse_call{call, error_kind::kInternal, execution});
   } catch (const std::exception&) {
-    calls.Fail(failed.call);
+    calls.Fail(call);
+  }
+}
+
+// The endpoint reports again.
+void node_runtime::impl::CloseReport(report_id report) {
+  const auto reported = reports.extract(report);
+  if (reported) {
+    reported.mapped()->CloseConnection();
   }
 }
 
@@ -733,6 +757,11 @@
   impl_->Stop();
 }
 
+void node_runtime::SetEffectProbe(
+    std::function<void(const effect&)> before_effect) {
+  impl_->before_effect = std::move(before_effect);
+}
+
 void node_runtime::SetStopLinger(std::chrono::milliseconds linger) {
   impl_->settings.stop_linger = linger;
 }
--- a/Libraries/LibRuntime/node_runtime.h
+++ b/Libraries/LibRuntime/node_runtime.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <string>
 
+#include "LibDecision/effect.h"
 #include "LibDecision/node_options.h"
 #include "LibRuntime/Control/admin_handler.h"
 #include "LibRuntime/Requests/wire_dialect.h"
@@ -53,6 +54,10 @@
   /// `on_stopped` is called once the stop is complete.
   void SetStoppedHandler(std::function<void()> on_stopped);
 
+  /// `before_effect` is called before each effect is carried out. For tests: an
+  /// exception counts as one of the effect.
+  void SetEffectProbe(std::function<void(const effect&)> before_effect);
+
   /// Overrides the setting `stop_linger`.
   void SetStopLinger(std::chrono::milliseconds linger);
 
--- a/Tests/LibRuntime/failed_effects_test.cc
+++ b/Tests/LibRuntime/failed_effects_test.cc
@@ -1,10 +1,12 @@
 #include <gtest/gtest.h>
 
+#include <atomic>
 #include <memory>
 #include <optional>
 #include <stdexcept>
 #include <string>
 #include <utility>
+#include <variant>
 
 #include "LibRuntime/Requests/own_dialect.h"
 #include "LibRuntime/failed_effect.h"
@@ -152,6 +154,95 @@
   ExpectCountedAndOthersServed();
 }
 
+/// A node of which one effect of a kind throws: the first after `Arm`.
+class a_node_of_which_an_effect_throws : public testing::Test {
+ protected:
+  static constexpr int kNone = -1;
+
+  a_node_of_which_an_effect_throws() {
+    node_.Announce("listings", endpoint_.port());
+    EXPECT_TRUE(IsServed());
+  }
+
+  void Arm(int kind) { armed_ = kind; }
+  bool has_thrown() const { return armed_ == kNone; }
+
+  bool IsServed() {
+    return raw_client::Exchange(node_.call_port(), CallText("listings"))
+               .status == 200U;
+  }
+
+  /// Calls after which the reducer has made the effects of a request's usual
+  /// ways. Each is answered, or its connection is closed.
+  void CallInManyWays() {
+    raw_client pipeline(node_.call_port());
+    pipeline.Write(CallText("listings") + CallText("listings"));
+    if (pipeline.Read()) {
+      pipeline.Read();
+    }
+    raw_client::Exchange(node_.call_port(), CallText("nobody"));
+    raw_client::Exchange(node_.call_port(),
+                         "PUT /auburnfold/v1/endpoint HTTP/1.1\r\nHost: test"
+                         "\r\nContent-Length: " +
+                             std::to_string(report_.size()) + "\r\n\r\n" +
+                             report_);
+  }
+
+  scripted_server endpoint_{[](scripted_connection& connection) {
+    while (connection.ReadHeader()) {
+      connection.Write(AnswerText("whole"));
+    }
+  }};
+  std::string report_ =
+      R"({"service":"listings","run":1,"state":"ready","port":)" +
+      std::to_string(endpoint_.port()) + '}';
+  std::atomic<int> armed_{kNone};
+  running_node node_{LoopbackSettings(), [this](const effect& next) {
+                       int expected = static_cast<int>(next.index());
+                       if (armed_.compare_exchange_strong(expected, kNone)) {
+                         throw std::length_error("odd");
+                       }
+                     }};
+};
+
+class a_node_of_which_each_kind_throws
+    : public a_node_of_which_an_effect_throws,
+      public testing::WithParamInterface<int> {};
+
+TEST_P(a_node_of_which_each_kind_throws, ServesTheNextRequests) {
+  Arm(GetParam());
+  CallInManyWays();
+  const bool was_carried_out = has_thrown();
+  Arm(kNone);
+  EXPECT_TRUE(IsServed());
+  EXPECT_TRUE(IsServed());
+  EXPECT_EQ(node_.Metric("auburnfold_effects_failed_total"),
+            was_carried_out ? 1 : 0);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    EachKind,
+    a_node_of_which_each_kind_throws,
+    testing::Range(0, static_cast<int>(std::variant_size_v<effect>)));
+
+template <class kind>
+int IndexOf() {
+  return static_cast<int>(effect(kind()).index());
+}
+
+// Otherwise the test above shows nothing for these.
+TEST_F(a_node_of_which_an_effect_throws, HasSeenTheKindsOfTheUsualWays) {
+  for (const int kind : {IndexOf<send_attempt>(), IndexOf<relay_answer>(),
+                         IndexOf<refuse_call>(), IndexOf<execute_work>(),
+                         IndexOf<relay_work_answer>(), IndexOf<defer_call>(),
+                         IndexOf<acknowledge_report>(), IndexOf<log_decision>(),
+                         IndexOf<increment_counter>()}) {
+    Arm(kind);
+    CallInManyWays();
+    EXPECT_TRUE(has_thrown()) << kind;
+  }
+}
+
 class an_effect_that_failed : public testing::Test {};
 
 TEST_F(an_effect_that_failed, EndsWhatTheReducerWaitsFor) {
--- a/Tests/LibRuntime/running_node.cc
+++ b/Tests/LibRuntime/running_node.cc
@@ -87,6 +87,18 @@
   EXPECT_TRUE(parts_->is_started);
 }
 
+running_node::running_node(const node_settings& settings,
+                           std::function<void(const effect&)> before_effect)
+    : parts_(std::make_unique<parts>(settings,
+                                     any_wire_dialect(own_dialect()),
+                                     node_options(),
+                                     [&before_effect](node_runtime& node) {
+                                       node.SetEffectProbe(
+                                           std::move(before_effect));
+                                     })) {
+  EXPECT_TRUE(parts_->is_started);
+}
+
 running_node::running_node(const caller_limits& limits)
     : parts_(std::make_unique<parts>(
           LoopbackSettings(),
--- a/Tests/LibRuntime/running_node.h
+++ b/Tests/LibRuntime/running_node.h
@@ -2,10 +2,12 @@
 #define TESTS_LIBRUNTIME_RUNNING_NODE_H_
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 
 #include "LibDecision/Routes/route.h"
+#include "LibDecision/effect.h"
 #include "LibDecision/node_options.h"
 #include "LibDecision/peer_message.h"
 #include "LibRuntime/Requests/own_dialect.h"
@@ -27,6 +29,9 @@
  public:
   explicit running_node(const node_settings& settings = LoopbackSettings());
   running_node(const node_settings& settings, any_wire_dialect dialect);
+  /// `before_effect` is called in the node's thread before each effect.
+  running_node(const node_settings& settings,
+               std::function<void(const effect&)> before_effect);
   /// With a route configuration that sets `limits`, which are in effect.
   explicit running_node(const caller_limits& limits);
   ~running_node();
