LibRuntime: Reject a start line that is too short at once

A caller that sent "GET /b H" and an empty line waited for its 400 until the connection timed out. Beast's parser waits for more of a start line that ends before the version could, although the header is complete, and goes on waiting when more arrives. Nothing was handed over. The parser now fails once a header with such a line is complete; empty lines in front of a message stay ignored.

--- a/Libraries/LibRuntime/Connections/message_parser.h
+++ b/Libraries/LibRuntime/Connections/message_parser.h
@@ -1,7 +1,9 @@
 #ifndef LIBRUNTIME_CONNECTIONS_MESSAGE_PARSER_H_
 #define LIBRUNTIME_CONNECTIONS_MESSAGE_PARSER_H_
 
+#include <algorithm>
 #include <cstddef>
+#include <string_view>
 
 #include "LibRuntime/Connections/http_types.h"
 #include "LibRuntime/Connections/long_fields.h"
@@ -14,6 +16,8 @@
 /// - fails if the end of the message cannot be told with certainty (RFC 9112,
 ///   sections 5.2 and 6.3), where Beast takes what follows for a message of its
 ///   own;
+/// - fails at a start line that is too short once the header is complete, where
+///   Beast waits for more;
 /// - discards trailers, which Beast adds to the header.
 template <bool is_request>
 class message_parser : public http::parser<is_request, http::string_body> {
@@ -25,6 +29,11 @@
     if (folding_.has_folding()) {
       error = http::error::bad_value;
     }
+    const bool is_waiting =
+        error == http::error::need_more && !this->is_header_done();
+    if (is_waiting && HoldsEmptyLine(data + used, used > 0)) {
+      error = http::error::bad_version;
+    }
     return used;
   }
 
@@ -48,6 +57,19 @@
     }
   }
 
+  // Empty lines in front of a message are ignored. What an earlier call
+  // searched is not searched again.
+  bool HoldsEmptyLine(asio::const_buffer unused, bool has_moved) {
+    constexpr std::string_view kEnd = "\r\n\r\n";
+    const std::string_view text(static_cast<const char*>(unused.data()),
+                                unused.size());
+    const std::size_t begin =
+        std::min(text.find_first_not_of("\r\n"), text.size());
+    const std::size_t from = has_moved ? begin : std::max(begin, searched_);
+    searched_ = text.size() - std::min(text.size(), kEnd.size() - 1);
+    return text.find(kEnd, from) != std::string_view::npos;
+  }
+
   // Other codings than chunked are not decoded, and the next hop would not be
   // told of them.
   bool IsLengthKnown() const {
@@ -65,6 +87,7 @@
 
   folding_detector folding_;
   bool is_header_parsed_ = false;
+  std::size_t searched_ = 0;
 };
 
 using request_parser = message_parser<true>;
--- a/Tests/LibRuntime/message_length_test.cc
+++ b/Tests/LibRuntime/message_length_test.cc
@@ -414,6 +414,32 @@
   EXPECT_EQ(parser.get().count(http::field::host), 1U);
 }
 
+// Guards against a caller that waited for its answer until the connection timed
+// out: Beast's parser waited for more of a start line whose header was
+// complete.
+class a_start_line_that_is_too_short : public a_node_between {};
+
+TEST_F(a_start_line_that_is_too_short, IsRejectedOnceTheHeaderIsComplete) {
+  EXPECT_EQ(raw_client::Exchange(node_.call_port(), "GET /b H\r\n\r\n").status,
+            400U);
+}
+
+TEST_F(a_start_line_that_is_too_short, IsRejectedWhereverItIsCut) {
+  const std::string text = "GET /b H\r\n\r\n";
+  for (std::size_t cut = 0; cut <= text.size(); ++cut) {
+    request_parser parser;
+    parser.eager(true);
+    error_code error;
+    std::string unused = text.substr(0, cut);
+    unused.erase(0, parser.Parse(asio::buffer(unused), error));
+    if (error == http::error::need_more) {
+      unused += text.substr(cut);
+      parser.Parse(asio::buffer(unused), error);
+    }
+    EXPECT_EQ(error, http::error::bad_version) << cut;
+  }
+}
+
 // Its length does not depend on its fields (RFC 9112, section 6.3).
 TEST(an_answer_without_a_body, MayNameACoding) {
   for (const char* status : {"204 No Content", "304 Not Modified"}) {
