Tests: Fuzz connections with streams cut into segments

Two more targets for libFuzzer: bytes and cuts go through server_session and client_connection, and must become the same messages in the same order as when the parser gets the whole at once, or be rejected behind the same ones. One difference is allowed: a header that is malformed and incomplete may be rejected when the rest arrives, as Beast's parser looks at no field again before that.

--- a/Tests/Fuzz/fuzz_targets.h
+++ b/Tests/Fuzz/fuzz_targets.h
@@ -31,6 +31,11 @@
 /// Headers of callers and nodes are read or refused; an answer that does not
 /// say how it ended is neither whole nor "not run".
 void Headers(input bytes);
+/// A stream of requests, cut into segments, is the same requests in the same
+/// order as if it came at once, or is rejected behind the same ones.
+void Requests(input bytes);
+/// So is the response to a request.
+void Responses(input bytes);
 
 }  // namespace auburnfold::fuzz
 
--- a/Tests/Fuzz/fuzz_test.cc
+++ b/Tests/Fuzz/fuzz_test.cc
@@ -17,6 +17,8 @@
 namespace {
 
 constexpr int kInputs = 4000;
+/// Of streams: each opens a connection.
+constexpr int kStreams = 40;
 constexpr std::size_t kLongest = 400;
 
 struct target {
@@ -97,6 +99,22 @@
   };
 }
 
+std::vector<target> ConnectionTargets() {
+  return {
+      {"Requests", Requests,
+       "\x04\x20\x55\x90\xf1"
+       "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+       "4;x=1\r\nbody\r\n0\r\nTrailer: t\r\n\r\n"
+       "GET /b HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\n\r\n"
+       "PUT /c HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc"},
+      {"Responses", Responses,
+       "\x04\x20\x55\x90\xf1"
+       "HTTP/1.1 103 Early Hints\r\nLink: l\r\n\r\n"
+       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+       "4;x=1\r\nbody\r\n0\r\nTrailer: t\r\n\r\n"},
+  };
+}
+
 std::string Mutate(std::string text, std::mt19937_64& random) {
   const std::size_t changes = 1 + random() % 4;
   for (std::size_t i = 0; i < changes && !text.empty(); ++i) {
@@ -126,14 +144,30 @@
   return text;
 }
 
+void Offer(const target& to, const std::string& text) {
+  to.run({reinterpret_cast<const std::uint8_t*>(text.data()), text.size()});
+}
+
+class a_connection : public testing::TestWithParam<target> {};
+
+TEST_P(a_connection, ReadsTheSameInPiecesAsAtOnce) {
+  std::mt19937_64 random(1);
+  Offer(GetParam(), GetParam().sample);
+  for (int i = 0; i < kStreams; ++i) {
+    Offer(GetParam(), Mutate(GetParam().sample, random));
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(Every,
+                         a_connection,
+                         testing::ValuesIn(ConnectionTargets()),
+                         [](const auto& each) { return each.param.name; });
+
 class a_decoder : public testing::TestWithParam<target> {};
 
 TEST_P(a_decoder, TakesAnyBytes) {
   std::mt19937_64 random(1);
-  const auto offer = [](const std::string& text) {
-    GetParam().run(
-        {reinterpret_cast<const std::uint8_t*>(text.data()), text.size()});
-  };
+  const auto offer = [](const std::string& text) { Offer(GetParam(), text); };
   offer(GetParam().sample);
   for (int i = 0; i < kInputs; ++i) {
     offer(Mutate(GetParam().sample, random));
@@ -145,10 +179,7 @@
 TEST_P(a_decoder, TakesOddTextsInPlaceOfAnyNumberOrOfAll) {
   const std::string& sample = GetParam().sample;
   for (const std::string& odd : OddTexts()) {
-    const auto offer = [](const std::string& text) {
-      GetParam().run(
-          {reinterpret_cast<const std::uint8_t*>(text.data()), text.size()});
-    };
+    const auto offer = [](const std::string& text) { Offer(GetParam(), text); };
     offer(odd);
     for (std::size_t at = 0; at < sample.size(); ++at) {
       if (std::isdigit(static_cast<unsigned char>(sample[at])) != 0) {
