--- a/Tests/Fuzz/connection_targets.cc
+++ b/Tests/Fuzz/connection_targets.cc
@@ -29,7 +29,7 @@
 
 constexpr std::size_t kMaxCuts = 8;
 /// Below every limit of headers and bodies.
-constexpr std::size_t kMaxStreamBytes = 8 * 1024;
+constexpr std::size_t kMaxStreamBytes = std::size_t{8} * 1024;
 constexpr unsigned kFirstFinalStatus = 200;
 
 /// Method, target and body; or status, nothing and body.
