review: Show that a late heartbeat revives an upstream that has left (DRAIN)

Rule DRAIN: no request reaches an upstream later than drainS after its leave was acknowledged. A heartbeat of the incarnation before the one that left is accepted once the latter counts as silent, and makes the upstream ready again.

--- a/review/stand-ins-2/stand_ins.py
+++ b/review/stand-ins-2/stand_ins.py
@@ -147,6 +147,9 @@
             connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             with self._lock:
                 self._open.add(connection)
+                if self._is_closed:
+                    connection.close()
+                    return
             threading.Thread(target=self._serve, args=(connection,), daemon=True).start()
 
     def _serve(self, connection):
@@ -323,7 +326,7 @@
 class Upstream(Server):
     """An upstream of a service and its reports to the node beside it."""
 
-    def __init__(self, record, service, instance, slots=64):
+    def __init__(self, record, service, instance, slots=64, port=0):
         self._record = record
         self.service = service
         self.instance = instance
@@ -335,7 +338,7 @@
         self._is_reporting = False
         self._seq = 0
         self.born = int(time.time() * 1000)
-        super().__init__()
+        super().__init__(port)
 
     def serve(self, connection):
         buffer = b""
