--- a/review/stand-ins-2/stand_ins.py
+++ b/review/stand-ins-2/stand_ins.py
@@ -13,6 +13,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import threading
 import time
@@ -369,7 +370,7 @@
             if not is_whole:
                 self._record.note(f"{self.instance}: {request_id} was cut, its body is not whole")
                 return
-            answer = ("answer to " + request_id).encode()
+            answer = self.answer_body(request_id)
             connection.sendall(http_text("200 OK", [
                 ("X-Request-Id", request_id),
                 ("X-Response-Signature", "sig." + request_id)], answer))
@@ -383,6 +384,9 @@
         time.sleep(0.02)
         return buffer, body is not None
 
+    def answer_body(self, request_id):
+        return ("answer to " + request_id).encode()
+
     # Reports.
     def report_body(self, seq):
         return {"service": self.service, "address": self.address, "zone": "zone-a",
@@ -577,12 +581,18 @@
             self._process.wait()
 
 
+def _raise_stop(number, _frame):
+    raise CannotRun(f"stopped by {signal.Signals(number).name}")
+
+
 def run_case(folder, body):
     """Runs `body(record, temporary folder, nodes, has_trouble)`; exits 0, 1 or 2."""
     record = Record(folder)
     nodes = []
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     code = 2
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, _raise_stop)
     with tempfile.TemporaryDirectory(prefix="auburnfold-review.") as work:
         try:
             if not NODE_PROGRAM.is_file():
@@ -590,8 +600,8 @@
             broken = body(record, work, nodes, has_trouble)
             record.note("RULE BROKEN" if broken else "the rule held")
             code = 1 if broken else 0
-        except CannotRun as problem:
-            record.note(f"could not run: {problem}")
+        except Exception as problem:  # Whatever it is, the case says nothing.
+            record.note(f"could not run: {type(problem).__name__}: {problem}")
         finally:
             for node in nodes:
                 node.end()
@@ -600,4 +610,6 @@
                 for log in pathlib.Path(work).glob("*.log"):
                     (pathlib.Path(keep) / log.name).write_bytes(log.read_bytes())
     print(pathlib.Path(folder, "record.txt").read_text(encoding="utf-8").splitlines()[-1])
+    # Threads that still wait for an answer don't hold up the end.
+    sys.stdout.flush()
     os._exit(code)
