--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,5 +5,8 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 command -v python3 >/dev/null
-python3 -m py_compile review/stand-ins-2/stand_ins.py review/[0-9]*/case.py
+python3 -B -c 'import ast, sys
+for name in sys.argv[1:]:
+    ast.parse(open(name, encoding="utf-8").read(), name)' \
+  review/stand-ins-2/stand_ins.py review/[0-9]*/case.py
 test -x target/Services/auburnfold-node/auburnfold-node
