LibRuntime: Close a connection only once its answers are delivered

Cause: a session counted an answer as delivered once the socket had taken it. It closed two seconds later, or as idle, whatever was still in the send buffer; bytes that arrive then are answered with a reset, which drops it.

Change: response_delivery asks the operating system what the peer has not acknowledged. A session lingers until the peer closes, two seconds after the last progress, or, for a peer that receives slowly, until its requests' deadlines. A connection whose answer is being received is not idle; bytes that wait unread are discarded before a close, so that it is no reset; and a request that is not completed in time ends the connection as a last answer does. The new log line answer_undelivered and the counter answers_undelivered_total name answers that are cut nevertheless.

--- a/Libraries/LibDecision/decision_record.cc
+++ b/Libraries/LibDecision/decision_record.cc
@@ -20,6 +20,8 @@
       return "attempt_failed";
     case decision_kind::kRequestAbandoned:
       return "request_abandoned";
+    case decision_kind::kAnswerUndelivered:
+      return "answer_undelivered";
     case decision_kind::kWorkQueued:
       return "work_queued";
     case decision_kind::kWorkStarted:
@@ -116,6 +118,7 @@
     case decision_kind::kQuotaRefused:
     case decision_kind::kAttemptFailed:
     case decision_kind::kRequestAbandoned:
+    case decision_kind::kAnswerUndelivered:
     case decision_kind::kWorkRefused:
     case decision_kind::kMemberChanged:
     case decision_kind::kMemberLapsed:
--- a/Libraries/LibDecision/decision_record.h
+++ b/Libraries/LibDecision/decision_record.h
@@ -27,6 +27,9 @@
   kAttemptSent,       ///< Sent to the node of an endpoint.
   kAttemptFailed,     ///< That node gave no complete answer.
   kRequestAbandoned,  ///< Read after its sender had left, and not handled.
+  // Either side of a call.
+  kAnswerUndelivered,  ///< The connection closes before its peer has received
+                       ///< the whole answer.
   // Work, at the node whose local endpoint runs it.
   kWorkQueued,    ///< Waits until the endpoint has capacity.
   kWorkStarted,   ///< Sent to the endpoint.
--- a/Libraries/LibRuntime/Connections/http_listener.cc
+++ b/Libraries/LibRuntime/Connections/http_listener.cc
@@ -89,10 +89,11 @@
 }
 
 bool http_listener::IsResponding() const {
+  const server_session::clock::time_point now = server_session::clock::now();
   return std::any_of(sessions_.begin(), sessions_.end(),
-                     [](const std::weak_ptr<server_session>& weak) {
+                     [now](const std::weak_ptr<server_session>& weak) {
                        const auto session = weak.lock();
-                       return session && session->is_responding();
+                       return session && session->IsResponding(now);
                      });
 }
 
--- a/Libraries/LibRuntime/Connections/server_exchange.cc
+++ b/Libraries/LibRuntime/Connections/server_exchange.cc
@@ -24,6 +24,12 @@
   on_turn_ = std::move(on_turn);
 }
 
+void server_exchange::SetRequest(request_id request,
+                                 clock::time_point deadline) {
+  request_id_ = std::move(request);
+  deadline_ = deadline;
+}
+
 std::size_t server_exchange::ResponseRoom() const {
   const auto session = session_.lock();
   return session ? session->memory_->room_for_expected() : 0;
--- a/Libraries/LibRuntime/Connections/server_exchange.h
+++ b/Libraries/LibRuntime/Connections/server_exchange.h
@@ -60,6 +60,9 @@
   /// one.
   std::optional<call_id> CallBefore() const;
   void set_call(call_id call) { call_ = call; }
+  /// Names the request in the report of a response that is not delivered. Its
+  /// sender waits for the response until `deadline`.
+  void SetRequest(request_id request, clock::time_point deadline);
   bool has_response() const { return response_.has_value(); }
   /// When the whole request was read.
   clock::time_point read_at() const { return read_at_; }
@@ -78,6 +81,8 @@
   std::optional<http_request> request_;
   std::optional<http_response> response_;
   std::optional<call_id> call_;
+  request_id request_id_;
+  clock::time_point deadline_{};
   std::function<void()> on_disconnect_;
   std::function<void()> on_turn_;
   clock::time_point read_at_ = clock::now();
--- a/Libraries/LibRuntime/Connections/server_session.cc
+++ b/Libraries/LibRuntime/Connections/server_session.cc
@@ -18,6 +18,7 @@
 namespace {
 
 constexpr std::chrono::seconds kReadTimeout{10};
+/// From the last sign that the peer receives the responses.
 constexpr std::chrono::seconds kLingerTimeout{2};
 /// A peer that takes nothing of a response for this time has left, or holds
 /// memory that others need.
@@ -33,6 +34,8 @@
 constexpr std::size_t kMaxUncountedBytes = kMaxHeaderBytes;
 // A buffer that has grown for a long header is given back.
 constexpr std::size_t kMaxKeptBufferBytes = 4 * kReadChunkBytes;
+// Bounds the reads before a close.
+constexpr int kMaxDiscardingReads = 64;
 constexpr std::string_view kContinueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
 
 }  // namespace
@@ -43,8 +46,9 @@
       handlers_(handlers),
       memory_(handlers.memory) {}
 
+// The owner of the handlers may be gone.
 server_session::~server_session() {
-  Close();
+  CloseSocket();
 }
 
 void server_session::Start() {
@@ -59,9 +63,11 @@
 // Cancelling the read closes the connection, unless the read has already
 // received a request that waits in the event loop to be handled.
 bool server_session::CloseIfIdle() {
-  const bool has_request = !exchanges_.empty() || is_lingering_ ||
-                           parser_->got_some() || buffer_.size() > 0;
-  if (has_request || Peek() != asio::error::would_block) {
+  delivery_.Update(socket_, clock::now());
+  const bool is_used = !exchanges_.empty() || is_lingering_ ||
+                       !delivery_.is_complete() || parser_->got_some() ||
+                       buffer_.size() > 0;
+  if (is_used || Peek() != asio::error::would_block) {
     return false;
   }
   error_code ignored;
@@ -88,7 +94,21 @@
   return error ? std::string() : peer.address().to_string();
 }
 
+bool server_session::IsResponding(clock::time_point now) {
+  if (!is_open() || !exchanges_.empty() || is_lingering_) {
+    return is_open();
+  }
+  delivery_.Update(socket_, now);
+  return !delivery_.is_complete() && now < LingerDeadline();
+}
+
 void server_session::Close() {
+  ReportUndelivered();
+  DiscardReceived();
+  CloseSocket();
+}
+
+void server_session::CloseSocket() {
   error_code ignored;
   socket_.close(ignored);
   for (const exchange_ptr& exchange : exchanges_) {
@@ -99,13 +119,37 @@
 }
 
 void server_session::CloseIfStale(clock::time_point now) {
-  if (exchanges_.empty()) {
-    if (now >= deadline_) {
-      Close();
-    }
+  delivery_.Update(socket_, now);
+  if (!exchanges_.empty()) {
+    return CloseIfPeerIsGone(now);
+  }
+  if (is_lingering_) {
+    deadline_ = LingerDeadline();
+  }
+  const bool is_receiving_request = parser_->got_some();
+  if (!delivery_.is_complete() && !is_lingering_ && !is_receiving_request) {
+    // The peer is not idle: it is still receiving a response.
+    idle_since_ = delivery_.progress_at();
+    deadline_ = std::max({deadline_, LingerDeadline(),
+                          idle_since_ + handlers_.limits->idle_timeout});
+  }
+  if (now < deadline_) {
     return;
   }
-  const bool is_stuck = is_writing_ && now >= write_deadline_;
+  if (!delivery_.is_complete() && is_receiving_request && !is_lingering_) {
+    is_ending_ = true;
+    parser_.emplace();
+    return Linger();
+  }
+  Close();
+}
+
+void server_session::CloseIfPeerIsGone(clock::time_point now) {
+  const bool is_stuck = is_writing_ && !delivery_.is_complete() &&
+                        now >= delivery_.progress_at() + kWriteTimeout;
+  if (is_stuck) {
+    ReportUndelivered();
+  }
   if (is_stuck || (is_watching_ && !is_reading_ && HasPeerClosed())) {
     OnDisconnected();
   }
@@ -376,19 +420,19 @@
 }
 
 void server_session::WriteSome() {
-  write_deadline_ = clock::now() + kWriteTimeout;
   http::async_write_some(
       socket_, *serializer_,
       // The response lives as long as it is written, also if the session drops
       // it.
       [self = shared_from_this(), exchange = exchanges_.front()](
-          error_code error, std::size_t) {
-        RunForConnection([&] { self->OnWritten(error); },
+          error_code error, std::size_t size) {
+        RunForConnection([&] { self->OnWritten(error, size); },
                          [&] { self->OnDisconnected(); });
       });
 }
 
-void server_session::OnWritten(error_code error) {
+void server_session::OnWritten(error_code error, std::size_t size) {
+  delivery_.OnWritten(size, clock::now());
   if (error || exchanges_.empty()) {
     is_writing_ = false;
     return OnDisconnected();
@@ -397,7 +441,10 @@
     return WriteSome();
   }
   is_writing_ = false;
-  Release(*exchanges_.front());
+  server_exchange& written = *exchanges_.front();
+  delivery_.OnResponseWritten(std::move(written.request_id_),
+                              written.deadline_);
+  Release(written);
   exchanges_.pop_front();
   OnAnswered();
 }
@@ -428,13 +475,49 @@
   socket_.shutdown(tcp::socket::shutdown_send, ignored);
   is_lingering_ = true;
   ReleaseMemory();
-  deadline_ = clock::now() + kLingerTimeout;
   if (!is_reading_) {
     buffer_.clear();
     Read();
   }
 }
 
+// A peer that reads slowly may pause, and what its system has acknowledged may
+// still be unread: a reset would discard it. So such a peer has until its
+// callers give up, as long as it receives something now and then.
+server_session::clock::time_point server_session::LingerDeadline() const {
+  const clock::time_point progress_at = delivery_.progress_at();
+  const clock::time_point earliest = progress_at + kLingerTimeout;
+  if (!delivery_.is_slow()) {
+    return earliest;
+  }
+  return std::clamp(delivery_.deadline(), earliest,
+                    progress_at + kWriteTimeout);
+}
+
+// The operating system resets a connection that is closed with unread bytes,
+// and drops what the peer has not received.
+void server_session::DiscardReceived() {
+  error_code error;
+  for (int i = 0; i < kMaxDiscardingReads && is_open() && !error; ++i) {
+    socket_.receive(asio::buffer(received_), 0, error);
+  }
+}
+
+void server_session::ReportUndelivered() {
+  delivery_.Update(socket_, clock::now());
+  if (!is_open() || !handlers_.on_undelivered) {
+    return;
+  }
+  for (const request_id& request : delivery_.UndeliveredRequests()) {
+    handlers_.on_undelivered(request);
+  }
+  for (const exchange_ptr& exchange : exchanges_) {
+    if (exchange->response_ && !exchange->request_id_.value().empty()) {
+      handlers_.on_undelivered(exchange->request_id_);
+    }
+  }
+}
+
 std::size_t server_session::CountBefore(const server_exchange& exchange) const {
   const auto found = std::find_if(
       exchanges_.begin(), exchanges_.end(),
@@ -499,10 +582,11 @@
 }
 
 void server_session::OnDisconnected() {
+  DiscardReceived();
   error_code ignored;
   socket_.close(ignored);
   DropFrom(0);
-  Close();
+  CloseSocket();
 }
 
 }  // namespace auburnfold
--- a/Libraries/LibRuntime/Connections/server_session.h
+++ b/Libraries/LibRuntime/Connections/server_session.h
@@ -15,6 +15,7 @@
 #include "LibRuntime/Connections/body_memory.h"
 #include "LibRuntime/Connections/http_types.h"
 #include "LibRuntime/Connections/message_parser.h"
+#include "LibRuntime/Connections/response_delivery.h"
 #include "LibRuntime/Connections/server_exchange.h"
 
 namespace auburnfold {
@@ -40,6 +41,9 @@
   /// `server_exchange::RespondAndClose`.
   std::function<void(const std::shared_ptr<server_exchange>&, error_kind)>
       on_rejected;
+  /// The connection is closed before its peer has received the whole response
+  /// to this request, which names itself by `server_exchange::SetRequest`.
+  std::function<void(const request_id&)> on_undelivered;
   /// Must outlive the open sessions. The limits may change and then hold from
   /// the next request on.
   const session_limits* limits = nullptr;
@@ -64,9 +68,10 @@
   /// Closes the connection at once, without calling disconnect handlers.
   void Close();
 
-  /// Closes the connection if no request is being served and the timeout for
-  /// an idle, reading or closing connection has expired at `now`, or if its
-  /// peer has left or takes nothing of a response.
+  /// Closes the connection if no request is being served, no response is on its
+  /// way to the peer, and the timeout for an idle, reading or closing
+  /// connection has expired at `now`; or if the peer has left or takes nothing
+  /// of a response.
   void CloseIfStale(clock::time_point now);
 
   /// Closes the connection if it carries no request and none has arrived.
@@ -81,14 +86,17 @@
   std::string peer_host() const;
   /// Whether a response is not yet written, or may not have been received: a
   /// session that ends reads on, since a close with unread bytes is a reset.
-  bool is_responding() const {
-    return is_open() && (!exchanges_.empty() || is_lingering_);
-  }
+  bool IsResponding(clock::time_point now);
 
  private:
   friend class server_exchange;
   using exchange_ptr = std::shared_ptr<server_exchange>;
 
+  void CloseSocket();
+  /// Closes a connection with unanswered requests if its peer has left or takes
+  /// nothing of a response.
+  void CloseIfPeerIsGone(clock::time_point now);
+
   /// Looks at what has arrived without reading it: no error if there are bytes,
   /// `would_block` if there is nothing.
   error_code Peek();
@@ -124,9 +132,17 @@
   void Respond(server_exchange& exchange, http_response response);
   void WriteNext();
   void WriteSome();
-  void OnWritten(error_code error);
+  void OnWritten(error_code error, std::size_t size);
   void OnAnswered();
+  /// Announces the end of the connection and waits for the peer's.
   void Linger();
+  /// When the connection is closed although the peer has not closed it, if
+  /// nothing more is received.
+  clock::time_point LingerDeadline() const;
+  /// Reads and drops what has arrived, as far as it is bounded.
+  void DiscardReceived();
+  /// Before a close that the peer has not asked for.
+  void ReportUndelivered();
 
   std::size_t CountBefore(const server_exchange& exchange) const;
   std::optional<call_id> CallBefore(const server_exchange& exchange) const;
@@ -153,8 +169,7 @@
   std::deque<exchange_ptr> exchanges_;
   clock::time_point deadline_;
   clock::time_point idle_since_;
-  /// When the response that is being written must have made progress.
-  clock::time_point write_deadline_;
+  response_delivery delivery_;
   /// Reserved for the request that is being read; held until it is answered.
   std::size_t reserved_bytes_ = 0;
   /// Bytes of the request that is being read.
--- a/Libraries/LibRuntime/Observability/node_metrics.cc
+++ b/Libraries/LibRuntime/Observability/node_metrics.cc
@@ -31,6 +31,8 @@
       return "connections_accepted";
     case runtime_counter::kAcceptFailures:
       return "accept_failures";
+    case runtime_counter::kAnswersUndelivered:
+      return "answers_undelivered";
     case runtime_counter::kCallsPipelined:
       return "calls_pipelined";
     case runtime_counter::kEffectsFailed:
--- a/Libraries/LibRuntime/Observability/node_metrics.h
+++ b/Libraries/LibRuntime/Observability/node_metrics.h
@@ -23,10 +23,12 @@
   kBytesSent,         ///< Bytes of control messages sent.
   kBytesReceived,     ///< Bytes of control messages received.
   kConnectionsAccepted,
-  kAcceptFailures,  ///< Connections that could not be accepted.
-  kCallsPipelined,  ///< Calls read while earlier ones were unanswered.
-  kEffectsFailed,   ///< Effects, and requests that are not yet known to the
-                    ///< reducer, that ended with an exception.
+  kAcceptFailures,      ///< Connections that could not be accepted.
+  kAnswersUndelivered,  ///< Answers whose connection was closed before the
+                        ///< peer had received them.
+  kCallsPipelined,      ///< Calls read while earlier ones were unanswered.
+  kEffectsFailed,       ///< Effects, and requests that are not yet known to the
+                        ///< reducer, that ended with an exception.
 };
 
 inline constexpr std::size_t kRuntimeCounterCount =
--- a/Libraries/LibRuntime/Requests/call_handler.cc
+++ b/Libraries/LibRuntime/Requests/call_handler.cc
@@ -116,6 +116,8 @@
                 metadata.own_id, metadata.request_class, metadata.tenant,
                 exchange->read_at(), std::nullopt});
   exchange->set_call(arrived.call);
+  exchange->SetRequest(metadata.own_id,
+                       exchange->read_at() + metadata.time_left);
   exchange->SetDisconnectHandler([this, call = arrived.call] {
     if (calls_.erase(call) > 0) {
       sink_(call_cancelled{call});
--- a/Libraries/LibRuntime/Requests/work_handler.cc
+++ b/Libraries/LibRuntime/Requests/work_handler.cc
@@ -78,6 +78,7 @@
   open.request = std::move(request);
   open.metadata = metadata;
   open.arrived = clock::now();
+  exchange->SetRequest(metadata.own_id, open.arrived + metadata.time_left);
   exchange->SetDisconnectHandler([this, id] { OnForwarderDisconnected(id); });
   // All nodes use the same peer port.
   sink_(work_arrived{
--- a/Libraries/LibRuntime/node_runtime.cc
+++ b/Libraries/LibRuntime/node_runtime.cc
@@ -368,6 +368,12 @@
          .execution = execution_state::kNotExecuted,
          .retry_after = may_retry ? kMemoryRetryDelay : duration::zero()}));
   };
+  handlers.on_undelivered = [this](const request_id& request) {
+    metrics.Count(runtime_counter::kAnswersUndelivered);
+    decisions.Write({.kind = decision_kind::kAnswerUndelivered,
+                     .request = request,
+                     .is_stopping = is_stopping});
+  };
   return handlers;
 }
 
--- a/Tests/LibRuntime/http_listener_test.cc
+++ b/Tests/LibRuntime/http_listener_test.cc
@@ -4,26 +4,47 @@
 
 #include <list>
 #include <stdexcept>
+#include <utility>
+#include <vector>
 
+#include "LibRuntime/Connections/http_responses.h"
 #include "raw_client.h"
 
 namespace auburnfold {
 namespace {
 
 using testing_support::raw_client;
+using testing_support::receive_window;
 
 class a_listener : public testing::Test {
  protected:
   a_listener() { EXPECT_FALSE(listener_.Listen("127.0.0.1", 0)); }
 
+  static constexpr std::size_t kAnswerBytes = 400'000;
+
+  /// Answers what was requested, with more than a small window takes.
+  void AnswerAll() {
+    for (const auto& exchange : std::exchange(exchanges_, {})) {
+      exchange->Respond(MakeTextResponse(http::status::ok, "text/plain",
+                                         std::string(kAnswerBytes, 'x')));
+    }
+    io_.poll();
+  }
+
   asio::io_context io_{1};
   node_metrics metrics_{1};
+  std::vector<std::shared_ptr<server_exchange>> exchanges_;
+  std::vector<request_id> undelivered_;
   // Leaves every request unanswered.
   session_handlers handlers_{
-      .on_request = [](const std::shared_ptr<server_exchange>&,
-                       const http_request&) {},
-      .on_rejected = [](const std::shared_ptr<server_exchange>&,
-                        error_kind) {}};
+      .on_request =
+          [this](const std::shared_ptr<server_exchange>& exchange,
+                 const http_request&) { exchanges_.push_back(exchange); },
+      .on_rejected = [](const std::shared_ptr<server_exchange>&, error_kind) {},
+      .on_undelivered =
+          [this](const request_id& request) {
+            undelivered_.push_back(request);
+          }};
   http_listener listener_{io_, handlers_, metrics_};
 };
 
@@ -131,5 +152,60 @@
   EXPECT_TRUE(second->ReadsEnd());
 }
 
+// Guards against an answer that was lost with a reset (LOST) when its client
+// sent the next request.
+TEST_F(a_listener_with_a_limit, KeepsSessionsWhosePeerStillReadsAnAnswer) {
+  raw_client first(listener_.port(), receive_window::kSmall);
+  HandleNext();
+  first.Write("GET / HTTP/1.1\r\nHost: test\r\n\r\n");
+  HandleNext();
+  AnswerAll();
+  const auto second = Connect();
+  const auto third = Connect();
+  ASSERT_EQ(OpenSessions(), 2U);
+  EXPECT_TRUE(second->ReadsEnd());
+}
+
+class a_listener_that_closes : public a_listener {
+ protected:
+  /// Of a client that has read nothing.
+  void AnswerRequestOf(raw_client& client) {
+    client.Write("GET / HTTP/1.1\r\nHost: test\r\n\r\n");
+    while (exchanges_.empty()) {
+      io_.run_one();
+    }
+    exchanges_.front()->SetRequest(request_id("r-1"), {});
+    AnswerAll();
+  }
+};
+
+// Guards against answers that were lost with a reset (LOST): bytes were unread
+// when the connection was closed.
+TEST_F(a_listener_that_closes, DeliversWhatWasWrittenAlthoughMoreHasArrived) {
+  raw_client client(listener_.port(), receive_window::kSmall);
+  AnswerRequestOf(client);
+  client.Write("GET /next HTTP/1.1\r\nHost: test\r\n\r\n");
+  client.WaitUntilReceived();
+  listener_.Close();
+  const auto answer = client.Read();
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(answer->body.size(), kAnswerBytes);
+}
+
+TEST_F(a_listener_that_closes, ReportsTheAnswersThatItsPeersHaveNotReceived) {
+  raw_client slow(listener_.port(), receive_window::kSmall);
+  AnswerRequestOf(slow);
+  listener_.Close();
+  EXPECT_EQ(undelivered_, std::vector{request_id("r-1")});
+}
+
+TEST_F(a_listener_that_closes, ReportsNoAnswerThatItsPeerHasReceived) {
+  raw_client client(listener_.port());
+  AnswerRequestOf(client);
+  ASSERT_TRUE(client.Read());
+  listener_.Close();
+  EXPECT_TRUE(undelivered_.empty());
+}
+
 }  // namespace
 }  // namespace auburnfold
--- a/Tests/LibRuntime/raw_client.cc
+++ b/Tests/LibRuntime/raw_client.cc
@@ -24,9 +24,24 @@
   asio::io_context io;
   tcp::socket socket{io};
   beast::flat_buffer buffer;
+
+  int TcpState() {
+    tcp_info info{};
+    socklen_t size = sizeof(info);
+    const int failed =
+        getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size);
+    return failed != 0 ? TCP_CLOSE : info.tcpi_state;
+  }
 };
 
-raw_client::raw_client(std::uint16_t port) : parts_(std::make_unique<parts>()) {
+raw_client::raw_client(std::uint16_t port, receive_window window)
+    : parts_(std::make_unique<parts>()) {
+  constexpr int kSmallWindowBytes = 8192;
+  parts_->socket.open(tcp::v4());
+  if (window == receive_window::kSmall) {
+    parts_->socket.set_option(
+        tcp::socket::receive_buffer_size(kSmallWindowBytes));
+  }
   parts_->socket.connect({asio::ip::address_v4::loopback(), port});
 }
 
@@ -37,6 +52,10 @@
   asio::write(parts_->socket, asio::buffer(bytes), ignored);
 }
 
+void raw_client::WaitForBytes() {
+  parts_->socket.wait(tcp::socket::wait_read);
+}
+
 std::optional<read_answer> raw_client::Read(bool is_head) {
   http::response_parser<http::string_body> parser;
   parser.skip(is_head);
@@ -63,7 +82,7 @@
 
 void raw_client::WaitUntilReceived() {
   int unacknowledged_bytes = 1;
-  while (unacknowledged_bytes > 0 &&
+  while (unacknowledged_bytes > 0 && parts_->TcpState() != TCP_CLOSE &&
          ioctl(parts_->socket.native_handle(), SIOCOUTQ,
                &unacknowledged_bytes) == 0) {
     std::this_thread::yield();
@@ -74,11 +93,7 @@
   WaitUntilReceived();
   error_code ignored;
   parts_->socket.shutdown(tcp::socket::shutdown_send, ignored);
-  tcp_info info{};
-  socklen_t size = sizeof(info);
-  while (getsockopt(parts_->socket.native_handle(), IPPROTO_TCP, TCP_INFO,
-                    &info, &size) == 0 &&
-         info.tcpi_state == TCP_FIN_WAIT1) {
+  while (parts_->TcpState() == TCP_FIN_WAIT1) {
     std::this_thread::yield();
   }
   Close();
--- a/Tests/LibRuntime/raw_client.h
+++ b/Tests/LibRuntime/raw_client.h
@@ -8,6 +8,8 @@
 #include <string>
 #include <string_view>
 
+#include "receive_window.h"
+
 namespace auburnfold::testing_support {
 
 /// An answer as read from the wire.
@@ -23,12 +25,15 @@
 /// A blocking connection that sends whatever bytes a test wants.
 class raw_client {
  public:
-  explicit raw_client(std::uint16_t port);
+  explicit raw_client(std::uint16_t port,
+                      receive_window window = receive_window::kDefault);
   ~raw_client();
 
   void Write(std::string_view bytes);
   /// Waits until the other side's system has received what was written.
   void WaitUntilReceived();
+  /// Waits until bytes of an answer have arrived, and leaves them unread.
+  void WaitForBytes();
   /// Nothing if the connection closed before a whole answer.
   std::optional<read_answer> Read(bool is_head = false);
   /// Waits until the other side closes.
--- a/Tests/LibRuntime/scripted_server.h
+++ b/Tests/LibRuntime/scripted_server.h
@@ -8,6 +8,8 @@
 #include <string>
 #include <string_view>
 
+#include "receive_window.h"
+
 namespace auburnfold::testing_support {
 
 /// One connection that a scripted server accepted.
@@ -39,9 +41,6 @@
   std::shared_ptr<parts> parts_;
 };
 
-/// How many bytes a scripted server's system takes that no script has read.
-enum class receive_window : std::uint8_t { kDefault, kSmall };
-
 /// A server that runs a script on each connection, in a thread of its own,
 /// and closes the connection when the script ends.
 class scripted_server {
