LibRuntime: Reject a response without an HTTP status at once

What callers saw: for an endpoint's or another node's response with a status below 100 they waited until their deadline and got 504. Behind a 101, and for a HEAD request behind 000, 001 and 099 too, bytes that look like a response were given to them as the answer (MIXED).

Cause: each status below 200 counted as that of an interim response, and the parser waited for the end of a line in bytes that cannot begin a response.

Change: the parser fails at a status below 100, at 101, and at the first byte of what is no response. The caller gets 502 answer-truncated, unknown, and the connection closes, so nothing behind it is an answer. 600 to 999 are passed on unchanged, as PROTOCOL.md has it, and count as failures of the endpoint (RFC 9110, section 15).

--- a/Libraries/LibRuntime/Connections/client_connection.cc
+++ b/Libraries/LibRuntime/Connections/client_connection.cc
@@ -10,6 +10,7 @@
 
 #include "LibRuntime/Connections/connection_failure.h"
 #include "LibRuntime/Connections/long_fields.h"
+#include "LibRuntime/Connections/response_status.h"
 #include "LibRuntime/Connections/tcp_timeouts.h"
 
 namespace auburnfold {
@@ -24,7 +25,6 @@
 // Within a region a connection takes a few milliseconds to establish. A lost
 // first packet is retransmitted only after a second.
 constexpr std::chrono::milliseconds kConnectTimeout{300};
-constexpr unsigned kFirstFinalStatus = 200;
 // Enough for the largest body in the smallest chunks. Interim responses, late
 // ones and chunk extensions have no other limit.
 constexpr std::size_t kMaxReadBytes = 8 * kMaxBodyBytes;
@@ -237,9 +237,7 @@
   if (!parser_->is_done()) {
     return Read();
   }
-  // Compared by number, since Beast has no name for some of them, such as 103.
-  const bool is_interim = parser_->get().result_int() < kFirstFinalStatus;
-  if (is_interim) {
+  if (IsInterimStatus(parser_->get().result_int())) {
     PrepareParser();
     return buffer_.size() > 0 ? Parse() : Read();
   }
@@ -365,7 +363,7 @@
   if (may_be_close_delimited) {
     error_code ending;
     parser_->put_eof(ending);
-    const bool is_final = parser_->get().result_int() >= kFirstFinalStatus;
+    const bool is_final = !IsInterimStatus(parser_->get().result_int());
     if (!ending && parser_->is_done() && is_final && MatchesRequest()) {
       must_not_reuse_ = true;
       return Complete();
--- a/Libraries/LibRuntime/Connections/message_framing.cc
+++ b/Libraries/LibRuntime/Connections/message_framing.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cstddef>
 
+#include "LibRuntime/Connections/response_status.h"
+
 namespace auburnfold {
 
 namespace {
@@ -43,12 +45,17 @@
   return codings == 1;
 }
 
-// By number, since Beast has no name for some of them, such as 103.
+bool MayBeResponse(std::string_view text) {
+  constexpr std::string_view kBegin = "HTTP/1.";
+  text.remove_prefix(std::min(text.find_first_not_of("\r\n"), text.size()));
+  return text.substr(0, kBegin.size()) == kBegin.substr(0, text.size());
+}
+
 bool HasNoBody(unsigned status) {
-  constexpr unsigned kFirstFinal = 200;
   constexpr unsigned kNoContent = 204;
   constexpr unsigned kNotModified = 304;
-  return status < kFirstFinal || status == kNoContent || status == kNotModified;
+  return IsInterimStatus(status) || status == kNoContent ||
+         status == kNotModified;
 }
 
 void folding_detector::Scan(std::string_view bytes) {
--- a/Libraries/LibRuntime/Connections/message_framing.h
+++ b/Libraries/LibRuntime/Connections/message_framing.h
@@ -10,6 +10,9 @@
 /// Whether the Transfer-Encoding of `header` is "chunked" and nothing else.
 bool IsChunkedOnly(const http::fields& header);
 
+/// Whether `text`, which may go on, can be the beginning of a response.
+bool MayBeResponse(std::string_view text);
+
 /// Whether a response with this status ends with its header.
 bool HasNoBody(unsigned status);
 
--- a/Libraries/LibRuntime/Connections/message_parser.h
+++ b/Libraries/LibRuntime/Connections/message_parser.h
@@ -8,6 +8,7 @@
 #include "LibRuntime/Connections/http_types.h"
 #include "LibRuntime/Connections/long_fields.h"
 #include "LibRuntime/Connections/message_framing.h"
+#include "LibRuntime/Connections/response_status.h"
 
 namespace auburnfold {
 
@@ -17,7 +18,9 @@
 ///   sections 5.2 and 6.3), where Beast takes what follows for a message of its
 ///   own;
 /// - fails at a start line that is too short once the header is complete, where
-///   Beast waits for more;
+///   Beast waits for more, and at the first byte of what is no response;
+/// - fails at a response with a status that is not one (RFC 9110, section 15),
+///   or that switches protocols, which no request asks for;
 /// - discards trailers, which Beast adds to the header.
 template <bool is_request>
 class message_parser : public http::parser<is_request, http::string_body> {
@@ -34,12 +37,23 @@
     if (is_waiting && HoldsEmptyLine(data + used, used > 0)) {
       error = http::error::bad_version;
     }
+    has_started_ |= used > 0;
+    if (!is_request && is_waiting && !has_started_ &&
+        !MayBeResponse({static_cast<const char*>(data.data()), data.size()})) {
+      error = http::error::bad_version;
+    }
     return used;
   }
 
  private:
   void on_header_impl(error_code& error) override {
     is_header_parsed_ = true;
+    if constexpr (!is_request) {
+      if (!IsUsableStatus(this->get().result_int())) {
+        error = http::error::bad_status;
+        return;
+      }
+    }
     if (!IsLengthKnown()) {
       error = http::error::bad_transfer_encoding;
     }
@@ -87,6 +101,8 @@
 
   folding_detector folding_;
   bool is_header_parsed_ = false;
+  /// A part of the message was used.
+  bool has_started_ = false;
   std::size_t searched_ = 0;
 };
 
--- a/Libraries/LibRuntime/Requests/headers.cc
+++ b/Libraries/LibRuntime/Requests/headers.cc
@@ -11,6 +11,7 @@
 #include <limits>
 #include <vector>
 
+#include "LibRuntime/Connections/response_status.h"
 #include "LibRuntime/Requests/hexadecimal.h"
 #include "LibWire/header_names.h"
 
@@ -527,8 +528,7 @@
   result.peer = ReadAnswerMetadata(response);
   result.body_size = response.body().size();
   if (name == kCompleteResult) {
-    result.is_failure = http::to_status_class(response.result()) ==
-                        http::status_class::server_error;
+    result.is_failure = IsFailureStatus(response.result_int());
     return result;
   }
   result.error = ParseErrorKind(name).value_or(kInternal);
--- a/Tests/platform/platform_dialect_test.cc
+++ b/Tests/platform/platform_dialect_test.cc
@@ -169,6 +169,7 @@
 
 TEST_F(an_endpoints_answer, IsAFailureIfTheEndpointFailed) {
   EXPECT_TRUE(Read(500).is_failure);
+  EXPECT_TRUE(Read(700).is_failure);
   EXPECT_FALSE(Read(404).is_failure);
 }
 
