--- a/Libraries/LibClient/node_connection.cc
+++ b/Libraries/LibClient/node_connection.cc
@@ -24,6 +24,9 @@
 constexpr std::chrono::milliseconds kConnectFailureRetryDelay{0};
 constexpr std::size_t kMaxBodyBytes = std::size_t{1024} * 1024;
 constexpr std::size_t kMaxHeaderBytes = std::size_t{16} * 1024;
+// Bodies are taken out of the buffer as they arrive. The parser does not limit
+// chunk extensions and trailers, which it buffers whole.
+constexpr std::size_t kMaxBufferedBytes = std::size_t{64} * 1024;
 
 call_result MakeFailure(error_kind kind, execution_state execution) {
   call_result result;
@@ -75,7 +78,8 @@
   if (error == beast::error::timeout) {
     return error_kind::kAnswerTimeout;
   }
-  if (error == http::error::body_limit || error == http::error::header_limit) {
+  if (error == http::error::body_limit || error == http::error::header_limit ||
+      error == http::error::buffer_overflow) {
     return error_kind::kAnswerTooLarge;
   }
   return has_received ? error_kind::kAnswerTruncated : error_kind::kAnswerLost;
@@ -145,7 +149,7 @@
                     [&error](const beast::error_code& operation_error,
                              std::size_t) { error = operation_error; });
   RunPendingOperation();
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer(kMaxBufferedBytes);
   http::response_parser<http::string_body> parser;
   parser.body_limit(kMaxBodyBytes);
   parser.header_limit(kMaxHeaderBytes);
--- a/Tests/LibClient/client_test.cc
+++ b/Tests/LibClient/client_test.cc
@@ -60,6 +60,26 @@
   std::vector<std::chrono::milliseconds> waits_;
 };
 
+// Guards against a client that runs out of memory: chunk extensions and
+// trailers without end were kept until the call timed out.
+class an_answer_without_end : public a_client {};
+
+TEST_F(an_answer_without_end, IsGivenUp) {
+  const std::string long_text(200'000, 'x');
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nAuburnfold-Result: complete\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n";
+  const fake_node node(
+      {head + "4;" + long_text + "\r\nlots\r\n0\r\n\r\n",
+       head + "4\r\nlots\r\n0\r\nX-Trailer: " + long_text + "\r\n\r\n"});
+  Use({&node});
+  for (int i = 0; i < 2; ++i) {
+    const call_result answer = CallOnce();
+    EXPECT_EQ(answer.error, error_kind::kAnswerTooLarge);
+    EXPECT_EQ(answer.execution, execution_state::kUnknown);
+  }
+}
+
 class a_whole_answer : public a_client {};
 
 TEST_F(a_whole_answer, IsGivenWithItsHeadersAfterOneSend) {
--- a/Tests/LibRuntime/endless_responses_test.cc
+++ b/Tests/LibRuntime/endless_responses_test.cc
@@ -1,8 +1,11 @@
 #include <gtest/gtest.h>
 
 #include <atomic>
+#include <chrono>
 #include <memory>
+#include <ostream>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "LibRuntime/Connections/connection_pool.h"
@@ -80,6 +83,141 @@
   EXPECT_EQ(answer.status, 502U);
 }
 
+/// Bytes that never become an answer.
+struct endless_form {
+  const char* name;
+  std::string head;
+  std::string part;
+};
+
+void PrintTo(const endless_form& form, std::ostream* out) {
+  *out << form.name;
+}
+
+std::vector<endless_form> EndlessForms() {
+  const std::string chunked =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string text(4096, 'x');
+  std::string small_chunks;
+  std::string interim;
+  std::string empty_lines;
+  for (int i = 0; i < 1024; ++i) {
+    small_chunks += "1\r\nx\r\n";
+    interim += "HTTP/1.1 100 Continue\r\n\r\n";
+    empty_lines += "\r\n";
+  }
+  return {
+      {"garbage", "", text},
+      {"empty_lines", "", empty_lines},
+      {"a_reason", "HTTP/1.1 200 ", text},
+      {"a_header_line", "HTTP/1.1 200 OK\r\nX-Filler: ", text},
+      {"header_lines", "HTTP/1.1 200 OK\r\n", "X-Filler: " + text + "\r\n"},
+      {"a_body_in_small_chunks", chunked, small_chunks},
+      {"a_chunk_size", chunked, text},
+      {"a_chunk_extension", chunked + "1;", text},
+      {"a_trailer", chunked + "0\r\nX-Filler: ", text},
+      {"trailers", chunked + "0\r\n", "X-Filler: " + text + "\r\n"},
+      {"a_body_with_a_length",
+       "HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n", text},
+      {"a_body_without_a_length", "HTTP/1.1 200 OK\r\n\r\n", text},
+      {"interim_responses", "", interim},
+      {"interim_responses_with_long_headers", "",
+       "HTTP/1.1 103 Early Hints\r\nX-Filler: " + text + "\r\n\r\n"},
+  };
+}
+
+// Guards against a node that keeps such bytes until it runs out of memory
+// (LOST).
+class bytes_without_end : public testing::TestWithParam<endless_form> {
+ protected:
+  scripted_server::script Script(const std::string& before = {}) const {
+    return Endless(before + GetParam().head, GetParam().part);
+  }
+  static void ExpectNoAnswer(const read_answer& answer) {
+    EXPECT_EQ(answer.status, 502U);
+    EXPECT_NE(answer.Header("Auburnfold-Ran"), "not-run");
+  }
+};
+
+TEST_P(bytes_without_end, OfAnEndpointEndTheCall) {
+  scripted_server endpoint(Script());
+  running_node node(LoopbackSettings(),
+                    any_wire_dialect(dialect_of_open_ends()));
+  node.Announce("listings", endpoint.port());
+  ExpectNoAnswer(raw_client::Exchange(node.call_port(), CallText("listings")));
+}
+
+TEST_P(bytes_without_end, OfAnotherNodeEndTheCall) {
+  scripted_server peer(Script());
+  running_node node;
+  node.AnnouncePeer("listings", peer.port());
+  ExpectNoAnswer(raw_client::Exchange(node.call_port(), CallText("listings")));
+}
+
+TEST_P(bytes_without_end, BehindAnAnswerLeaveItWhole) {
+  scripted_server endpoint(Script(AnswerText("whole")));
+  running_node node;
+  node.Announce("listings", endpoint.port());
+  const read_answer answer =
+      raw_client::Exchange(node.call_port(), CallText("listings"));
+  EXPECT_EQ(answer.status, 200U);
+  EXPECT_EQ(answer.body, "whole");
+}
+
+TEST_P(bytes_without_end, OnManyConnectionsLeaveOtherCallsServed) {
+  constexpr int kCalls = 100;
+  scripted_server endpoint(AnswersWith("whole"));
+  scripted_server peer(Script());
+  running_node node;
+  node.Announce("listings", endpoint.port());
+  node.AnnouncePeer("packs", peer.port());
+  std::vector<std::unique_ptr<raw_client>> clients;
+  for (int i = 0; i < kCalls; ++i) {
+    clients.push_back(std::make_unique<raw_client>(node.call_port()));
+    clients.back()->Write(CallText("packs"));
+  }
+  EXPECT_EQ(raw_client::Exchange(node.call_port(), CallText("listings")).body,
+            "whole");
+  for (const auto& client : clients) {
+    const auto answer = client->Read();
+    ASSERT_TRUE(answer);
+    EXPECT_NE(answer->status, 200U);
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(Every,
+                         bytes_without_end,
+                         testing::ValuesIn(EndlessForms()),
+                         [](const auto& form) { return form.param.name; });
+
+// An answer that comes byte by byte ends with its deadline.
+TEST(slow_bytes_without_end, LeaveOtherCallsServed) {
+  constexpr int kCalls = 100;
+  scripted_server endpoint(AnswersWith("whole"));
+  scripted_server peer([](scripted_connection& connection) {
+    connection.ReadRequest();
+    connection.Write("HTTP/1.1 200 OK\r\nX-Filler: ");
+    while (connection.Write("x")) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    }
+  });
+  running_node node;
+  node.Announce("listings", endpoint.port());
+  node.AnnouncePeer("packs", peer.port());
+  std::vector<std::unique_ptr<raw_client>> clients;
+  for (int i = 0; i < kCalls; ++i) {
+    clients.push_back(std::make_unique<raw_client>(node.call_port()));
+    clients.back()->Write(CallText("packs", "Auburnfold-Timeout-Ms: 1000\r\n"));
+  }
+  EXPECT_EQ(raw_client::Exchange(node.call_port(), CallText("listings")).body,
+            "whole");
+  for (const auto& client : clients) {
+    const auto answer = client->Read();
+    ASSERT_TRUE(answer);
+    EXPECT_NE(answer->status, 200U);
+  }
+}
+
 // A hundred connections to a server that sends bodies without end.
 class the_memory_of_responses : public testing::Test {
  protected:
--- a/Tests/platform/store_client_test.cc
+++ b/Tests/platform/store_client_test.cc
@@ -9,6 +9,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "platform/store_protocol.h"
@@ -72,7 +73,7 @@
     store_client client(
         context_.get_executor(),
         {.host = "127.0.0.1", .port = acceptor_.local_endpoint().port()},
-        {.response = answer_timeout()});
+        {.response = answer_timeout()}, max_listing_bytes_);
     std::optional<store_result> result;
     client.Call(std::move(request),
                 [&result](const store_result& got) { result = got; });
@@ -101,6 +102,7 @@
   std::deque<std::string> further_answers_;
   /// The request lines that these answered.
   std::vector<std::string> requested_;
+  std::uint64_t max_listing_bytes_ = store_client::kMaxListingBytes;
   bool is_silent_ = false;
   /// The connection ends with a reset, else in order.
   bool is_reset_ = false;
@@ -289,6 +291,54 @@
   EXPECT_EQ(requested_.size(), 1U);
 }
 
+TEST_F(a_listing_of_several_pages, IsUnavailableIfItsPagesHaveNoEnd) {
+  max_listing_bytes_ = 3 * Page(kGood, true).size();
+  answer_ = Page(R"({"key":"a","value":"MQ==","revision":2})", true);
+  for (const char key : std::string_view("bcdefghijk")) {
+    further_answers_.push_back(Page(R"({"key":")" + std::string(1, key) +
+                                        R"(","value":"MQ==","revision":2})",
+                                    true));
+  }
+  Serve();
+  EXPECT_EQ(Call(store_list{"table/"}).status, store_status::kUnavailable);
+  EXPECT_LT(requested_.size(), 10U);
+}
+
+class a_response_in_chunks : public a_store {
+ protected:
+  static std::string InChunks(const std::string& extension,
+                              const std::string& trailers) {
+    return "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" +
+           std::string("17") + extension + "\r\n" +
+           R"({"items":[], "asOf": 7})" + "\r\n0\r\n" + trailers + "\r\n";
+  }
+
+  /// More than is buffered.
+  const std::string long_text_ = std::string(200'000, 'x');
+};
+
+TEST_F(a_response_in_chunks, IsReadWithExtensionsAndTrailers) {
+  answer_ = InChunks(";a=b", "X-Trailer: t\r\n");
+  Serve();
+  const store_result result = Call(store_list{"k"});
+  EXPECT_EQ(result.status, store_status::kDone);
+  EXPECT_EQ(result.revision, store_revision(7));
+}
+
+// Guards against a node that runs out of memory (LOST): a chunk extension or
+// trailers without end were kept until the call timed out.
+TEST_F(a_response_in_chunks, IsGivenUpAtALongExtension) {
+  answer_ = InChunks(";" + long_text_, "");
+  Serve();
+  EXPECT_EQ(Call(store_list{"k"}).status, store_status::kUnavailable);
+}
+
+TEST_F(a_response_in_chunks, IsGivenUpAtLongTrailers) {
+  answer_ = InChunks("", "X-Trailer: " + long_text_ + "\r\n");
+  Serve();
+  EXPECT_EQ(Call(kWrite).status, store_status::kUnknown);
+}
+
 class a_watch : public a_store {};
 
 TEST_F(a_watch, ShowsWhatWasWrittenAndWhatWasRemoved) {
