--- a/Libraries/LibRuntime/Connections/response_delivery.cc
+++ b/Libraries/LibRuntime/Connections/response_delivery.cc
@@ -53,9 +53,10 @@
     return;
   }
   const std::uint64_t bytes = UnacknowledgedBytes(socket);
-  if (bytes != std::exchange(unacknowledged_bytes_, bytes)) {
+  if (bytes != unacknowledged_bytes_) {
     progress_at_ = now;
   }
+  unacknowledged_bytes_ = bytes;
   is_complete_ = bytes == 0;
   is_slow_ |= !is_complete_ && now >= written_at_ + kPromptDelivery;
   // The end of the connection counts as a byte once it is sent.
--- a/Libraries/LibRuntime/Connections/server_session.cc
+++ b/Libraries/LibRuntime/Connections/server_session.cc
@@ -123,20 +123,12 @@
   if (!exchanges_.empty()) {
     return CloseIfPeerIsGone(now);
   }
-  if (is_lingering_) {
-    deadline_ = LingerDeadline();
-  }
-  const bool is_receiving_request = parser_->got_some();
-  if (!delivery_.is_complete() && !is_lingering_ && !is_receiving_request) {
-    // The peer is not idle: it is still receiving a response.
-    idle_since_ = delivery_.progress_at();
-    deadline_ = std::max({deadline_, LingerDeadline(),
-                          idle_since_ + handlers_.limits->idle_timeout});
-  }
+  ExtendDeadline();
   if (now < deadline_) {
     return;
   }
-  if (!delivery_.is_complete() && is_receiving_request && !is_lingering_) {
+  const bool is_request_incomplete = parser_->got_some() && !is_lingering_;
+  if (is_request_incomplete && !delivery_.is_complete()) {
     is_ending_ = true;
     parser_.emplace();
     return Linger();
@@ -144,6 +136,20 @@
   Close();
 }
 
+// A peer that is still receiving a response is not idle.
+void server_session::ExtendDeadline() {
+  if (is_lingering_) {
+    deadline_ = LingerDeadline();
+    return;
+  }
+  if (delivery_.is_complete() || parser_->got_some()) {
+    return;
+  }
+  idle_since_ = delivery_.progress_at();
+  deadline_ = std::max({deadline_, LingerDeadline(),
+                        idle_since_ + handlers_.limits->idle_timeout});
+}
+
 void server_session::CloseIfPeerIsGone(clock::time_point now) {
   const bool is_stuck = is_writing_ && !delivery_.is_complete() &&
                         now >= delivery_.progress_at() + kWriteTimeout;
--- a/Libraries/LibRuntime/Connections/server_session.h
+++ b/Libraries/LibRuntime/Connections/server_session.h
@@ -93,6 +93,9 @@
   using exchange_ptr = std::shared_ptr<server_exchange>;
 
   void CloseSocket();
+  /// Moves the time at which a connection without a request is closed, if its
+  /// peer is still receiving responses.
+  void ExtendDeadline();
   /// Closes a connection with unanswered requests if its peer has left or takes
   /// nothing of a response.
   void CloseIfPeerIsGone(clock::time_point now);
