LibRuntime: Bound the interim responses of one call

Cause: only the bytes of a call's responses were limited, to 8 MiB, which is 300,000 interim responses. 200 calls that an endpoint answered so kept their node busy, and each caller waited for all of its 5 s (504).

Change: more than 1,000 end the call.

--- a/Libraries/LibRuntime/Connections/client_connection.cc
+++ b/Libraries/LibRuntime/Connections/client_connection.cc
@@ -28,6 +28,8 @@
 // Enough for the largest body in the smallest chunks. Interim responses, late
 // ones and chunk extensions have no other limit.
 constexpr std::size_t kMaxReadBytes = 8 * kMaxBodyBytes;
+// Each is short, so that many of them cost time rather than memory.
+constexpr std::size_t kMaxInterimResponses = 1000;
 constexpr std::size_t kMaxFailedIds = 64;
 
 // Ids may be as long as a header. Two with the same hash only keep a request
@@ -157,6 +159,7 @@
 void client_connection::Write() {
   state_ = state::kBusy;
   read_bytes_ = 0;
+  interim_responses_ = 0;
   PrepareParser();
   if (request_.on_sending) {
     request_.on_sending(id_);
@@ -238,6 +241,10 @@
     return Read();
   }
   if (IsInterimStatus(parser_->get().result_int())) {
+    if (++interim_responses_ > kMaxInterimResponses) {
+      return Fail(error_kind::kAnswerTooLarge, execution_state::kUnknown,
+                  false);
+    }
     PrepareParser();
     return buffer_.size() > 0 ? Parse() : Read();
   }
--- a/Libraries/LibRuntime/Connections/client_connection.h
+++ b/Libraries/LibRuntime/Connections/client_connection.h
@@ -123,6 +123,8 @@
   std::vector<std::size_t> failed_ids_;
   /// Bytes read since the request was sent, including what was discarded.
   std::size_t read_bytes_ = 0;
+  /// Interim responses read since the request was sent.
+  std::size_t interim_responses_ = 0;
   std::size_t reserved_bytes_ = 0;
   bool is_reading_ = false;
   /// The request was cancelled while the connection was still being made.
--- a/Tests/LibRuntime/endless_responses_test.cc
+++ b/Tests/LibRuntime/endless_responses_test.cc
@@ -190,6 +190,31 @@
                          testing::ValuesIn(EndlessForms()),
                          [](const auto& form) { return form.param.name; });
 
+class interim_responses : public an_endpoint_that_answers_without_end {
+ protected:
+  read_answer CallWithInterim(int count) {
+    std::string bytes;
+    for (int i = 0; i < count; ++i) {
+      bytes += "HTTP/1.1 102 Processing\r\n\r\n";
+    }
+    return CallAgainst([bytes](scripted_connection& connection) {
+      connection.ReadRequest();
+      connection.Write(bytes + AnswerText("whole"));
+    });
+  }
+};
+
+TEST_F(interim_responses, MayPrecedeTheAnswer) {
+  EXPECT_EQ(CallWithInterim(1000).body, "whole");
+}
+
+// Guards against nodes that spend their time on interim responses: those of 200
+// calls kept a node busy for seconds.
+TEST_F(interim_responses, EndTheCallIfThereAreTooMany) {
+  EXPECT_EQ(CallWithInterim(1001).Header("Auburnfold-Result"),
+            "answer-too-large");
+}
+
 // An answer that comes byte by byte ends with its deadline.
 TEST(slow_bytes_without_end, LeaveOtherCallsServed) {
   constexpr int kCalls = 100;
