LibRuntime: Answer what came before a request that fails

What callers would see (LOST): an exception while a request of a pipeline is handled closed the connection at once, with earlier requests unanswered and their answers unread. Found by reading.

Change: EndConnection drops the request and those behind it, and the connection ends after the answers to earlier ones.

Result: a_listener_with_pipelines.AnswersWhatCameBeforeARequestThatFails fails with CloseConnection in its place, and passes now.

--- a/Libraries/LibRuntime/Connections/server_exchange.cc
+++ b/Libraries/LibRuntime/Connections/server_exchange.cc
@@ -74,6 +74,13 @@
   }
 }
 
+void server_exchange::EndConnection() {
+  on_disconnect_ = nullptr;
+  if (const auto session = session_.lock()) {
+    session->EndBefore(*this);
+  }
+}
+
 std::size_t server_exchange::CountBefore() const {
   const auto session = session_.lock();
   return session ? session->CountBefore(*this) : 0;
--- a/Libraries/LibRuntime/Connections/server_exchange.h
+++ b/Libraries/LibRuntime/Connections/server_exchange.h
@@ -53,6 +53,10 @@
   /// Closes the connection at once, without calling `on_disconnect` of this
   /// request.
   void CloseConnection();
+  /// Drops this request and those behind it, and closes the connection after
+  /// the responses to earlier ones. Does not call `on_disconnect` of this
+  /// request.
+  void EndConnection();
 
   /// Number of earlier requests on the connection that are not answered yet.
   std::size_t CountBefore() const;
--- a/Libraries/LibRuntime/Connections/server_session.cc
+++ b/Libraries/LibRuntime/Connections/server_session.cc
@@ -591,6 +591,18 @@
   DropFrom(CountBefore(exchange) + 1);
 }
 
+// A response that is partly written cannot be dropped.
+void server_session::EndBefore(const server_exchange& exchange) {
+  const std::size_t first = CountBefore(exchange);
+  if (first == 0 && is_writing_) {
+    return OnDisconnected();
+  }
+  DropFrom(first);
+  if (first == 0) {
+    End();
+  }
+}
+
 void server_session::DropWaiting() {
   const auto waiting = std::find_if(
       exchanges_.begin(), exchanges_.end(), [](const exchange_ptr& exchange) {
--- a/Libraries/LibRuntime/Connections/server_session.h
+++ b/Libraries/LibRuntime/Connections/server_session.h
@@ -164,6 +164,8 @@
   /// are dropped.
   void DropFrom(std::size_t first);
   void DropBehind(const server_exchange& exchange);
+  /// Ends the connection with the requests before this one.
+  void EndBefore(const server_exchange& exchange);
   /// Drops the requests that were not handed over or are deferred.
   void DropWaiting();
   void Release(server_exchange& exchange);
--- a/Libraries/LibRuntime/Requests/call_handler.cc
+++ b/Libraries/LibRuntime/Requests/call_handler.cc
@@ -67,7 +67,7 @@
             dialect_.MakeError({.kind = error.kind, .reason = error.reason}));
       },
       [](const std::exception&) { throw; },
-      [&] { exchange->CloseConnection(); });
+      [&] { exchange->EndConnection(); });
 }
 
 void call_handler::Accept(const std::shared_ptr<server_exchange>& exchange,
@@ -260,7 +260,7 @@
 void call_handler::Fail(call_id call) {
   const auto failed = calls_.extract(call);
   if (failed && failed.mapped().exchange) {
-    failed.mapped().exchange->CloseConnection();
+    failed.mapped().exchange->EndConnection();
   }
 }
 
--- a/Libraries/LibRuntime/Requests/work_handler.cc
+++ b/Libraries/LibRuntime/Requests/work_handler.cc
@@ -59,7 +59,7 @@
                               duration::zero(), request_id(), error.reason));
       },
       [](const std::exception&) { throw; },
-      [&] { exchange->CloseConnection(); });
+      [&] { exchange->EndConnection(); });
 }
 
 void work_handler::Accept(const std::shared_ptr<server_exchange>& exchange,
@@ -310,7 +310,7 @@
 void work_handler::Fail(work_id work) {
   const auto failed = open_work_.extract(work);
   if (failed && failed.mapped().exchange) {
-    failed.mapped().exchange->CloseConnection();
+    failed.mapped().exchange->EndConnection();
   }
 }
 
--- a/Libraries/LibRuntime/node_runtime.cc
+++ b/Libraries/LibRuntime/node_runtime.cc
@@ -386,7 +386,7 @@
   LOG4CPLUS_ERROR(Log(), "request " << id << " failed: " << error.what());
   exchange.Abandon();
   if (exchange.has_response()) {
-    return exchange.CloseConnection();
+    return exchange.EndConnection();
   }
   exchange.RespondAndClose(
       dialect.MakeError({.kind = error_kind::kInternal,
@@ -518,7 +518,7 @@
 void node_runtime::impl::CloseReport(report_id report) {
   const auto reported = reports.extract(report);
   if (reported) {
-    reported.mapped()->CloseConnection();
+    reported.mapped()->EndConnection();
   }
 }
 
@@ -698,7 +698,7 @@
             dialect.MakeError({.kind = error.kind, .reason = error.reason}));
       },
       [](const std::exception&) { throw; },
-      [&] { exchange->CloseConnection(); });
+      [&] { exchange->EndConnection(); });
 }
 
 void node_runtime::impl::On(const acknowledge_report& effect) {
--- a/Tests/LibRuntime/http_listener_test.cc
+++ b/Tests/LibRuntime/http_listener_test.cc
@@ -191,6 +191,42 @@
   EXPECT_EQ(OpenSessions(), 2U);
 }
 
+class a_listener_with_pipelines : public a_listener {
+ protected:
+  a_listener_with_pipelines() { listener_.set_limits({.max_pipelined = 2}); }
+
+  void RunUntilRequested(std::size_t count) {
+    while (exchanges_.size() < count) {
+      io_.run_one();
+    }
+  }
+};
+
+// Guards against an answer that was lost (LOST) when handling the request
+// behind it failed.
+TEST_F(a_listener_with_pipelines, AnswersWhatCameBeforeARequestThatFails) {
+  raw_client client(listener_.port());
+  client.Write(
+      "GET /1 HTTP/1.1\r\nHost: test\r\n\r\n"
+      "GET /2 HTTP/1.1\r\nHost: test\r\n\r\n");
+  RunUntilRequested(2);
+  exchanges_.back()->EndConnection();
+  exchanges_.pop_back();
+  AnswerAll();
+  const auto answer = client.Read();
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(answer->body.size(), kAnswerBytes);
+  EXPECT_TRUE(client.ReadsEnd());
+}
+
+TEST_F(a_listener_with_pipelines, EndsTheConnectionIfItsOnlyRequestFails) {
+  raw_client client(listener_.port());
+  client.Write("GET /1 HTTP/1.1\r\nHost: test\r\n\r\n");
+  RunUntilRequested(1);
+  exchanges_.back()->EndConnection();
+  EXPECT_TRUE(client.ReadsEnd());
+}
+
 class a_listener_that_closes : public a_listener {
  protected:
   /// Of a client that has read nothing.
