--- a/Libraries/LibRuntime/Requests/call_handler.cc
+++ b/Libraries/LibRuntime/Requests/call_handler.cc
@@ -66,8 +66,7 @@
         exchange->Respond(
             dialect_.MakeError({.kind = error.kind, .reason = error.reason}));
       },
-      [](const std::exception&) { throw; },
-      [&] { exchange->EndConnection(); });
+      [](const std::exception&) { throw; }, [&] { exchange->EndConnection(); });
 }
 
 void call_handler::Accept(const std::shared_ptr<server_exchange>& exchange,
--- a/Libraries/LibRuntime/Requests/work_handler.cc
+++ b/Libraries/LibRuntime/Requests/work_handler.cc
@@ -58,8 +58,7 @@
             MakeErrorResponse(error.kind, execution_state::kNotExecuted,
                               duration::zero(), request_id(), error.reason));
       },
-      [](const std::exception&) { throw; },
-      [&] { exchange->EndConnection(); });
+      [](const std::exception&) { throw; }, [&] { exchange->EndConnection(); });
 }
 
 void work_handler::Accept(const std::shared_ptr<server_exchange>& exchange,
--- a/Libraries/LibRuntime/node_runtime.cc
+++ b/Libraries/LibRuntime/node_runtime.cc
@@ -697,8 +697,7 @@
         exchange->Respond(
             dialect.MakeError({.kind = error.kind, .reason = error.reason}));
       },
-      [](const std::exception&) { throw; },
-      [&] { exchange->EndConnection(); });
+      [](const std::exception&) { throw; }, [&] { exchange->EndConnection(); });
 }
 
 void node_runtime::impl::On(const acknowledge_report& effect) {
