LibRuntime: Correct what the limit of a read bounds

Interim responses have a bound of their own since; late responses and chunk extensions still have only this one. The comment said otherwise.

--- a/Libraries/LibRuntime/Connections/client_connection.cc
+++ b/Libraries/LibRuntime/Connections/client_connection.cc
@@ -25,8 +25,8 @@
 // Within a region a connection takes a few milliseconds to establish. A lost
 // first packet is retransmitted only after a second.
 constexpr std::chrono::milliseconds kConnectTimeout{300};
-// Enough for the largest body in the smallest chunks. Interim responses, late
-// ones and chunk extensions have no other limit.
+// Enough for the largest body in the smallest chunks. Late responses, and chunk
+// extensions together, have no other limit.
 constexpr std::size_t kMaxReadBytes = 8 * kMaxBodyBytes;
 // Each is short, so that many of them cost time rather than memory.
 constexpr std::size_t kMaxInterimResponses = 1000;
