Tests: Show that all readers of responses are bounded

The tests of endless answers went through calls and work only. The store's client has a parser of its own; a test has statuses that are none, with a whole answer behind them.

--- a/Tests/LibRuntime/endless_responses_test.cc
+++ b/Tests/LibRuntime/endless_responses_test.cc
@@ -255,6 +255,7 @@
         io_, tcp::endpoint(asio::ip::address_v4::loopback(), server.port()),
         [this] { return connection_id(++last_id_); }, [](connection_id) {},
         memory_);
+    io_.restart();
     for (int i = 0; i < kConnections; ++i) {
       client_request request;
       request.message = http_request_view(http::verb::get, "/", kHttp11);
@@ -287,6 +288,22 @@
   EXPECT_EQ(memory_.used_bytes(), 0U);
 }
 
+// All requests of a node but those to the store use such pools: calls, work,
+// health probes, views, quotas and queries.
+TEST_F(the_memory_of_responses, IsBoundedForAllBytesWithoutEnd) {
+  for (const endless_form& form : EndlessForms()) {
+    SCOPED_TRACE(form.name);
+    scripted_server server(Endless(form.head, form.part));
+    ended_.clear();
+    RequestAll(server);
+    for (const std::optional<error_kind>& error : ended_) {
+      EXPECT_TRUE(error);
+    }
+    EXPECT_LE(memory_.peak_bytes(), kMaxBytes);
+    EXPECT_EQ(memory_.used_bytes(), 0U);
+  }
+}
+
 TEST_F(the_memory_of_responses, IsReleasedAfterCompleteResponses) {
   scripted_server server(AnswersWith(std::string(10'000, 'x')));
   RequestAll(server);
--- a/Tests/platform/store_client_test.cc
+++ b/Tests/platform/store_client_test.cc
@@ -242,6 +242,18 @@
   EXPECT_EQ(Call(store_list{"k"}).status, store_status::kUnavailable);
 }
 
+// Guards against bytes behind such a status that are taken for the answer.
+TEST_F(a_read, IsUnavailableIfItsStatusIsNone) {
+  for (const char* status : {"000", "001", "099", "100", "101", "103", "700"}) {
+    SCOPED_TRACE(status);
+    answer_ = Answer(status + std::string(" Odd"),
+                     Answer("200 OK", R"({"items":[],"asOf":7})"));
+    Serve();
+    EXPECT_EQ(Call(store_list{"k"}).status, store_status::kUnavailable);
+    received_.clear();
+  }
+}
+
 class a_listing_of_several_pages : public a_store {
  protected:
   static std::string Page(const std::string& items, bool has_more) {
