Tests: Show that a status behind an answer answers no other call

A response without an HTTP status was tested as the answer to a call, not behind a good one on the same connection. The new test has it there, with and without a body or a whole response behind it, and a second call.

--- a/Tests/LibRuntime/odd_statuses_test.cc
+++ b/Tests/LibRuntime/odd_statuses_test.cc
@@ -82,6 +82,22 @@
       node.call_port(), CallText("listings", kShortDeadline)));
 }
 
+// Guards against bytes behind such a response that answer the next call
+// (MIXED).
+TEST_P(a_response_that_is_none, BehindAnAnswerAnswersNoOtherCall) {
+  scripted_server endpoint(Answering(AnswerText("whole") + Bytes({})));
+  running_node node;
+  node.Announce("listings", endpoint.port());
+  raw_client client(node.call_port());
+  for (int i = 0; i < 2; ++i) {
+    client.Write(CallText("listings", kShortDeadline));
+    const auto answer = client.Read();
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->status, 200U);
+    EXPECT_EQ(answer->body, "whole");
+  }
+}
+
 INSTANTIATE_TEST_SUITE_P(
     ,
     a_response_that_is_none,
