--- a/review/stand-ins-3/run.sh
+++ b/review/stand-ins-3/run.sh
@@ -2,6 +2,7 @@
 # Runs one case: run.sh PROGRAM RECORD. TROUBLE=0 leaves out the disruption.
 set -u
 cd "$(dirname "$0")/../.."
+export TROUBLE="${TROUBLE:-1}"
 program=target/review-3/$1
 record=$2
 [ -x "$program" ] && [ -x target/Services/auburnfold-node/auburnfold-node ] || exit 2
