--- a/review/stand-ins-3/parts.hpp
+++ b/review/stand-ins-3/parts.hpp
@@ -222,6 +222,16 @@
     return read;
   }
 
+  bool ReadBody(std::size_t size, double timeout, std::string& body) {
+    const double until = Now() + timeout;
+    while (buffer_.size() < size) {
+      if (!More(until)) return false;
+    }
+    body = buffer_.substr(0, size);
+    buffer_.erase(0, size);
+    return true;
+  }
+
   bool HasPeerClosed() const {
     pollfd state{fd_, POLLRDHUP, 0};
     return poll(&state, 1, 0) > 0;
@@ -269,6 +279,7 @@
     fd_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     const int on = 1;
     setsockopt(fd_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    if (receive_bytes > 0) setsockopt(fd_, SOL_SOCKET, SO_RCVBUF, &receive_bytes, sizeof(receive_bytes));
     const sockaddr_in at = Address(host_, port_);
     if (bind(fd_, reinterpret_cast<const sockaddr*>(&at), sizeof(at)) != 0 ||
         listen(fd_, 512) != 0) {
@@ -298,6 +309,11 @@
     }
   }
 
+  // The receive buffer of each connection, 0: the system's default.
+  int receive_bytes = 0;
+  // Otherwise the handler reads the body itself.
+  bool reads_bodies = true;
+
  private:
   void Accept() {
     while (!is_stopped_) {
@@ -312,7 +328,7 @@
         connection open(fd);
         open.StopWith(&is_stopped_);
         while (!is_stopped_) {
-          const auto request = open.Read(3600);
+          const auto request = open.Read(3600, false, reads_bodies);
           if (!request || is_stopped_ || !on_request_(open, *request)) return;
         }
       });
