--- a/review/stand-ins-3/late_report.cpp
+++ b/review/stand-ins-3/late_report.cpp
@@ -1,6 +1,6 @@
 // A first report (seq 0) comes seconds late, after the upstream has said that
 // it is draining and its node has acknowledged that.
-#include "upstream.hpp"
+#include "fleet.hpp"
 
 using namespace review;
 
@@ -9,7 +9,8 @@
   const bool is_troubled = IsTroubled();
   record out(arguments[2]);
   const std::string a = "127.0.71.1", b = "127.0.71.2", s = "127.0.71.9";
-  const int base = FreePorts({a, b, s}, 8);
+  const std::vector<std::string> others{"127.0.71.3", "127.0.71.4", "127.0.71.5"};
+  const int base = FreePorts({a, b, s, others[0], others[1], others[2]}, 8);
   if (base < 0) return 2;
   const ports at{base};
   store kv(s, base);
@@ -20,9 +21,12 @@
   node front(a, "kafi81c", at, store_address, folder);
   node beside(b, "huvo11a", at, store_address, folder);
   upstream served(b, at, "huvo11a", "i-7f3a91c2", out);
+  served.work_s = 0.05;
   if (!served.Start()) return 2;
+  fleet rest(others, "huvo11a", at, store_address, folder, out);
   front.Start();
   beside.Start();
+  if (!rest.Start()) return 2;
   if (!WaitReady(a, at.readiness(), 10) || !WaitReady(b, at.readiness(), 10)) return 2;
 
   // The first report is on its way for 6 s where there is trouble.
@@ -36,9 +40,9 @@
   std::atomic<int> answered{0}, refused{0}, other{0};
   std::vector<std::thread> clients;
   SleepUntil(began + 0.2);
-  for (int i = 0; i < 4; ++i) {
+  for (int i = 0; i < 24; ++i) {
     clients.emplace_back([&, i] {
-      Sleep(0.02 * i);
+      Sleep(0.003 * i);
       while (!is_over) {
         auto to = connection::To(a, at.outbound());
         attempt sent{.host = "hulo84.example", .path = "/leny950/2f", .id = NewId()};
@@ -48,7 +52,7 @@
           out.Write("client sent " + sent.id + ", answer " + std::to_string(status));
           ++(status == 200 ? answered : status == 503 ? refused : other);
         }
-        Sleep(0.08);
+        Sleep(0.02);
       }
     });
   }
@@ -76,6 +80,7 @@
   served.Stop();
   front.Kill();
   beside.Kill();
+  rest.Stop();
   kv.Stop();
   out.Write("answered " + std::to_string(answered) + ", refused " + std::to_string(refused) + ", other " + std::to_string(other));
   out.Write("acknowledged " + std::string(is_acknowledged ? "yes" : "no") + "; run before the drain's end " +
