--- a/review/stand-ins-3/parts.hpp
+++ b/review/stand-ins-3/parts.hpp
@@ -411,6 +411,11 @@
     for (const auto& [key, value] : items_) keys.push_back(key);
     return keys;
   }
+  // The leases run out, as they may while the store is down.
+  void Lapse() {
+    const std::lock_guard lock(mutex_);
+    while (!leases_.empty()) EndLease(leases_.begin()->first);
+  }
   // While it is set, calls are answered 503: nothing was done.
   std::atomic<bool> is_down{false};
 
