--- a/review/stand-ins-3/two_owners.cpp
+++ b/review/stand-ins-3/two_owners.cpp
@@ -142,12 +142,10 @@
   is_over = true;
   for (auto& thread : threads) thread.join();
   std::vector<std::pair<double, double>> counted;  // sent, run
-  std::size_t by_machine[5] = {};
   for (std::size_t i = 0; i < upstreams.size(); ++i) {
     for (const run_entry& run : upstreams[i]->Runs()) {
       if (run.tenant == tenant && sent_at.contains(run.id)) {
         counted.emplace_back(sent_at[run.id], run.at);
-        ++by_machine[i];
       }
     }
   }
