--- a/review/stand-ins-3/run.sh
+++ b/review/stand-ins-3/run.sh
@@ -7,8 +7,12 @@
 record=$2
 [ -x "$program" ] && [ -x target/Services/auburnfold-node/auburnfold-node ] || exit 2
 folder=$(mktemp -d) || exit 2
-trap 'rm -rf "$folder"' EXIT
-timeout -k 2 110 "$program" "$folder" "$record"
+timeout -k 2 110 "$program" "$folder" "$record" &
+running=$!
+# The nodes end with the program that started them.
+trap 'kill "$running" 2>/dev/null; wait "$running" 2>/dev/null; rm -rf "$folder"' EXIT
+trap 'exit 2' TERM INT HUP
+wait "$running"
 result=$?
 case $result in
   0 | 1) exit $result ;;
